Serve a request end to end through separate processes

Change: one binary (`endivehinge node`) with an ingress, a placement policy, an HTTP hop between nodes and the only way into the local target; small stand-ins for the platform (objects with versions, conditional updates, watches) and a target that announces itself; unit tests of the hop and tests with real processes; format, lint, build and tests in one script.

Ruled out: sending through curl's easy interface alone. It sends a request a second time by itself when a kept connection proves closed, and a request that was sent may have run. The second send is stopped before a byte leaves (prerequest callback), and the same callback tells whether a request can have reached its peer, so that a refusal "not run" is known to be true.

No timing was measured yet.

Conclusion: the path stands; membership is a list of platform objects, which does not scale and is to be replaced by gossip.

--- /dev/null
+++ b/examples/placeholder.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/include/endivehinge/detail/settings/yaml_reader.hpp
@@ -0,0 +1,34 @@
+#ifndef ENDIVEHINGE_DETAIL_SETTINGS_YAML_READER_HPP
+#define ENDIVEHINGE_DETAIL_SETTINGS_YAML_READER_HPP
+
+#include <optional> // optional
+#include <string>   // string
+
+#include <endivehinge/coordination/configuration.hpp>
+#include <endivehinge/core/failure.hpp>
+#include <endivehinge/detail/settings/node_settings.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief reads and checks the settings of a node as a whole
+/// @param text YAML
+/// @param source what errors call it, such as its file name
+/// @param reason the line, the field and the fix
+[[nodiscard]] std::optional<node_settings> read_node_settings(
+    std::string const & text, std::string const & source, failure & reason);
+
+/// @brief reads and checks the operators' configuration as a whole
+/// @param text YAML
+/// @param source what errors call it, such as its file name
+/// @param reason the line, the field and the fix
+[[nodiscard]] std::optional<configuration> read_configuration(
+    std::string const & text, std::string const & source, failure & reason);
+
+/// @brief reads a whole file
+[[nodiscard]] std::optional<std::string> read_file(std::string const & path,
+                                                   failure & reason);
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/src/app/ingress_handler.cpp
@@ -0,0 +1,155 @@
+#include <endivehinge/detail/node/ingress_handler.hpp>
+
+#include <algorithm> // min, max
+#include <utility>   // move
+
+#include <absl/strings/numbers.h> // SimpleAtoi
+#include <absl/strings/str_cat.h> // StrCat
+#include <nlohmann/json.hpp>      // json
+
+#include <endivehinge/core/header_names.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr int status_unavailable = 503;
+constexpr int status_unknown = 504;
+constexpr int milliseconds_per_second = 1000;
+constexpr milliseconds unknown_service_retry_after(1000);
+
+// the first segment of a path names the service
+service_name service_of(std::string const & path)
+{
+    auto const end = path.find_first_of("/?", 1);
+    return service_name(
+        path.substr(1, end == std::string::npos ? std::string::npos : end - 1));
+}
+
+std::int64_t whole_seconds(duration span)
+{
+    auto const count = duration_cast<milliseconds>(span).count();
+    return (count + milliseconds_per_second - 1) / milliseconds_per_second;
+}
+
+// RFC 9457 problem details, with our own members beside
+http_response make_refusal(outcome const & result)
+{
+    bool const rejected = result.kind == outcome_kind::rejected;
+    auto const retry_ms =
+        duration_cast<milliseconds>(result.retry_after).count();
+    http_response response;
+    response.status = rejected ? status_unavailable : status_unknown;
+    nlohmann::json const problem = {
+        {"type", absl::StrCat("urn:endivehinge:", to_string(result.reason.id))},
+        {"title", rejected ? "not run" : "outcome unknown"},
+        {"status", response.status},
+        {"detail", result.reason.describe()},
+        {"outcome", to_string(result.kind)},
+        {"retry_after_ms", retry_ms},
+    };
+    response.body = problem.dump();
+    response.headers.set("Content-Type", "application/problem+json");
+    if (rejected)
+    {
+        response.headers.set(header_names::retry_after,
+                             absl::StrCat(whole_seconds(result.retry_after)));
+    }
+    return response;
+}
+
+duration requested_timeout(http_headers const & headers, duration configured)
+{
+    std::string const * const text = headers.find(header_names::timeout_ms);
+    std::int64_t asked_ms = 0;
+    if (text == nullptr || !absl::SimpleAtoi(*text, &asked_ms))
+    {
+        return configured;
+    }
+    return std::min<duration>(milliseconds(std::max<std::int64_t>(0, asked_ms)),
+                              configured);
+}
+
+int requested_depth(http_headers const & headers)
+{
+    std::string const * const text = headers.find(header_names::depth);
+    int depth = 0;
+    return text != nullptr && absl::SimpleAtoi(*text, &depth) ? depth + 1 : 0;
+}
+
+} // namespace
+
+ingress_handler::ingress_handler(std::string prefix,
+                                 configuration_holder const & configured,
+                                 request_router & placing,
+                                 clock const & source)
+    : id_prefix(std::move(prefix))
+    , current(configured)
+    , router(placing)
+    , time(source)
+{
+}
+
+http_response ingress_handler::handle(http_request message,
+                                      http_connection connection)
+{
+    outcome result;
+    request_id id = this->next_id();
+    if (auto read_request = this->read(std::move(message), result))
+    {
+        read_request->id = id;
+        result = this->router.route(*read_request, connection.socket);
+    }
+    http_response response = result.kind == outcome_kind::answered
+                                 ? std::move(result.answer)
+                                 : make_refusal(result);
+    response.headers.set(header_names::outcome, to_string(result.kind));
+    response.headers.set(header_names::request_id, id.value());
+    return response;
+}
+
+std::optional<request> ingress_handler::read(http_request message,
+                                             outcome & refusal)
+{
+    auto const configured = this->current.current();
+    request incoming;
+    incoming.service = service_of(message.path);
+    auto const * const service = configured->find(incoming.service);
+    if (service == nullptr)
+    {
+        refusal = outcome::rejected({failure_id::not_found,
+                                     "read request",
+                                     {},
+                                     "no such service is configured"},
+                                    unknown_service_retry_after);
+        return std::nullopt;
+    }
+    duration timeout = service->deadline;
+    if (auto const * const rule = service->match(message.method, message.path))
+    {
+        incoming.repeatable = rule->repeatable;
+        incoming.urgency = rule->urgency;
+        timeout = rule->deadline.value_or(timeout);
+    }
+    incoming.depth = requested_depth(message.headers);
+    incoming.deadline =
+        this->time.now() + requested_timeout(message.headers, timeout);
+    if (auto const * const key =
+            message.headers.find(header_names::idempotency_key))
+    {
+        incoming.key = idempotency_key(*key);
+    }
+    incoming.message = std::move(message);
+    return incoming;
+}
+
+request_id ingress_handler::next_id()
+{
+    return request_id(absl::StrCat(this->id_prefix, "-", ++this->counter));
+}
+
+} // namespace endivehinge::detail
--- /dev/null
+++ b/src/coordination/configuration.cpp
@@ -0,0 +1,35 @@
+#include <endivehinge/coordination/configuration.hpp>
+
+#include <absl/strings/match.h> // StartsWith
+
+namespace endivehinge
+{
+
+route_rule const * service_configuration::match(std::string const & method,
+                                                std::string const & path) const
+{
+    for (auto const & rule : this->routes)
+    {
+        bool const method_fits = rule.method.empty() || rule.method == method;
+        if (method_fits && absl::StartsWith(path, rule.path_prefix))
+        {
+            return &rule;
+        }
+    }
+    return nullptr;
+}
+
+service_configuration const *
+configuration::find(service_name const & name) const
+{
+    for (auto const & service : this->services)
+    {
+        if (service.name == name)
+        {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace endivehinge
--- /dev/null
+++ b/tools/common/local_deployment.cpp
@@ -0,0 +1,166 @@
+#include <common/local_deployment.hpp>
+
+#include <fstream> // ofstream
+#include <utility> // move
+
+#include <absl/strings/str_cat.h> // StrCat
+#include <absl/time/clock.h>      // Now, SleepFor
+#include <nlohmann/json.hpp>      // json
+
+#include <endivehinge/detail/http/http_client.hpp>
+#include <endivehinge/detail/platform/http_object_store.hpp>
+
+namespace endivehinge::tools
+{
+namespace
+{
+
+constexpr char const * loopback = "127.0.0.1";
+constexpr absl::Duration poll_step = absl::Milliseconds(50);
+constexpr duration call_timeout = std::chrono::seconds(2);
+
+} // namespace
+
+local_deployment::local_deployment(std::string programs, std::string folder)
+    : binaries(std::move(programs))
+    , work(std::move(folder))
+{
+}
+
+bool local_deployment::start_platform(std::string const & configuration,
+                                      failure & reason)
+{
+    this->store = child_process::start({this->binaries + "/platform_stand_in"},
+                                       this->work + "/platform.log",
+                                       reason);
+    if (this->store == nullptr)
+    {
+        return false;
+    }
+    detail::http_client client{detail::http_client_limits()};
+    detail::http_object_store objects(
+        this->platform_address(), client, call_timeout);
+    return objects
+        .put("configuration", "root", object_version(), configuration, reason)
+        .has_value();
+}
+
+bool local_deployment::start_instance(instance_plan const & plan,
+                                      failure & reason)
+{
+    running_instance next;
+    next.plan = plan;
+    next.node = child_process::start({this->binaries + "/endivehinge",
+                                      "node",
+                                      "--settings",
+                                      this->write_settings(plan)},
+                                     this->work + "/" + plan.name + ".log",
+                                     reason);
+    if (next.node == nullptr)
+    {
+        return false;
+    }
+    std::vector<std::string> command = {
+        this->binaries + "/target_stand_in",
+        "--node",
+        absl::StrCat(loopback, ":", next.node->port("admin"))};
+    command.insert(command.end(),
+                   plan.target_arguments.begin(),
+                   plan.target_arguments.end());
+    next.target = child_process::start(
+        command, this->work + "/" + plan.name + "-target.log", reason);
+    if (next.target == nullptr)
+    {
+        return false;
+    }
+    this->instances.push_back(std::move(next));
+    return true;
+}
+
+bool local_deployment::wait_until_joined(absl::Duration patience)
+{
+    absl::Time const deadline = absl::Now() + patience;
+    for (auto const & candidate : this->instances)
+    {
+        while (!this->has_joined(candidate))
+        {
+            if (absl::Now() > deadline)
+            {
+                return false;
+            }
+            absl::SleepFor(poll_step);
+        }
+    }
+    return true;
+}
+
+endpoint local_deployment::ingress(std::size_t index) const
+{
+    return {loopback, this->instances[index].node->port("ingress")};
+}
+
+running_instance & local_deployment::instance(std::size_t index)
+{
+    return this->instances[index];
+}
+
+std::size_t local_deployment::size() const
+{
+    return this->instances.size();
+}
+
+child_process & local_deployment::platform()
+{
+    return *this->store;
+}
+
+endpoint local_deployment::platform_address() const
+{
+    return {loopback, this->store->port("port")};
+}
+
+std::string local_deployment::write_settings(instance_plan const & plan) const
+{
+    std::string path = this->work + "/" + plan.name + ".yaml";
+    std::ofstream file(path);
+    file << "name: " << plan.name << "\n"
+         << "service: " << plan.service << "\n"
+         << "failure_domain: " << plan.failure_domain << "\n"
+         << "region: local\n"
+         << "listen:\n"
+         << "  ingress: 127.0.0.1:0\n"
+         << "  peers: 127.0.0.1:0\n"
+         << "  control: 127.0.0.1:0\n"
+         << "  admin: 127.0.0.1:0\n"
+         << "platform: " << this->platform_address().to_string() << "\n";
+    return path;
+}
+
+bool local_deployment::has_joined(running_instance const & candidate) const
+{
+    detail::http_client client{detail::http_client_limits()};
+    detail::http_exchange_options options;
+    options.timeout = call_timeout;
+    detail::http_exchange_report report;
+    failure reason;
+    auto const response =
+        client.exchange({loopback, candidate.node->port("admin")},
+                        {"GET", "/status", {}, {}},
+                        options,
+                        report,
+                        reason);
+    if (!response.has_value())
+    {
+        return false;
+    }
+    auto const status = nlohmann::json::parse(response->body, nullptr, false);
+    std::size_t ready = 0;
+    for (auto const & one : status.at("members"))
+    {
+        ready += one.at("accepts_work").get<bool>() ? 1 : 0;
+    }
+    return ready >= this->instances.size() &&
+           status.at("configuration_version").get<std::uint64_t>() > 0;
+}
+
+} // namespace endivehinge::tools
