--- /dev/null
+++ b/tests/src/unit-control.cpp
@@ -0,0 +1,141 @@
+#include <string> // string
+
+#include <gtest/gtest.h>
+
+#include <endivehinge/detail/control/control_client.hpp>
+#include <endivehinge/detail/control/control_server.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+constexpr duration generous = std::chrono::seconds(10);
+
+class echo_handler final : public configuration_handler
+{
+public:
+    bool pull(wire::pull_request const & request,
+              wire::pull_response & response) override
+    {
+        response.add_objects()->set_name(request.from());
+        return this->answers;
+    }
+
+    bool push(wire::push_request const & request,
+              wire::push_response & response) override
+    {
+        response.set_accepted(
+            static_cast<std::uint32_t>(request.objects_size()));
+        return this->answers;
+    }
+
+    bool answers = true;
+};
+
+class control : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        control_handlers handlers;
+        handlers.configuration = &this->handler;
+
+        this->server = control_server::start(
+            {"127.0.0.1", 0}, handlers, control_limits(), this->reason);
+        ASSERT_NE(this->server, nullptr) << this->reason.describe();
+    }
+
+    endpoint address() const
+    {
+        return {"127.0.0.1", this->server->port()};
+    }
+
+    echo_handler handler;
+    std::unique_ptr<control_server> server;
+    control_client client{control_limits()};
+    failure reason;
+};
+
+TEST_F(control, an_exchange_reaches_its_handler)
+{
+    wire::pull_request request;
+    request.set_from("listings-1");
+    auto const response =
+        this->client.pull(this->address(), request, generous, this->reason);
+    ASSERT_TRUE(response.has_value()) << this->reason.describe();
+    EXPECT_EQ(response->objects(0).name(), "listings-1");
+}
+
+TEST_F(control, a_handler_that_is_not_set_is_unavailable)
+{
+    auto const response =
+        this->client.renew_lease(this->address(), {}, generous, this->reason);
+    EXPECT_FALSE(response.has_value());
+    EXPECT_EQ(this->reason.id, failure_id::connection_lost);
+    EXPECT_EQ(this->reason.step, "renew lease");
+    EXPECT_EQ(this->reason.peer, this->address().to_string());
+}
+
+TEST_F(control, a_handler_that_cannot_answer_is_unavailable)
+{
+    this->handler.answers = false;
+    EXPECT_FALSE(
+        this->client.push(this->address(), {}, generous, this->reason));
+    this->handler.answers = true;
+    EXPECT_TRUE(this->client.push(this->address(), {}, generous, this->reason));
+}
+
+TEST_F(control, a_message_over_the_bound_is_refused_and_the_server_goes_on)
+{
+    wire::push_request request;
+    request.add_objects()->set_value(
+        std::string(control_limits().message_bytes + 1, 'x'));
+    EXPECT_FALSE(
+        this->client.push(this->address(), request, generous, this->reason));
+    EXPECT_EQ(this->reason.id, failure_id::overloaded);
+    EXPECT_TRUE(this->client.pull(this->address(), {}, generous, this->reason));
+}
+
+TEST_F(control, more_peers_than_channels_are_all_reached)
+{
+    control_limits limits;
+    limits.channels = 1;
+    control_client small(limits);
+    failure ignored;
+    control_handlers handlers;
+    handlers.configuration = &this->handler;
+    auto const second = control_server::start(
+        {"127.0.0.1", 0}, handlers, control_limits(), ignored);
+    ASSERT_NE(second, nullptr);
+    for (int i = 0; i < 3; ++i)
+    {
+        EXPECT_TRUE(small.pull(this->address(), {}, generous, this->reason));
+        EXPECT_TRUE(small.pull(
+            {"127.0.0.1", second->port()}, {}, generous, this->reason));
+    }
+}
+
+TEST_F(control, a_port_in_use_is_an_error_that_names_it)
+{
+    auto const second = control_server::start(
+        this->address(), control_handlers(), control_limits(), this->reason);
+    EXPECT_EQ(second, nullptr);
+    EXPECT_EQ(this->reason.peer, this->address().to_string());
+}
+
+TEST_F(control, a_peer_that_is_away_is_a_failure_and_found_when_back)
+{
+    endpoint const address = this->address();
+    this->server.reset();
+    EXPECT_FALSE(this->client.pull(address, {}, generous, this->reason));
+    control_handlers handlers;
+    handlers.configuration = &this->handler;
+    this->server = control_server::start(
+        address, handlers, control_limits(), this->reason);
+    ASSERT_NE(this->server, nullptr) << this->reason.describe();
+    EXPECT_TRUE(this->client.pull(address, {}, generous, this->reason));
+}
+
+} // namespace
+} // namespace endivehinge::detail
