Check settings and configuration as a whole before anything starts

The readers took the fields they knew and passed over the rest, so a misspelt deadline was a silent default.

--- a/include/endivehinge/core/request.hpp
+++ b/include/endivehinge/core/request.hpp
@@ -18,6 +18,9 @@
     batch = 2,
 };
 
+/// @brief the name of a priority, as the configuration writes it
+[[nodiscard]] char const * to_string(priority urgency);
+
 /// @brief a request on its way, with what has to travel with it
 struct request
 {
--- a/include/endivehinge/detail/settings/yaml_reader.hpp
+++ b/include/endivehinge/detail/settings/yaml_reader.hpp
@@ -25,6 +25,14 @@
 [[nodiscard]] std::optional<configuration> read_configuration(
     std::string const & text, std::string const & source, failure & reason);
 
+/// @brief reads one service by itself, as the platform keeps it
+/// @param text YAML
+/// @param source what errors call it
+/// @param reason the line, the field and the fix
+/// @note does not look at the services that it depends on
+[[nodiscard]] std::optional<service_configuration> read_service_configuration(
+    std::string const & text, std::string const & source, failure & reason);
+
 /// @brief reads a whole file
 [[nodiscard]] std::optional<std::string> read_file(std::string const & path,
                                                    failure & reason);
--- a/src/adapters/settings/yaml_reader.cpp
+++ b/src/adapters/settings/yaml_reader.cpp
@@ -2,88 +2,95 @@
 
 #include <fstream> // ifstream
 #include <sstream> // stringstream
+#include <vector>  // vector
 
 #include <absl/strings/str_cat.h> // StrCat
 #include <yaml-cpp/yaml.h>        // Load
 
+#include "yaml_fields.hpp"
+
 namespace endivehinge::detail
 {
 namespace
 {
 
-using std::chrono::milliseconds;
+constexpr field_bounds<std::int64_t> shutdown_bounds_s{1, 600};
 
-std::optional<endpoint> read_endpoint(YAML::Node const & node)
+// others learn these addresses from this node, so each has to say which
+endpoint read_listen_address(yaml_fields & fields, std::string const & name)
 {
-    failure reason;
-    auto parsed = endpoint::parse(node.as<std::string>(), reason);
-    if (!parsed.has_value())
+    endpoint const address = fields.address(name);
+    if (address.host == "0.0.0.0" || address.host == "::")
     {
-        throw YAML::RepresentationException(node.Mark(), reason.detail);
+        throw yaml_error(fields.mark(),
+                         fields.path_of(name),
+                         "names every address of the machine",
+                         "write the one address that peers reach");
     }
-    return parsed;
+    return address;
 }
 
-priority read_priority(YAML::Node const & node)
+void check_distinct(std::vector<endpoint> const & addresses,
+                    yaml_fields const & fields)
 {
-    auto const text = node.as<std::string>();
-    if (text == "internal_check")
-    {
-        return priority::internal_check;
-    }
-    if (text == "interactive")
+    for (std::size_t i = 0; i < addresses.size(); ++i)
     {
-        return priority::interactive;
-    }
-    if (text == "batch")
-    {
-        return priority::batch;
+        for (std::size_t j = i + 1; j < addresses.size(); ++j)
+        {
+            // port 0 takes a free port, so it may stand more than once
+            if (addresses[i].port != 0 && addresses[i] == addresses[j])
+            {
+                throw yaml_error(
+                    fields.mark(),
+                    "listen",
+                    absl::StrCat("uses ", addresses[i].to_string(), " twice"),
+                    "give each its own port");
+            }
+        }
     }
-    throw YAML::RepresentationException(
-        node.Mark(), "priority is internal_check, interactive or batch");
 }
 
-route_rule read_route(YAML::Node const & node)
+void read_listen(YAML::Node const & node, node_settings & settings)
 {
-    route_rule rule;
-    rule.method = node["method"].as<std::string>("");
-    rule.path_prefix = node["path"].as<std::string>();
-    rule.repeatable = node["repeatable"].as<bool>(false);
-    if (node["priority"])
-    {
-        rule.urgency = read_priority(node["priority"]);
-    }
-    if (node["deadline_ms"])
-    {
-        rule.deadline = milliseconds(node["deadline_ms"].as<int>());
-    }
-    return rule;
+    yaml_fields fields(node, "listen");
+    settings.ingress = read_listen_address(fields, "ingress");
+    settings.peers = read_listen_address(fields, "peers");
+    settings.control = read_listen_address(fields, "control");
+    settings.admin = read_listen_address(fields, "admin");
+    fields.finish();
+    check_distinct(
+        {settings.ingress, settings.peers, settings.control, settings.admin},
+        fields);
 }
 
-service_configuration read_service(YAML::Node const & node)
+endpoint read_platform(yaml_fields & fields)
 {
-    service_configuration service;
-    service.name = service_name(node["name"].as<std::string>());
-    for (auto const & dependency : node["depends_on"])
+    endpoint const address = fields.address("platform");
+    if (address.port == 0)
     {
-        service.depends_on.emplace_back(dependency.as<std::string>());
+        throw yaml_error(fields.mark(),
+                         "platform",
+                         "has port 0",
+                         "write the port that the platform listens on");
     }
-    service.deadline = milliseconds(node["deadline_ms"].as<int>(1000));
-    for (auto const & route : node["routes"])
-    {
-        service.routes.push_back(read_route(route));
-    }
-    return service;
+    return address;
 }
 
-failure describe(YAML::Exception const & error,
-                 failure_id id,
-                 std::string const & source)
+node_settings read_settings(YAML::Node const & root)
 {
-    return {id,
-            "read YAML",
-            {},
-            absl::StrCat(source, ":", error.mark.line + 1, ": ", error.msg)};
+    yaml_fields fields(root, {});
+    node_settings settings;
+    settings.name = node_name(fields.identifier("name"));
+    settings.domain = failure_domain(fields.identifier("failure_domain"));
+    settings.region = region_name(fields.identifier("region"));
+    settings.service = service_name(fields.identifier("service"));
+    settings.platform = read_platform(fields);
+    settings.shutdown_deadline =
+        fields.seconds("shutdown_deadline_s", shutdown_bounds_s)
+            .value_or(settings.shutdown_deadline);
+    read_listen(fields.require("listen"), settings);
+    fields.finish();
+    return settings;
 }
 
 } // namespace
@@ -94,58 +101,24 @@
 {
     try
     {
-        YAML::Node const root = YAML::Load(text);
-        node_settings settings;
-        settings.name = node_name(root["name"].as<std::string>());
-        settings.domain =
-            failure_domain(root["failure_domain"].as<std::string>());
-        settings.region = region_name(root["region"].as<std::string>());
-        settings.service = service_name(root["service"].as<std::string>());
-        settings.ingress = *read_endpoint(root["listen"]["ingress"]);
-        settings.peers = *read_endpoint(root["listen"]["peers"]);
-        settings.control = *read_endpoint(root["listen"]["control"]);
-        settings.admin = *read_endpoint(root["listen"]["admin"]);
-        settings.platform = *read_endpoint(root["platform"]);
-        return settings;
+        return read_settings(YAML::Load(text));
     }
-    catch (YAML::Exception const & error)
+    catch (std::exception const & error)
     {
         reason = describe(error, failure_id::invalid_settings, source);
         return std::nullopt;
     }
 }
 
-std::optional<configuration> read_configuration(std::string const & text,
-                                                std::string const & source,
-                                                failure & reason)
-{
-    try
-    {
-        YAML::Node const root = YAML::Load(text);
-        configuration result;
-        for (auto const & service : root["services"])
-        {
-            result.services.push_back(read_service(service));
-        }
-        return result;
-    }
-    catch (YAML::Exception const & error)
-    {
-        reason = describe(error, failure_id::invalid_configuration, source);
-        return std::nullopt;
-    }
-}
-
 std::optional<std::string> read_file(std::string const & path, failure & reason)
 {
     std::ifstream file(path);
-    if (!file)
+    std::stringstream content;
+    if (!file || !(content << file.rdbuf()))
     {
         reason = {failure_id::not_found, "read file", {}, path};
         return std::nullopt;
     }
-    std::stringstream content;
-    content << file.rdbuf();
     return content.str();
 }
 
