--- a/src/adapters/settings/configuration_reader.cpp
+++ b/src/adapters/settings/configuration_reader.cpp
@@ -271,6 +271,7 @@
     [[noreturn]] void refuse(std::vector<std::size_t> const & cycle) const
     {
         std::vector<std::string> names;
+        names.reserve(cycle.size() + 1);
         for (std::size_t const position : cycle)
         {
             names.push_back(this->all[position].service.name.value());
--- a/tests/src/unit-control.cpp
+++ b/tests/src/unit-control.cpp
@@ -18,15 +18,14 @@
     bool pull(wire::pull_request const & request,
               wire::pull_response & response) override
     {
-        response.add_objects()->set_name(request.from());
+        response.mutable_changes()->add_objects()->set_name(request.from());
         return this->answers;
     }
 
     bool push(wire::push_request const & request,
               wire::push_response & response) override
     {
-        response.set_accepted(
-            static_cast<std::uint32_t>(request.objects_size()));
+        response.set_version(request.changes().upto());
         return this->answers;
     }
 
@@ -64,7 +63,7 @@
     auto const response =
         this->client.pull(this->address(), request, generous, this->reason);
     ASSERT_TRUE(response.has_value()) << this->reason.describe();
-    EXPECT_EQ(response->objects(0).name(), "listings-1");
+    EXPECT_EQ(response->changes().objects(0).name(), "listings-1");
 }
 
 TEST_F(control, a_handler_that_is_not_set_is_unavailable)
@@ -89,7 +88,7 @@
 TEST_F(control, a_message_over_the_bound_is_refused_and_the_server_goes_on)
 {
     wire::push_request request;
-    request.add_objects()->set_value(
+    request.mutable_changes()->add_objects()->set_value(
         std::string(control_limits().message_bytes + 1, 'x'));
     EXPECT_FALSE(
         this->client.push(this->address(), request, generous, this->reason));
