Spread the configuration among nodes, and hold it without the platform

A few nodes of each failure domain watch the platform; what is new to a node it pushes to two peers, the others pull when they hear of a version or by anti-entropy.

The version that counts is that of the newest change, not the platform's: that one also grows with every lease, and each growth would have made the whole fleet pull.

--- a/include/endivehinge/coordination/configuration.hpp
+++ b/include/endivehinge/coordination/configuration.hpp
@@ -5,6 +5,8 @@
 #include <string>   // string
 #include <vector>   // vector
 
+#include <absl/container/flat_hash_set.h> // flat_hash_set
+
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/core/request.hpp>
@@ -55,16 +57,24 @@
                                            std::string const & path) const;
 };
 
-/// @brief the operators' text, read and checked as a whole
+/// @brief what the operators want: their text, and what is out of service
 struct configuration
 {
     object_version version;
     std::vector<service_configuration> services;
+    absl::flat_hash_set<failure_domain> drained_domains;
+    // by the node beside it
+    absl::flat_hash_set<node_name> drained_targets;
 
     /// @brief the service of that name, or null
     /// @note pure; thread safety: as a const object
     [[nodiscard]] service_configuration const *
     find(service_name const & name) const;
+
+    /// @brief whether the target beside a node is to get no new work
+    /// @note pure; thread safety: as a const object
+    [[nodiscard]] bool is_drained(failure_domain const & domain,
+                                  node_name const & node) const;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/detail/node/configuration_watcher.hpp
+++ b/include/endivehinge/detail/node/configuration_watcher.hpp
@@ -5,7 +5,9 @@
 
 #include <absl/synchronization/mutex.h> // Mutex
 
+#include <endivehinge/coordination/configuration_state.hpp>
 #include <endivehinge/coordination/object_store.hpp>
+#include <endivehinge/detail/node/configuration_assembler.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
 
 namespace endivehinge::detail
@@ -34,6 +36,8 @@
 
     object_store & store;
     configuration_holder & holder;
+    configuration_state state;
+    configuration_assembler assembler;
     absl::Mutex mutex;
     bool stopping = false;
     std::thread worker;
--- a/src/adapters/settings/yaml_reader.cpp
+++ b/src/adapters/settings/yaml_reader.cpp
@@ -19,7 +19,7 @@
 // others learn these addresses from this node, so each has to say which
 endpoint read_listen_address(yaml_fields & fields, std::string const & name)
 {
-    endpoint const address = fields.address(name);
+    endpoint address = fields.address(name);
     if (address.host == "0.0.0.0" || address.host == "::")
     {
         throw yaml_error(fields.mark(),
@@ -65,7 +65,7 @@
 
 endpoint read_platform(yaml_fields & fields)
 {
-    endpoint const address = fields.address("platform");
+    endpoint address = fields.address("platform");
     if (address.port == 0)
     {
         throw yaml_error(fields.mark(),
--- /dev/null
+++ b/src/app/configuration_service.cpp
@@ -0,0 +1,421 @@
+#include <endivehinge/detail/node/configuration_service.hpp>
+
+#include <algorithm> // min, sample
+#include <iterator>  // back_inserter
+#include <string>    // to_string
+#include <utility>   // move
+
+#include <absl/random/uniform_int_distribution.h> // uniform_int_distribution
+#include <absl/time/time.h>                       // FromChrono
+
+#include <endivehinge/coordination/configuration_entry.hpp>
+#include <endivehinge/coordination/watcher_election.hpp>
+#include <endivehinge/detail/control/change_set_codec.hpp>
+#include <endivehinge/detail/log/log.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// how long one call of a watch waits for changes
+constexpr duration watch_patience = seconds(2);
+// reads of a node that holds no watch: one in this time for each member, so
+// that the fleet's reads do not grow with it
+constexpr duration read_interval_per_member = milliseconds(10);
+constexpr duration shortest_read_interval = seconds(2);
+constexpr duration first_platform_wait = milliseconds(250);
+constexpr duration longest_platform_wait = seconds(10);
+constexpr duration budget_wait = milliseconds(100);
+constexpr double platform_reads_per_second = 10;
+constexpr double platform_read_burst = 10;
+// each node asks a random peer about once in this time
+constexpr duration anti_entropy_interval = seconds(4);
+constexpr duration peer_timeout = seconds(1);
+// peers that a node tells what is new to it
+constexpr std::size_t push_fanout = 2;
+// peers that a fresh node asks
+constexpr std::size_t fresh_node_peers = 3;
+// how long a fresh node waits until it knows of any peer
+constexpr duration first_peers_patience = seconds(1);
+constexpr duration first_peers_step = milliseconds(20);
+constexpr std::size_t task_capacity = 64;
+// leaves room for what is added on the wire
+constexpr std::size_t change_set_bytes = std::size_t{2} * 1024 * 1024;
+
+logger const & log()
+{
+    static logger const instance("configuration");
+    return instance;
+}
+
+// random, so that the nodes do not act together
+duration around(duration middle, absl::BitGenRef random)
+{
+    absl::uniform_int_distribution<std::int64_t> spread(middle.count() / 2,
+                                                        middle.count() * 3 / 2);
+    return duration(spread(random));
+}
+
+// the platform's version also grows with objects that are none of ours, so
+// the newest of our changes is what counts
+change_set changes_of(object_version after, watch_result const & seen)
+{
+    change_set changes{after, after, seen.changes};
+    for (auto const & object : seen.changes)
+    {
+        changes.upto = std::max(changes.upto, object.version);
+    }
+    return changes;
+}
+
+} // namespace
+
+configuration_service::configuration_service(node_name name,
+                                             failure_domain own_domain,
+                                             object_store & platform,
+                                             member_directory const & directory,
+                                             control_client & peers,
+                                             configuration_holder & target,
+                                             clock const & source)
+    : self(std::move(name))
+    , domain(std::move(own_domain))
+    , store(platform)
+    , members(directory)
+    , client(peers)
+    , holder(target)
+    , time(source)
+    , platform_backoff(first_platform_wait, longest_platform_wait)
+    , platform_reads(platform_reads_per_second, platform_read_burst)
+    , tasks(task_capacity)
+{
+}
+
+configuration_service::~configuration_service()
+{
+    this->stop();
+}
+
+void configuration_service::start()
+{
+    this->watching = std::thread(&configuration_service::watch_platform, this);
+    this->exchanging =
+        std::thread(&configuration_service::exchange_with_peers, this);
+}
+
+void configuration_service::stop()
+{
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+    }
+    this->tasks.close();
+    for (auto * const worker : {&this->watching, &this->exchanging})
+    {
+        if (worker->joinable())
+        {
+            worker->join();
+        }
+    }
+}
+
+void configuration_service::peer_has(member const & peer,
+                                     object_version version)
+{
+    if (version > this->version() && peer.control_address.port != 0)
+    {
+        // a full ring is no loss: anti-entropy catches up
+        static_cast<void>(this->tasks.try_push(
+            {task::kind::pull, peer.control_address, object_version()}));
+    }
+}
+
+object_version configuration_service::version() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->state.version();
+}
+
+bool configuration_service::is_ready() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->may_serve();
+}
+
+bool configuration_service::pull(wire::pull_request const & request,
+                                 wire::pull_response & response)
+{
+    absl::MutexLock lock(&this->mutex);
+    *response.mutable_changes() = encode(this->state.changes_after(
+        object_version(request.after()), change_set_bytes));
+    return true;
+}
+
+bool configuration_service::push(wire::push_request const & request,
+                                 wire::push_response & response)
+{
+    change_set const changes = decode(request.changes());
+    bool const advanced = this->take_in(changes);
+    object_version const reached = this->version();
+    response.set_version(reached.value());
+    if (!advanced && changes.upto > reached)
+    {
+        for (auto const & peer : *this->members.snapshot())
+        {
+            if (peer.name.value() == request.from())
+            {
+                this->peer_has(peer, changes.upto);
+            }
+        }
+    }
+    return true;
+}
+
+void configuration_service::watch_platform()
+{
+    bool goes_on = true;
+    while (goes_on)
+    {
+        duration pause = budget_wait;
+        if (this->platform_reads.try_take(this->time.now()))
+        {
+            pause = this->read_platform();
+        }
+        goes_on = !this->wait_stopping(pause);
+    }
+}
+
+// returns how long to wait before the next read
+duration configuration_service::read_platform()
+{
+    duration const patience =
+        this->holds_watch() ? watch_patience : duration(0);
+    failure reason;
+    object_version const after = this->version();
+    auto const seen =
+        this->store.watch(configuration_kind, after, patience, reason);
+    absl::BitGen spread;
+    if (!seen.has_value())
+    {
+        this->note_platform(false, reason);
+        return this->platform_backoff.after_failure(spread);
+    }
+    this->platform_backoff.reset();
+    static_cast<void>(this->take_in(changes_of(after, *seen)));
+    this->note_platform(true, reason);
+    return this->holds_watch() ? duration(0) : this->read_interval(spread);
+}
+
+void configuration_service::note_platform(bool answered, failure const & reason)
+{
+    absl::MutexLock lock(&this->mutex);
+    if (!answered && !this->platform_failed)
+    {
+        log().warning("The platform does not answer.",
+                      {{"reason", reason.describe()}});
+    }
+    if (answered && this->platform_failed)
+    {
+        log().info("The platform answers again.");
+    }
+    this->platform_failed = !answered;
+    this->platform_answered = this->platform_answered || answered;
+    this->publish();
+}
+
+// the first read does not wait, so that a fresh node soon knows what is there
+bool configuration_service::holds_watch() const
+{
+    {
+        absl::MutexLock lock(&this->mutex);
+        if (!this->platform_answered)
+        {
+            return false;
+        }
+    }
+    return is_watcher(this->self,
+                      this->domain,
+                      *this->members.snapshot(),
+                      watchers_per_failure_domain);
+}
+
+duration configuration_service::read_interval(absl::BitGenRef spread) const
+{
+    auto const count =
+        static_cast<std::int64_t>(this->members.snapshot()->size());
+    return around(std::max<duration>(shortest_read_interval,
+                                     read_interval_per_member * count),
+                  spread);
+}
+
+void configuration_service::exchange_with_peers()
+{
+    this->ask_first_peers();
+    while (true)
+    {
+        absl::BitGen spread;
+        auto const next = this->tasks.pop(
+            absl::FromChrono(around(anti_entropy_interval, spread)));
+        if (this->tasks.is_closed())
+        {
+            return;
+        }
+        if (next.has_value())
+        {
+            this->do_task(*next);
+        }
+        else
+        {
+            this->pull_from_some(this->is_ready() ? 1 : fresh_node_peers);
+        }
+    }
+}
+
+void configuration_service::ask_first_peers()
+{
+    time_point const deadline = this->time.now() + first_peers_patience;
+    while (this->choose_peers(1).empty() && this->time.now() < deadline)
+    {
+        if (this->wait_stopping(first_peers_step))
+        {
+            return;
+        }
+    }
+    this->pull_from_some(fresh_node_peers);
+    absl::MutexLock lock(&this->mutex);
+    this->has_asked_peers = true;
+    this->publish();
+}
+
+void configuration_service::do_task(task const & next)
+{
+    if (next.what == task::kind::push)
+    {
+        this->push_on(next.after);
+    }
+    else
+    {
+        this->pull_from(next.peer);
+    }
+}
+
+void configuration_service::pull_from(endpoint const & peer)
+{
+    bool more = true;
+    while (more)
+    {
+        wire::pull_request request;
+        request.set_from(this->self.value());
+        request.set_after(this->version().value());
+        failure reason;
+        auto const response =
+            this->client.pull(peer, request, peer_timeout, reason);
+        if (!response.has_value())
+        {
+            return;
+        }
+        // a large set of changes comes in parts
+        more = this->take_in(decode(response->changes()));
+    }
+    absl::MutexLock lock(&this->mutex);
+    ++this->peer_answers;
+    this->publish();
+}
+
+void configuration_service::push_on(object_version after)
+{
+    wire::push_request request;
+    request.set_from(this->self.value());
+    {
+        absl::MutexLock lock(&this->mutex);
+        *request.mutable_changes() =
+            encode(this->state.changes_after(after, change_set_bytes));
+    }
+    for (auto const & peer : this->choose_peers(push_fanout))
+    {
+        failure reason;
+        static_cast<void>(this->client.push(
+            peer.control_address, request, peer_timeout, reason));
+    }
+}
+
+void configuration_service::pull_from_some(std::size_t count)
+{
+    for (auto const & peer : this->choose_peers(count))
+    {
+        this->pull_from(peer.control_address);
+    }
+}
+
+// returns whether anything in it was new
+bool configuration_service::take_in(change_set const & changes)
+{
+    absl::MutexLock lock(&this->mutex);
+    object_version const before = this->state.version();
+    if (this->state.merge(changes) != merge_result::advanced)
+    {
+        return false;
+    }
+    static_cast<void>(
+        this->tasks.try_push({task::kind::push, endpoint(), before}));
+    this->publish();
+    return true;
+}
+
+bool configuration_service::may_serve() const
+{
+    // a platform that returns old data must not undo what peers know
+    bool const by_platform = this->platform_answered && this->has_asked_peers;
+    bool const by_peers =
+        this->platform_failed && this->peer_answers >= fresh_node_peers;
+    return by_platform || by_peers;
+}
+
+void configuration_service::publish()
+{
+    if (!this->may_serve() ||
+        this->state.version() <= this->holder.current()->version)
+    {
+        return;
+    }
+    if (this->holder.replace(this->assembler.assemble(this->state)))
+    {
+        log().info(
+            "A configuration is in force.",
+            {{"version", std::to_string(this->state.version().value())}});
+    }
+}
+
+bool configuration_service::wait_stopping(duration patience)
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping),
+                                        absl::FromChrono(patience));
+}
+
+std::vector<member> configuration_service::choose_peers(std::size_t count)
+{
+    member_snapshot const known = this->members.snapshot();
+    std::vector<member> reachable;
+    for (auto const & other : *known)
+    {
+        if (other.name != this->self && other.control_address.port != 0 &&
+            other.state == member_state::alive)
+        {
+            reachable.push_back(other);
+        }
+    }
+    std::vector<member> chosen;
+    absl::MutexLock lock(&this->mutex);
+    std::sample(reachable.begin(),
+                reachable.end(),
+                std::back_inserter(chosen),
+                count,
+                this->random);
+    return chosen;
+}
+
+} // namespace endivehinge::detail
--- a/src/app/configuration_watcher.cpp
+++ b/src/app/configuration_watcher.cpp
@@ -1,20 +1,18 @@
 #include <endivehinge/detail/node/configuration_watcher.hpp>
 
-#include <string>  // to_string
-#include <utility> // move
+#include <algorithm> // max
+#include <string>    // to_string
 
 #include <absl/time/time.h> // Milliseconds
 
+#include <endivehinge/coordination/configuration_entry.hpp>
 #include <endivehinge/detail/log/log.hpp>
-#include <endivehinge/detail/settings/yaml_reader.hpp>
 
 namespace endivehinge::detail
 {
 namespace
 {
 
-constexpr char const * object_kind = "configuration";
-constexpr char const * object_name = "root";
 constexpr absl::Duration refresh_interval = absl::Milliseconds(500);
 
 logger const & log()
@@ -71,24 +69,24 @@
 void configuration_watcher::refresh()
 {
     failure reason;
-    auto const object = this->store.get(object_kind, object_name, reason);
-    if (!object.has_value() ||
-        object->version <= this->holder.current()->version)
+    object_version const after = this->state.version();
+    auto const seen =
+        this->store.watch(configuration_kind, after, duration(0), reason);
+    if (!seen.has_value())
     {
         return;
     }
-    auto next = read_configuration(object->value, object_name, reason);
-    if (!next.has_value())
+    change_set changes{after, after, seen->changes};
+    for (auto const & object : seen->changes)
     {
-        log().error("A configuration was not taken in.",
-                    {{"reason", reason.describe()}});
-        return;
+        changes.upto = std::max(changes.upto, object.version);
     }
-    next->version = object->version;
-    if (this->holder.replace(*std::move(next)))
+    if (this->state.merge(changes) == merge_result::advanced &&
+        this->holder.replace(this->assembler.assemble(this->state)))
     {
-        log().info("A configuration is in force.",
-                   {{"version", std::to_string(object->version.value())}});
+        log().info(
+            "A configuration is in force.",
+            {{"version", std::to_string(this->state.version().value())}});
     }
 }
 
--- a/src/coordination/configuration.cpp
+++ b/src/coordination/configuration.cpp
@@ -32,4 +32,11 @@
     return nullptr;
 }
 
+bool configuration::is_drained(failure_domain const & domain,
+                               node_name const & node) const
+{
+    return this->drained_domains.contains(domain) ||
+           this->drained_targets.contains(node);
+}
+
 } // namespace endivehinge
--- a/tests/src/unit-configuration-state.cpp
+++ b/tests/src/unit-configuration-state.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr char const * kind = "configuration";
+// many, so that a change that is missed is not soon written over
+constexpr std::size_t object_count = 60;
 constexpr std::size_t no_byte_bound = std::size_t{1} << 30U;
 
 object_version v(std::uint64_t version)
@@ -212,7 +214,7 @@
     void write()
     {
         failure reason;
-        std::string const name = "service." + std::to_string(this->draw(5));
+        std::string const name = "service." + std::to_string(this->draw(object_count));
         auto const held = this->platform.get(kind, name, reason);
         auto const expected = held.has_value() ? held->version : v(0);
         if (held.has_value() && this->draw(4) == 0)
@@ -280,7 +282,7 @@
         configuration_state & state = this->states[to];
         object_version const before = state.version();
         std::vector<object_version> versions;
-        for (int i = 0; i < 5; ++i)
+        for (std::size_t i = 0; i < object_count; ++i)
         {
             versions.push_back(
                 state.version_of("service." + std::to_string(i)));
@@ -355,6 +357,7 @@
 {
     auto members = members_of(1, 30);
     std::vector<bool> before;
+    before.reserve(members.size());
     for (auto const & one : members)
     {
         before.push_back(is_watcher(one.name, one.domain, members, 3));
--- a/tools/common/local_deployment.cpp
+++ b/tools/common/local_deployment.cpp
@@ -7,8 +7,11 @@
 #include <absl/time/clock.h>      // Now, SleepFor
 #include <nlohmann/json.hpp>      // json
 
+#include <endivehinge/coordination/configuration_entry.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
 #include <endivehinge/detail/platform/http_object_store.hpp>
+#include <endivehinge/detail/settings/configuration_writer.hpp>
+#include <endivehinge/detail/settings/yaml_reader.hpp>
 
 namespace endivehinge::tools
 {
@@ -40,9 +43,27 @@
     detail::http_client client{detail::http_client_limits()};
     detail::http_object_store objects(
         this->platform_address(), client, call_timeout);
-    return objects
-        .put("configuration", "root", object_version(), configuration, reason)
-        .has_value();
+    auto const read =
+        detail::read_configuration(configuration, "configuration", reason);
+    if (!read.has_value())
+    {
+        return false;
+    }
+    for (auto const & service : read->services)
+    {
+        configuration_entry entry;
+        entry.name = service.name.value();
+        entry.text = detail::write_service_configuration(service);
+        if (!objects.put(configuration_kind,
+                         entry.object_name(),
+                         object_version(),
+                         entry.to_value(),
+                         reason))
+        {
+            return false;
+        }
+    }
+    return true;
 }
 
 bool local_deployment::start_instance(instance_plan const & plan,
