Let an exchange be waited for in steps

Cause: the router has to ask for the outcome of a request on a new connection while the first one is silent, so an exchange must be able to stay in progress while something else is done. Connections were also dropped and opened again above 8 at once, as only 8 idle ones were kept for each peer.

Change: http_call is one exchange in progress (begin, wait, take; given up by its destructor); http_client::exchange is built on it; 64 idle connections a peer are kept. The client is split into small files.

--- a/include/endivehinge/detail/http/http_client.hpp
+++ b/include/endivehinge/detail/http/http_client.hpp
@@ -2,29 +2,19 @@
 #define ENDIVEHINGE_DETAIL_HTTP_HTTP_CLIENT_HPP
 
 #include <cstddef>  // size_t
-#include <memory>   // unique_ptr
+#include <memory>   // shared_ptr
 #include <optional> // optional
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/core/failure.hpp>
 #include <endivehinge/core/http_message.hpp>
+#include <endivehinge/detail/http/http_call.hpp>
+#include <endivehinge/detail/http/http_exchange_options.hpp>
 
 namespace endivehinge::detail
 {
 
-/// @brief how one exchange is made
-struct http_exchange_options
-{
-    // the exchange ends by then
-    duration timeout{0};
-    duration connect_timeout{std::chrono::milliseconds(250)};
-    // opens a connection of its own instead of reusing one
-    bool fresh_connection = false;
-    // ends the exchange when the peer of this socket hangs up; -1: none
-    int watched_socket = -1;
-};
-
 /// @brief what is known of an exchange besides its answer
 struct http_exchange_report
 {
@@ -35,12 +25,14 @@
 /// @brief bounds on what a client holds
 struct http_client_limits
 {
-    std::size_t idle_connections_per_peer = 8;
+    std::size_t idle_connections_per_peer = 64;
     std::size_t response_bytes = std::size_t{8} * 1024 * 1024;
     // kept below the idle timeout of the servers that we talk to
     long idle_age_s = 20;
 };
 
+class connection_pool;
+
 /// @brief an HTTP/1.1 client that keeps connections and never sends twice
 class http_client
 {
@@ -50,6 +42,15 @@
     http_client & operator=(http_client const &) = delete;
     ~http_client();
 
+    /// @brief sends a request once, without waiting for the response
+    /// @param peer where to
+    /// @param request what to send; a Host header is added
+    /// @param options time and cancellation
+    /// @note thread safety: any thread; the call belongs to one thread
+    [[nodiscard]] http_call begin(endpoint const & peer,
+                                  http_request const & request,
+                                  http_exchange_options const & options);
+
     /// @brief sends a request once and waits for the whole response
     /// @param peer where to
     /// @param request what to send; a Host header is added
@@ -69,9 +70,7 @@
     void forget(endpoint const & peer);
 
 private:
-    class pool;
-
-    std::unique_ptr<pool> connections;
+    std::shared_ptr<connection_pool> connections;
 };
 
 } // namespace endivehinge::detail
