--- /dev/null
+++ b/include/endivehinge/coordination/outcome_size.hpp
@@ -0,0 +1,17 @@
+#ifndef ENDIVEHINGE_COORDINATION_OUTCOME_SIZE_HPP
+#define ENDIVEHINGE_COORDINATION_OUTCOME_SIZE_HPP
+
+#include <cstddef> // size_t
+
+#include <endivehinge/core/outcome.hpp>
+
+namespace endivehinge
+{
+
+/// @brief the bytes of text that a kept outcome holds
+/// @note pure; thread safety: any thread
+[[nodiscard]] std::size_t size_in_bytes(outcome const & kept);
+
+} // namespace endivehinge
+
+#endif
