--- /dev/null
+++ b/include/endivehinge/coordination/key_time_stamp.hpp
@@ -0,0 +1,20 @@
+#ifndef ENDIVEHINGE_COORDINATION_KEY_TIME_STAMP_HPP
+#define ENDIVEHINGE_COORDINATION_KEY_TIME_STAMP_HPP
+
+#include <optional> // optional
+
+#include <endivehinge/core/clock.hpp>
+#include <endivehinge/core/ids.hpp>
+
+namespace endivehinge
+{
+
+/// @brief when a key was made, by its caller's clock
+/// @return nothing unless the key is a UUID of version 7 (RFC 9562)
+/// @note pure; thread safety: any thread
+[[nodiscard]] std::optional<wall_time>
+time_stamp_of(idempotency_key const & key);
+
+} // namespace endivehinge
+
+#endif
