Ask on a new connection what became of a silent request

Cause: a connection can go silent, or be lost after the request was sent; giving up then leaves the caller with an unknown outcome, and sending again could run the request twice.

A try that never arrived is fenced by the question, so that "not run" is true.

Ruled out: heartbeats on each connection, which cost messages while nothing is wrong and say nothing of the outcome; treating a connect timeout as proof that the node has ended (only a refused connection is).

--- a/cmake/endivehinge_dependencies.cmake
+++ b/cmake/endivehinge_dependencies.cmake
@@ -8,6 +8,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(microhttpd REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 find_package(GTest REQUIRED)
 find_package(benchmark REQUIRED)
 
--- a/include/endivehinge/core/header_names.hpp
+++ b/include/endivehinge/core/header_names.hpp
@@ -26,6 +26,12 @@
 
 // between nodes only //
 
+/// @brief names one try of a request, for the outcome query
+constexpr char const * try_id = "Endivehinge-Try-Id";
+/// @brief the run of the node that a try was sent to
+constexpr char const * sent_to_run = "Endivehinge-Sent-To-Run";
+/// @brief 1 where an earlier try may have crashed its target
+constexpr char const * suspect = "Endivehinge-Suspect";
 /// @brief the part that the receiving node takes: `run` or `own`
 constexpr char const * role = "Endivehinge-Role";
 /// @brief the epoch under which a key owner dispatched
--- a/include/endivehinge/core/request.hpp
+++ b/include/endivehinge/core/request.hpp
@@ -27,6 +27,8 @@
     time_point deadline;
     priority urgency = priority::interactive;
     bool repeatable = false;
+    // an earlier try may have crashed its target
+    bool suspect = false;
     // calls above this one in its chain
     int depth = 0;
     // set where the caller named a request that runs at most once
--- a/include/endivehinge/detail/node/hop_codec.hpp
+++ b/include/endivehinge/detail/node/hop_codec.hpp
@@ -21,6 +21,8 @@
 struct hop_request
 {
     request content;
+    // names this try; a further one has another
+    request_id try_id;
     hop_role role = hop_role::run;
 };
 
--- a/include/endivehinge/detail/node/ingress_handler.hpp
+++ b/include/endivehinge/detail/node/ingress_handler.hpp
@@ -1,13 +1,12 @@
 #ifndef ENDIVEHINGE_DETAIL_NODE_INGRESS_HANDLER_HPP
 #define ENDIVEHINGE_DETAIL_NODE_INGRESS_HANDLER_HPP
 
-#include <atomic>  // atomic
-#include <cstdint> // uint64_t
-#include <string>  // string
+#include <optional> // optional
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/http/http_handler.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
+#include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
 
 namespace endivehinge::detail
@@ -17,11 +16,11 @@
 class ingress_handler final : public http_handler
 {
 public:
-    /// @param id_prefix unique to this run of this node
+    /// @param ids names each request; outlives the handler
     /// @param current the configuration; outlives the handler
     /// @param router outlives the handler
     /// @param time outlives the handler
-    ingress_handler(std::string id_prefix,
+    ingress_handler(request_id_source & ids,
                     configuration_holder const & current,
                     request_router & router,
                     clock const & time);
@@ -31,10 +30,8 @@
 
 private:
     std::optional<request> read(http_request message, outcome & refusal);
-    request_id next_id();
 
-    std::string id_prefix;
-    std::atomic<std::uint64_t> counter{0};
+    request_id_source & ids;
     configuration_holder const & current;
     request_router & router;
     clock const & time;
--- a/include/endivehinge/detail/node/peer_handler.hpp
+++ b/include/endivehinge/detail/node/peer_handler.hpp
@@ -3,24 +3,34 @@
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/http/http_handler.hpp>
+#include <endivehinge/detail/node/execution_log.hpp>
+#include <endivehinge/detail/node/hop_codec.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 
 namespace endivehinge::detail
 {
 
-/// @brief takes requests from other nodes
+/// @brief takes requests from other nodes, and their questions about them
 class peer_handler final : public http_handler
 {
 public:
     /// @param executor outlives the handler
+    /// @param log outlives the handler
     /// @param time outlives the handler
-    peer_handler(local_executor & executor, clock const & time);
+    peer_handler(local_executor & executor,
+                 execution_log & log,
+                 clock const & time);
 
     [[nodiscard]] http_response handle(http_request message,
                                        http_connection connection) override;
 
 private:
+    http_response answer_query(http_request const & message);
+    outcome execute(hop_request const & hop, int caller_socket);
+    outcome start(hop_request const & hop, int caller_socket);
+
     local_executor & executor;
+    execution_log & log;
     clock const & time;
 };
 
--- a/include/endivehinge/detail/node/request_router.hpp
+++ b/include/endivehinge/detail/node/request_router.hpp
@@ -12,8 +12,9 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/outcome.hpp>
 #include <endivehinge/core/request.hpp>
-#include <endivehinge/detail/http/http_client.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
+#include <endivehinge/detail/node/remote_executor.hpp>
+#include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/policy/placement_policy.hpp>
 
 namespace endivehinge::detail
@@ -26,14 +27,16 @@
     /// @param self this node
     /// @param members outlives the router
     /// @param executor the way to the local target; outlives the router
-    /// @param client exchanges with other nodes; outlives the router
+    /// @param remote the way to other nodes; outlives the router
+    /// @param ids names each try; outlives the router
     /// @param policy outlives the router
     /// @param time outlives the router
     request_router(node_name self,
                    failure_domain domain,
                    member_directory const & members,
                    local_executor & executor,
-                   http_client & client,
+                   remote_executor & remote,
+                   request_id_source & ids,
                    placement_policy const & policy,
                    clock const & time);
 
@@ -56,7 +59,8 @@
     failure_domain domain;
     member_directory const & members;
     local_executor & executor;
-    http_client & client;
+    remote_executor & remote;
+    request_id_source & ids;
     placement_policy const & policy;
     clock const & time;
     mutable absl::Mutex mutex;
--- a/src/adapters/http/curl_transfer.cpp
+++ b/src/adapters/http/curl_transfer.cpp
@@ -175,8 +175,7 @@
     }
     if (code == CURLE_OPERATION_TIMEDOUT)
     {
-        return state.sends == 0 ? failure_id::connect_failed
-                                : failure_id::timed_out;
+        return failure_id::timed_out;
     }
     if (state.sends == 0)
     {
--- a/src/app/hop_codec.cpp
+++ b/src/app/hop_codec.cpp
@@ -47,6 +47,8 @@
                                     header_names::service,
                                     header_names::timeout_ms,
                                     header_names::request_id,
+                                    header_names::try_id,
+                                    header_names::suspect,
                                     header_names::depth})
     {
         headers.remove(name);
@@ -83,10 +85,12 @@
     headers.set(header_names::role,
                 hop.role == hop_role::own ? role_own : role_run);
     headers.set(header_names::request_id, content.id.value());
+    headers.set(header_names::try_id, hop.try_id.value());
     headers.set(header_names::service, content.service.value());
     headers.set(header_names::timeout_ms, absl::StrCat(left.count()));
     headers.set(header_names::repeatable, content.repeatable ? "1" : "0");
     headers.set(header_names::depth, absl::StrCat(content.depth));
+    headers.set(header_names::suspect, content.suspect ? "1" : "0");
     headers.set(header_names::priority,
                 absl::StrCat("u=", static_cast<int>(content.urgency)));
     if (content.owner_epoch.has_value())
@@ -112,7 +116,9 @@
     }
     content.id = request_id(read_text(headers, header_names::request_id));
     content.service = service_name(read_text(headers, header_names::service));
-    if (content.id.value().empty() || content.service.value().empty())
+    hop.try_id = request_id(read_text(headers, header_names::try_id));
+    if (content.id.value().empty() || content.service.value().empty() ||
+        hop.try_id.value().empty())
     {
         reason = missing(header_names::request_id);
         return std::nullopt;
@@ -120,6 +126,7 @@
     content.deadline = now + milliseconds(*left);
     content.urgency = read_priority(headers);
     content.repeatable = read_text(headers, header_names::repeatable) == "1";
+    content.suspect = read_text(headers, header_names::suspect) == "1";
     content.depth = read_number<int>(headers, header_names::depth).value_or(0);
     if (auto const * const key = headers.find(header_names::idempotency_key))
     {
--- a/src/app/ingress_handler.cpp
+++ b/src/app/ingress_handler.cpp
@@ -83,11 +83,11 @@
 
 } // namespace
 
-ingress_handler::ingress_handler(std::string prefix,
+ingress_handler::ingress_handler(request_id_source & names,
                                  configuration_holder const & configured,
                                  request_router & placing,
                                  clock const & source)
-    : id_prefix(std::move(prefix))
+    : ids(names)
     , current(configured)
     , router(placing)
     , time(source)
@@ -98,11 +98,13 @@
                                       http_connection connection)
 {
     outcome result;
-    request_id id = this->next_id();
+    request_id id = this->ids.next();
     if (auto read_request = this->read(std::move(message), result))
     {
         read_request->id = id;
-        result = this->router.route(*read_request, connection.socket);
+        // one that may not be repeated runs to its end without its caller
+        int const watched = read_request->repeatable ? connection.socket : -1;
+        result = this->router.route(*read_request, watched);
     }
     http_response response = result.kind == outcome_kind::answered
                                  ? std::move(result.answer)
@@ -147,9 +149,4 @@
     return incoming;
 }
 
-request_id ingress_handler::next_id()
-{
-    return request_id(absl::StrCat(this->id_prefix, "-", ++this->counter));
-}
-
 } // namespace endivehinge::detail
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -3,7 +3,6 @@
 #include <thread>  // thread
 #include <utility> // move
 
-#include <absl/strings/str_cat.h>       // StrCat
 #include <absl/synchronization/mutex.h> // Mutex
 #include <absl/time/clock.h>            // SleepFor
 #include <absl/time/time.h>             // Milliseconds
@@ -14,10 +13,13 @@
 #include <endivehinge/detail/node/admin_handler.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
 #include <endivehinge/detail/node/configuration_watcher.hpp>
+#include <endivehinge/detail/node/execution_log.hpp>
 #include <endivehinge/detail/node/ingress_handler.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 #include <endivehinge/detail/node/peer_handler.hpp>
 #include <endivehinge/detail/node/platform_directory.hpp>
+#include <endivehinge/detail/node/remote_executor.hpp>
+#include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
 #include <endivehinge/detail/platform/http_object_store.hpp>
 #include <endivehinge/policy/placement_policy.hpp>
@@ -56,19 +58,20 @@
         , store(given.platform, this->client, platform_timeout)
         , directory(this->store)
         , watcher(this->store, this->configured)
+        , log(this->run, this->time)
+        , ids(given.name, this->run)
         , executor(this->client, this->time)
+        , remote(this->client, this->time)
         , router(given.name,
                  given.domain,
                  this->directory,
                  this->executor,
-                 this->client,
+                 this->remote,
+                 this->ids,
                  this->policy,
                  this->time)
-        , ingress(absl::StrCat(given.name.value(), "-", this->run.value()),
-                  this->configured,
-                  this->router,
-                  this->time)
-        , peers(this->executor, this->time)
+        , ingress(this->ids, this->configured, this->router, this->time)
+        , peers(this->executor, this->log, this->time)
         , admin(this->executor, this->directory, this->configured, this->time)
     {
     }
@@ -186,7 +189,10 @@
     configuration_holder configured;
     configuration_watcher watcher;
     two_choices_policy policy;
+    execution_log log;
+    request_id_source ids;
     local_executor executor;
+    remote_executor remote;
     request_router router;
     ingress_handler ingress;
     peer_handler peers;
--- a/src/app/peer_handler.cpp
+++ b/src/app/peer_handler.cpp
@@ -2,13 +2,29 @@
 
 #include <utility> // move
 
-#include <endivehinge/detail/node/hop_codec.hpp>
+#include <endivehinge/detail/node/outcome_query.hpp>
 
 namespace endivehinge::detail
 {
+namespace
+{
+
+constexpr int status_bad_request = 400;
+constexpr duration retry_elsewhere = duration(0);
+
+outcome refuse(failure_id id, char const * detail)
+{
+    return outcome::rejected({id, "take from node", {}, detail},
+                             retry_elsewhere);
+}
+
+} // namespace
 
-peer_handler::peer_handler(local_executor & local, clock const & source)
+peer_handler::peer_handler(local_executor & local,
+                           execution_log & records,
+                           clock const & source)
     : executor(local)
+    , log(records)
     , time(source)
 {
 }
@@ -16,16 +32,61 @@
 http_response peer_handler::handle(http_request message,
                                    http_connection connection)
 {
+    if (is_outcome_query(message))
+    {
+        return this->answer_query(message);
+    }
     failure reason;
     auto const hop =
         decode_hop_request(std::move(message), this->time.now(), reason);
     if (!hop.has_value())
     {
         return encode_hop_outcome(
-            outcome::rejected(std::move(reason), duration(0)));
+            outcome::rejected(std::move(reason), retry_elsewhere));
     }
-    return encode_hop_outcome(
-        this->executor.execute(hop->content, connection.socket));
+    return encode_hop_outcome(this->execute(*hop, connection.socket));
+}
+
+http_response peer_handler::answer_query(http_request const & message)
+{
+    auto const query = decode_outcome_query(message);
+    if (!query.has_value())
+    {
+        return {status_bad_request, {}, {}};
+    }
+    return encode_execution_report(
+        this->log.query(query->try_id, query->sent_to, query->patience));
+}
+
+outcome peer_handler::execute(hop_request const & hop, int caller_socket)
+{
+    execution_report const report = this->log.begin(hop.try_id);
+    switch (report.state)
+    {
+    case execution_state::started:
+        return this->start(hop, caller_socket);
+    case execution_state::finished:
+        return *report.result;
+    case execution_state::fenced:
+        return refuse(failure_id::fenced, "the try was given up before");
+    case execution_state::full:
+        return refuse(failure_id::overloaded, "no room for a record");
+    default:
+        return outcome::indeterminate({failure_id::outcome_unknown,
+                                       "take from node",
+                                       {},
+                                       "the try came before"});
+    }
+}
+
+outcome peer_handler::start(hop_request const & hop, int caller_socket)
+{
+    // one that may not be repeated runs to its end: if the connection was
+    // lost, its sender asks for the outcome
+    int const watched = hop.content.repeatable ? caller_socket : -1;
+    outcome result = this->executor.execute(hop.content, watched);
+    this->log.finish(hop.try_id, result);
+    return result;
 }
 
 } // namespace endivehinge::detail
--- a/src/app/request_router.cpp
+++ b/src/app/request_router.cpp
@@ -28,14 +28,16 @@
                                failure_domain place,
                                member_directory const & directory,
                                local_executor & local,
-                               http_client & exchanges,
+                               remote_executor & others,
+                               request_id_source & names,
                                placement_policy const & placement,
                                clock const & source)
     : self(std::move(name))
     , domain(std::move(place))
     , members(directory)
     , executor(local)
-    , client(exchanges)
+    , remote(others)
+    , ids(names)
     , policy(placement)
     , time(source)
 {
@@ -125,29 +127,13 @@
     {
         return this->executor.execute(placed, caller_socket);
     }
-    time_point const now = this->time.now();
-    http_exchange_options options;
-    options.timeout = placed.deadline - now;
-    options.watched_socket = caller_socket;
-    http_exchange_report report;
-    failure reason;
+    hop_request hop;
+    hop.content = placed;
+    hop.try_id = this->ids.next();
     this->count(chosen.name, 1);
-    auto response =
-        this->client.exchange(chosen.peer_address,
-                              encode_hop_request({placed, hop_role::run}, now),
-                              options,
-                              report,
-                              reason);
+    outcome result = this->remote.execute(chosen, hop, caller_socket);
     this->count(chosen.name, -1);
-    if (response.has_value())
-    {
-        return decode_hop_outcome(*std::move(response));
-    }
-    reason.step = "send to node";
-    reason.peer = chosen.name.value();
-    return report.maybe_sent
-               ? outcome::indeterminate(std::move(reason))
-               : outcome::rejected(std::move(reason), refusal_retry_after);
+    return result;
 }
 
 void request_router::count(node_name const & node, int change)
--- a/tests/src/unit-hop-codec.cpp
+++ b/tests/src/unit-hop-codec.cpp
@@ -16,6 +16,8 @@
 {
     hop_request hop;
     hop.role = hop_role::own;
+    hop.try_id = request_id("node-1-8");
+    hop.content.suspect = true;
     hop.content.id = request_id("node-1-7");
     hop.content.service = service_name("booking");
     hop.content.message = {"POST", "/booking/hours", {}, "organ 3"};
@@ -36,6 +38,8 @@
         decode_hop_request(encode_hop_request(hop, start), start, reason);
     ASSERT_TRUE(read.has_value()) << reason.describe();
     EXPECT_EQ(read->role, hop.role);
+    EXPECT_EQ(read->try_id, hop.try_id);
+    EXPECT_EQ(read->content.suspect, hop.content.suspect);
     EXPECT_EQ(read->content.id, hop.content.id);
     EXPECT_EQ(read->content.service, hop.content.service);
     EXPECT_EQ(read->content.deadline, hop.content.deadline);
@@ -62,6 +66,7 @@
 {
     for (char const * const name : {header_names::timeout_ms,
                                     header_names::request_id,
+                                    header_names::try_id,
                                     header_names::service})
     {
         auto sent = encode_hop_request(make_hop(), start);
