--- a/include/endivehinge/policy/placement_policy.hpp
+++ b/include/endivehinge/policy/placement_policy.hpp
@@ -9,23 +9,11 @@
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/ids.hpp>
+#include <endivehinge/policy/load_signal.hpp>
 
 namespace endivehinge
 {
 
-/// @brief the load of a target, as its own node last told it
-struct load_signal
-{
-    // running and waiting at the target
-    double in_flight = 0;
-    // requests that it can run at once now
-    double limit = 0;
-    // recent service time
-    duration latency{0};
-    // when the signal came in
-    time_point received;
-};
-
 /// @brief a target that a request may be placed on, as the picker sees it
 struct placement_candidate
 {
