--- /dev/null
+++ b/include/endivehinge/policy/load_aware_options.hpp
@@ -0,0 +1,35 @@
+#ifndef ENDIVEHINGE_POLICY_LOAD_AWARE_OPTIONS_HPP
+#define ENDIVEHINGE_POLICY_LOAD_AWARE_OPTIONS_HPP
+
+#include <cstddef> // size_t
+
+#include <endivehinge/core/clock.hpp>
+
+namespace endivehinge
+{
+
+/// @brief which mechanisms a load_aware_policy uses, and its bounds
+struct load_aware_options
+{
+    // candidates weighed, from near and from the rest
+    std::size_t near_sample = 3;
+    std::size_t far_sample = 2;
+    // a target with room goes before one without, whatever their latency
+    bool room_first = true;
+    // old signals turn into the usual load; otherwise they stay as they are
+    bool decay_signals = true;
+    // own requests since the signal count as load
+    bool count_own_sends = true;
+    // own observed latency and waiting requests count
+    bool use_observed = true;
+    // travel counts
+    bool use_hop = true;
+    // age at which half of a load signal is forgotten
+    duration signal_half_life = std::chrono::milliseconds(100);
+    // age at which half of an observed latency is forgotten
+    duration observed_half_life = std::chrono::seconds(1);
+};
+
+} // namespace endivehinge
+
+#endif
--- a/include/endivehinge/policy/placement_policy.hpp
+++ b/include/endivehinge/policy/placement_policy.hpp
@@ -8,26 +8,11 @@
 #include <absl/random/bit_gen_ref.h> // BitGenRef
 
 #include <endivehinge/core/clock.hpp>
-#include <endivehinge/core/ids.hpp>
-#include <endivehinge/policy/load_signal.hpp>
+#include <endivehinge/policy/placement_candidate.hpp>
 
 namespace endivehinge
 {
 
-/// @brief a target that a request may be placed on, as the picker sees it
-struct placement_candidate
-{
-    node_name node;
-    bool local = false;
-    bool same_domain = false;
-    // no value: nothing recent is known, which does not mean idle
-    std::optional<load_signal> signal;
-    // own requests sent since the signal was taken
-    double sent_since_signal = 0;
-    // own requests without an answer yet
-    double own_in_flight = 0;
-};
-
 /// @brief chooses the target of a request; pure, so that a test replays it
 class placement_policy
 {
@@ -38,7 +23,8 @@
     virtual ~placement_policy() = default;
 
     /// @brief chooses one of the candidates
-    /// @param candidates those not yet tried for this request
+    /// @param candidates those not yet tried for this request; nearest first:
+    /// the local one, those of the same failure domain, the rest
     /// @param now the time of the decision
     /// @param random where the policy draws from
     /// @return its index; nothing where there are no candidates
