Wire admission, load-aware placement and the quarantine into the path

Cause: the thin path placed by two choices on own requests and admitted up to the announced slots; a request that kills its target could be tried on the next one.

Change: target_gate wraps the admission controller; request_router places by load_aware_policy over signals that come back with each answer, keeps the candidates of a service until members or configuration change, and tries again within a retry budget. A request in flight when its target died is a suspect: it runs alone, a second death marks it as crashing, and a marked request is refused with the time that is left. A target counts as dead only if it takes no new connection or announces another run.

Ruled out: charging the retry budget for tries that reached no target (a refused connection, a draining target): they put no load on one, and charging them would refuse requests during a planned drain.

--- a/benchmarks/hop_ways.cpp
+++ b/benchmarks/hop_ways.cpp
@@ -104,11 +104,11 @@
 class grpc_echo final : public wire::coordination::Service
 {
 public:
-    grpc::Status pull(grpc::ServerContext *,
-                      wire::pull_request const * request,
-                      wire::pull_response * response) override
+    grpc::Status hand_over(grpc::ServerContext *,
+                           wire::handover_request const * request,
+                           wire::handover_response * response) override
     {
-        response->add_objects()->set_value(request->from());
+        response->set_reason(request->from());
         return grpc::Status::OK;
     }
 };
@@ -135,11 +135,11 @@
     bool exchange() override
     {
         grpc::ClientContext context;
-        wire::pull_request request;
+        wire::handover_request request;
         request.set_from(std::string(payload_bytes, 'x'));
-        wire::pull_response response;
-        return this->stub->pull(&context, request, &response).ok() &&
-               response.objects_size() == 1;
+        wire::handover_response response;
+        return this->stub->hand_over(&context, request, &response).ok() &&
+               response.reason().size() == payload_bytes;
     }
 
 private:
--- a/include/endivehinge/core/failure.hpp
+++ b/include/endivehinge/core/failure.hpp
@@ -34,6 +34,7 @@
     outcome_unknown = 409,
     key_reused = 410,
     retry_budget_spent = 411,
+    target_died = 412,
     internal = 500,
 };
 
--- a/include/endivehinge/detail/node/local_executor.hpp
+++ b/include/endivehinge/detail/node/local_executor.hpp
@@ -1,15 +1,15 @@
 #ifndef ENDIVEHINGE_DETAIL_NODE_LOCAL_EXECUTOR_HPP
 #define ENDIVEHINGE_DETAIL_NODE_LOCAL_EXECUTOR_HPP
 
-#include <cstdint> // uint32_t
-
 #include <absl/synchronization/mutex.h> // Mutex
 
 #include <endivehinge/core/clock.hpp>
-#include <endivehinge/core/endpoint.hpp>
+#include <endivehinge/core/ids.hpp>
 #include <endivehinge/core/outcome.hpp>
 #include <endivehinge/core/request.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
+#include <endivehinge/detail/node/quarantine_board.hpp>
+#include <endivehinge/detail/node/target_gate.hpp>
 #include <endivehinge/detail/node/target_status.hpp>
 
 namespace endivehinge::detail
@@ -19,9 +19,14 @@
 class local_executor
 {
 public:
+    /// @param self names this node in what it tells of a crash
     /// @param client makes the exchanges; outlives the executor
+    /// @param quarantine outlives the executor
     /// @param time outlives the executor
-    local_executor(http_client & client, clock const & time);
+    local_executor(node_name self,
+                   http_client & client,
+                   quarantine_board & quarantine,
+                   clock const & time);
 
     /// @brief takes in what the target says of itself
     /// @note thread safety: any thread
@@ -35,22 +40,33 @@
     /// @note thread safety: any thread
     void stop_admitting();
 
+    /// @brief the load of the target, for other nodes
+    /// @note thread safety: any thread
+    [[nodiscard]] load_signal load() const;
+
     /// @brief admits a request and runs it on the target
     /// @param caller_socket watched for hang-up; -1: none
     /// @note thread safety: any thread; blocks until the outcome
-    [[nodiscard]] outcome execute(request const & admitted, int caller_socket);
+    [[nodiscard]] outcome execute(request const & offered, int caller_socket);
 
 private:
-    bool admit(request const & candidate, failure & reason);
-    void release();
+    outcome admit_and_run(request const & offered,
+                          request_fingerprint fingerprint,
+                          bool alone,
+                          int caller_socket);
     outcome run(request const & admitted, int caller_socket);
+    bool has_died(target_status const & before);
+    void report_crash(request_fingerprint fingerprint,
+                      target_status const & before,
+                      bool alone);
 
+    node_name self;
     http_client & client;
+    quarantine_board & quarantine;
     clock const & time;
+    target_gate gate;
     mutable absl::Mutex mutex;
     target_status target;
-    std::uint32_t in_flight = 0;
-    bool admitting = true;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/node/remote_executor.hpp
+++ b/include/endivehinge/detail/node/remote_executor.hpp
@@ -8,10 +8,19 @@
 #include <endivehinge/core/outcome.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
 #include <endivehinge/detail/node/hop_codec.hpp>
+#include <endivehinge/detail/node/load_header.hpp>
 
 namespace endivehinge::detail
 {
 
+/// @brief how a try on another node ended
+struct remote_result
+{
+    outcome result;
+    // what the node said of its load, where it answered
+    std::optional<load_report> report;
+};
+
 /// @brief what a question about a try brought
 struct question_result
 {
@@ -36,10 +45,11 @@
     /// @param node where to
     /// @param caller_socket watched for hang-up; -1: none
     /// @note thread safety: any thread; blocks until the outcome
-    [[nodiscard]] outcome
+    [[nodiscard]] remote_result
     execute(member const & node, hop_request const & hop, int caller_socket);
 
 private:
+    remote_result read(http_response response) const;
     outcome settle(member const & node, hop_request const & hop);
     question_result
     ask(member const & node, hop_request const & hop, duration patience);
--- a/include/endivehinge/detail/node/request_router.hpp
+++ b/include/endivehinge/detail/node/request_router.hpp
@@ -1,8 +1,8 @@
 #ifndef ENDIVEHINGE_DETAIL_NODE_REQUEST_ROUTER_HPP
 #define ENDIVEHINGE_DETAIL_NODE_REQUEST_ROUTER_HPP
 
-#include <string> // string
-#include <vector> // vector
+#include <optional> // optional
+#include <vector>   // vector
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 #include <absl/random/random.h>           // BitGen
@@ -12,60 +12,66 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/outcome.hpp>
 #include <endivehinge/core/request.hpp>
+#include <endivehinge/detail/node/candidate_cache.hpp>
+#include <endivehinge/detail/node/configuration_holder.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 #include <endivehinge/detail/node/remote_executor.hpp>
 #include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/policy/placement_policy.hpp>
+#include <endivehinge/policy/retry_budget.hpp>
+#include <endivehinge/policy/signal_table.hpp>
 
 namespace endivehinge::detail
 {
 
-/// @brief places a request on a target and carries it there
+/// @brief what a router works with; all of it outlives the router
+struct router_parts
+{
+    member_directory const & members;
+    configuration_holder const & configured;
+    local_executor & local;
+    remote_executor & remote;
+    request_id_source & ids;
+    placement_policy const & policy;
+    clock const & time;
+};
+
+/// @brief places a request on a target, and on another one where that is
+///        sure to be right
 class request_router
 {
 public:
     /// @param self this node
-    /// @param members outlives the router
-    /// @param executor the way to the local target; outlives the router
-    /// @param remote the way to other nodes; outlives the router
-    /// @param ids names each try; outlives the router
-    /// @param policy outlives the router
-    /// @param time outlives the router
-    request_router(node_name self,
-                   failure_domain domain,
-                   member_directory const & members,
-                   local_executor & executor,
-                   remote_executor & remote,
-                   request_id_source & ids,
-                   placement_policy const & policy,
-                   clock const & time);
+    /// @param domain its failure domain
+    request_router(node_name self, failure_domain domain, router_parts parts);
 
     /// @brief gives a request its one outcome
     /// @param caller_socket watched for hang-up; -1: none
     /// @note thread safety: any thread; blocks until the outcome
-    [[nodiscard]] outcome route(request const & placed, int caller_socket);
+    [[nodiscard]] outcome route(request placed, int caller_socket);
 
 private:
-    std::vector<member> candidates_for(service_name const & service) const;
+    candidate_list begin(request const & placed);
+    std::optional<std::size_t> choose(std::vector<member> const & list);
     std::vector<placement_candidate>
-    describe(std::vector<member> const & members) const;
-    std::optional<std::size_t>
-    choose(std::vector<member> const & members) const;
+    describe(std::vector<member> const & list) const;
     outcome
     try_on(member const & chosen, request const & placed, int caller_socket);
-    void count(node_name const & node, int change);
+    remote_result
+    send(member const & chosen, request const & placed, int caller_socket);
+    void record(member const & chosen,
+                time_point sent_at,
+                remote_result const & ended);
+    bool may_try_again(outcome const & last, request const & placed);
 
     node_name self;
     failure_domain domain;
-    member_directory const & members;
-    local_executor & executor;
-    remote_executor & remote;
-    request_id_source & ids;
-    placement_policy const & policy;
-    clock const & time;
-    mutable absl::Mutex mutex;
-    mutable absl::BitGen random;
-    absl::flat_hash_map<node_name, int> in_flight;
+    router_parts parts;
+    absl::Mutex mutex;
+    absl::BitGen random;
+    candidate_cache candidates;
+    signal_table signals;
+    absl::flat_hash_map<service_name, retry_budget> budgets;
 };
 
 } // namespace endivehinge::detail
--- a/src/app/local_executor.cpp
+++ b/src/app/local_executor.cpp
@@ -3,8 +3,8 @@
 #include <utility> // move
 
 #include <absl/strings/str_cat.h> // StrCat
-#include <absl/time/time.h>       // FromChrono
 
+#include <endivehinge/core/fingerprint.hpp>
 #include <endivehinge/core/header_names.hpp>
 
 namespace endivehinge::detail
@@ -15,7 +15,9 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr milliseconds refusal_retry_after(50);
+constexpr duration refusal_retry_after = milliseconds(50);
+constexpr duration death_check_timeout = milliseconds(100);
+constexpr int lowest_server_error = 500;
 
 http_request make_target_request(request const & admitted, time_point now)
 {
@@ -37,18 +39,67 @@
     return said != nullptr && *said == to_string(outcome_kind::rejected);
 }
 
+announced_phase announced(target_phase phase)
+{
+    switch (phase)
+    {
+    case target_phase::cold:
+        return announced_phase::cold;
+    case target_phase::ready:
+        return announced_phase::ready;
+    case target_phase::draining:
+        return announced_phase::draining;
+    case target_phase::absent:
+        break;
+    }
+    return announced_phase::absent;
+}
+
+// what the outcome says of the target's state
+run_result evidence_of(outcome const & result)
+{
+    switch (result.kind)
+    {
+    case outcome_kind::answered:
+        return result.answer.status < lowest_server_error
+                   ? run_result::succeeded
+                   : run_result::failed;
+    case outcome_kind::rejected:
+        return run_result::shed;
+    case outcome_kind::indeterminate:
+        break;
+    }
+    return result.reason.id == failure_id::cancelled ? run_result::abandoned
+                                                     : run_result::failed;
+}
+
+outcome refuse(admission_decision const & decision)
+{
+    return outcome::rejected({decision.reason, "admit", {}, {}},
+                             decision.retry_after);
+}
+
 } // namespace
 
-local_executor::local_executor(http_client & exchanges, clock const & source)
-    : client(exchanges)
+local_executor::local_executor(node_name name,
+                               http_client & exchanges,
+                               quarantine_board & board,
+                               clock const & source)
+    : self(std::move(name))
+    , client(exchanges)
+    , quarantine(board)
     , time(source)
+    , gate(source)
 {
 }
 
 void local_executor::update(target_status const & status)
 {
-    absl::MutexLock lock(&this->mutex);
-    this->target = status;
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->target = status;
+    }
+    this->gate.announce({announced(status.phase), status.slots, status.run});
 }
 
 target_status local_executor::status() const
@@ -59,54 +110,56 @@
 
 void local_executor::stop_admitting()
 {
-    absl::MutexLock lock(&this->mutex);
-    this->admitting = false;
+    this->gate.stop_admitting();
 }
 
-outcome local_executor::execute(request const & admitted, int caller_socket)
+load_signal local_executor::load() const
 {
-    failure reason;
-    if (!this->admit(admitted, reason))
+    return this->gate.load();
+}
+
+outcome local_executor::execute(request const & offered, int caller_socket)
+{
+    request_fingerprint const fingerprint = fingerprint_of(offered);
+    auto const [verdict, remaining] = this->quarantine.check(fingerprint);
+    if (verdict == quarantine_verdict::crashing)
     {
-        return outcome::rejected(std::move(reason), refusal_retry_after);
+        return outcome::rejected({failure_id::quarantined,
+                                  "admit",
+                                  {},
+                                  "the request crashes its targets"},
+                                 remaining);
     }
-    outcome result = this->run(admitted, caller_socket);
-    this->release();
-    return result;
+    bool const alone =
+        offered.suspect || verdict == quarantine_verdict::suspect;
+    return this->admit_and_run(offered, fingerprint, alone, caller_socket);
 }
 
-bool local_executor::admit(request const & candidate, failure & reason)
+outcome local_executor::admit_and_run(request const & offered,
+                                      request_fingerprint fingerprint,
+                                      bool alone,
+                                      int caller_socket)
 {
-    absl::MutexLock lock(&this->mutex);
-    if (!this->admitting || this->target.phase == target_phase::draining)
+    ticket_id ticket;
+    auto const decision = this->gate.enter(offered, alone, ticket);
+    if (decision.verdict != admission_verdict::admitted)
     {
-        reason = {failure_id::draining, "admit", {}, "the target is leaving"};
-        return false;
+        return refuse(decision);
     }
-    if (this->target.phase == target_phase::absent)
+    target_status const before = this->status();
+    outcome result = this->run(offered, caller_socket);
+    if (result.kind == outcome_kind::answered)
     {
-        reason = {failure_id::no_target, "admit", {}, "no target announced"};
-        return false;
+        this->quarantine.finished(fingerprint);
     }
-    auto const has_room = [this]()
-    {
-        return this->in_flight < this->target.slots;
-    };
-    if (!this->mutex.AwaitWithTimeout(
-            absl::Condition(&has_room),
-            absl::FromChrono(candidate.deadline - this->time.now())))
+    if (result.reason.id == failure_id::connection_lost &&
+        this->has_died(before))
     {
-        reason = {failure_id::overloaded, "admit", {}, "no slot in time"};
-        return false;
+        this->report_crash(fingerprint, before, alone);
+        result.reason.id = failure_id::target_died;
     }
-    ++this->in_flight;
-    return true;
-}
-
-void local_executor::release()
-{
-    absl::MutexLock lock(&this->mutex);
-    --this->in_flight;
+    this->gate.leave(ticket, alone, evidence_of(result));
+    return result;
 }
 
 outcome local_executor::run(request const & admitted, int caller_socket)
@@ -138,4 +191,38 @@
     return outcome::answered(*std::move(response));
 }
 
+// a target that closed one connection may be alive: only one that takes no
+// new connection, or is another run by now, has died
+bool local_executor::has_died(target_status const & before)
+{
+    if (this->status().run != before.run)
+    {
+        return true;
+    }
+    http_exchange_options options;
+    options.timeout = death_check_timeout;
+    options.fresh_connection = true;
+    http_exchange_report report;
+    failure reason;
+    auto const response = this->client.exchange(
+        before.address, {"GET", "/load", {}, {}}, options, report, reason);
+    return !response.has_value() && reason.id == failure_id::connect_failed;
+}
+
+void local_executor::report_crash(request_fingerprint fingerprint,
+                                  target_status const & before,
+                                  bool alone)
+{
+    this->quarantine.crashed(
+        fingerprint,
+        crash_id(absl::StrCat(this->self.value(), "/", before.run)),
+        alone);
+    target_status gone = before;
+    gone.phase = target_phase::absent;
+    if (this->status().run == before.run)
+    {
+        this->update(gone);
+    }
+}
+
 } // namespace endivehinge::detail
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -18,11 +18,12 @@
 #include <endivehinge/detail/node/local_executor.hpp>
 #include <endivehinge/detail/node/peer_handler.hpp>
 #include <endivehinge/detail/node/platform_directory.hpp>
+#include <endivehinge/detail/node/quarantine_board.hpp>
 #include <endivehinge/detail/node/remote_executor.hpp>
 #include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
 #include <endivehinge/detail/platform/http_object_store.hpp>
-#include <endivehinge/policy/placement_policy.hpp>
+#include <endivehinge/policy/load_aware_policy.hpp>
 
 namespace endivehinge::detail
 {
@@ -60,16 +61,18 @@
         , watcher(this->store, this->configured)
         , log(this->run, this->time)
         , ids(given.name, this->run)
-        , executor(this->client, this->time)
+        , quarantine(this->time)
+        , executor(given.name, this->client, this->quarantine, this->time)
         , remote(this->client, this->time)
         , router(given.name,
                  given.domain,
-                 this->directory,
-                 this->executor,
-                 this->remote,
-                 this->ids,
-                 this->policy,
-                 this->time)
+                 {this->directory,
+                  this->configured,
+                  this->executor,
+                  this->remote,
+                  this->ids,
+                  this->policy,
+                  this->time})
         , ingress(this->ids, this->configured, this->router, this->time)
         , peers(this->executor, this->log, this->time)
         , admin(this->executor, this->directory, this->configured, this->time)
@@ -188,9 +191,10 @@
     platform_directory directory;
     configuration_holder configured;
     configuration_watcher watcher;
-    two_choices_policy policy;
+    load_aware_policy policy;
     execution_log log;
     request_id_source ids;
+    quarantine_board quarantine;
     local_executor executor;
     remote_executor remote;
     request_router router;
--- a/src/app/peer_handler.cpp
+++ b/src/app/peer_handler.cpp
@@ -2,6 +2,8 @@
 
 #include <utility> // move
 
+#include <endivehinge/core/header_names.hpp>
+#include <endivehinge/detail/node/load_header.hpp>
 #include <endivehinge/detail/node/outcome_query.hpp>
 
 namespace endivehinge::detail
@@ -44,7 +46,13 @@
         return encode_hop_outcome(
             outcome::rejected(std::move(reason), retry_elsewhere));
     }
-    return encode_hop_outcome(this->execute(*hop, connection.socket));
+    time_point const start = this->time.now();
+    http_response response =
+        encode_hop_outcome(this->execute(*hop, connection.socket));
+    response.headers.set(
+        header_names::load,
+        encode_load_report({this->executor.load(), this->time.now() - start}));
+    return response;
 }
 
 http_response peer_handler::answer_query(http_request const & message)
--- a/src/app/remote_executor.cpp
+++ b/src/app/remote_executor.cpp
@@ -6,6 +6,7 @@
 #include <absl/time/clock.h> // SleepFor
 #include <absl/time/time.h>  // Milliseconds
 
+#include <endivehinge/core/header_names.hpp>
 #include <endivehinge/detail/node/outcome_query.hpp>
 
 namespace endivehinge::detail
@@ -77,9 +78,9 @@
 {
 }
 
-outcome remote_executor::execute(member const & node,
-                                 hop_request const & hop,
-                                 int caller_socket)
+remote_result remote_executor::execute(member const & node,
+                                       hop_request const & hop,
+                                       int caller_socket)
 {
     time_point const deadline = hop.content.deadline;
     http_exchange_options options;
@@ -101,30 +102,44 @@
         {
             // new connections work: the old ones may all be silent
             this->client.forget(node.peer_address);
-            return *std::move(answer.known);
+            return {*std::move(answer.known), std::nullopt};
         }
         unanswered = answer.reachable ? 0 : unanswered + 1;
         if (hop.content.repeatable && unanswered >= most_unanswered_questions)
         {
-            return make_indeterminate(
-                {failure_id::timed_out, {}, {}, "the node does not answer"},
-                node);
+            return {
+                make_indeterminate(
+                    {failure_id::timed_out, {}, {}, "the node does not answer"},
+                    node),
+                std::nullopt};
         }
     }
     failure reason;
     if (auto response = call.take(reason))
     {
-        return decode_hop_outcome(*std::move(response));
+        return this->read(*std::move(response));
     }
     if (!call.was_sent())
     {
-        return make_rejected(std::move(reason), node);
+        return {make_rejected(std::move(reason), node), std::nullopt};
     }
     if (reason.id != failure_id::connection_lost)
     {
-        return make_indeterminate(std::move(reason), node);
+        return {make_indeterminate(std::move(reason), node), std::nullopt};
+    }
+    return {this->settle(node, hop), std::nullopt};
+}
+
+remote_result remote_executor::read(http_response response) const
+{
+    remote_result read_result;
+    if (auto const * const value = response.headers.find(header_names::load))
+    {
+        read_result.report = decode_load_report(*value, this->time.now());
+        response.headers.remove(header_names::load);
     }
-    return this->settle(node, hop);
+    read_result.result = decode_hop_outcome(std::move(response));
+    return read_result;
 }
 
 // the connection was lost: asks until the outcome is known or time is up
--- a/src/app/request_router.cpp
+++ b/src/app/request_router.cpp
@@ -9,50 +9,85 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds refusal_retry_after(100);
+constexpr duration refusal_retry_after = std::chrono::milliseconds(100);
 
-bool may_run_again(outcome const & result, request const & placed)
+outcome no_target_known()
 {
-    if (result.kind == outcome_kind::rejected)
+    return outcome::rejected({failure_id::no_target,
+                              "place",
+                              {},
+                              "no target of the service takes work"},
+                             refusal_retry_after);
+}
+
+// a try that reached no target cost nothing that the budget guards
+bool put_load_on_a_target(outcome const & last)
+{
+    switch (last.reason.id)
+    {
+    case failure_id::connect_failed:
+    case failure_id::no_target:
+    case failure_id::draining:
+    case failure_id::fenced:
+        return false;
+    default:
+        return true;
+    }
+}
+
+bool is_final(outcome const & last, request const & placed)
+{
+    if (last.kind == outcome_kind::answered ||
+        last.reason.id == failure_id::cancelled ||
+        last.reason.id == failure_id::quarantined)
     {
         return true;
     }
-    bool const hung_up = result.reason.id == failure_id::cancelled;
-    return result.kind == outcome_kind::indeterminate && placed.repeatable &&
-           !hung_up;
+    return last.kind == outcome_kind::indeterminate && !placed.repeatable;
+}
+
+// its target ended while the request was there
+bool makes_suspect(outcome const & last)
+{
+    return last.kind == outcome_kind::indeterminate &&
+           (last.reason.id == failure_id::target_died ||
+            last.reason.id == failure_id::connect_failed);
+}
+
+send_report::result evidence_of(outcome const & ended)
+{
+    switch (ended.kind)
+    {
+    case outcome_kind::answered:
+        return send_report::result::answered;
+    case outcome_kind::rejected:
+        return send_report::result::refused;
+    case outcome_kind::indeterminate:
+        break;
+    }
+    return ended.reason.id == failure_id::cancelled
+               ? send_report::result::abandoned
+               : send_report::result::failed;
 }
 
 } // namespace
 
 request_router::request_router(node_name name,
                                failure_domain place,
-                               member_directory const & directory,
-                               local_executor & local,
-                               remote_executor & others,
-                               request_id_source & names,
-                               placement_policy const & placement,
-                               clock const & source)
+                               router_parts given)
     : self(std::move(name))
     , domain(std::move(place))
-    , members(directory)
-    , executor(local)
-    , remote(others)
-    , ids(names)
-    , policy(placement)
-    , time(source)
+    , parts(given)
+    , candidates(this->self, this->domain)
 {
 }
 
-outcome request_router::route(request const & placed, int caller_socket)
+outcome request_router::route(request placed, int caller_socket)
 {
-    std::vector<member> left = this->candidates_for(placed.service);
-    outcome last = outcome::rejected({failure_id::no_target,
-                                      "place",
-                                      {},
-                                      "no target of the service is known"},
-                                     refusal_retry_after);
+    std::vector<member> left = *this->begin(placed);
+    outcome last = no_target_known();
     bool maybe_ran = false;
-    while (this->time.now() < placed.deadline)
+    while (this->parts.time.now() < placed.deadline)
     {
         auto const index = this->choose(left);
         if (!index.has_value())
@@ -60,12 +95,13 @@
             break;
         }
         last = this->try_on(left[*index], placed, caller_socket);
-        if (!may_run_again(last, placed))
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(*index));
+        maybe_ran = maybe_ran || last.kind == outcome_kind::indeterminate;
+        placed.suspect = placed.suspect || makes_suspect(last);
+        if (is_final(last, placed) || !this->may_try_again(last, placed))
         {
             break;
         }
-        maybe_ran = maybe_ran || last.kind == outcome_kind::indeterminate;
-        left.erase(left.begin() + static_cast<std::ptrdiff_t>(*index));
     }
     // a refusal is true only if no earlier try can have run
     if (maybe_ran && last.kind == outcome_kind::rejected)
@@ -75,19 +111,25 @@
     return last;
 }
 
-std::vector<member>
-request_router::candidates_for(service_name const & service) const
+candidate_list request_router::begin(request const & placed)
 {
-    std::vector<member> found;
-    for (auto const & candidate : *this->members.snapshot())
+    auto const configured = this->parts.configured.current();
+    auto const members = this->parts.members.snapshot();
+    absl::MutexLock lock(&this->mutex);
+    if (auto const * const service = configured->find(placed.service))
     {
-        if (candidate.service == service && candidate.accepts_work &&
-            candidate.state == member_state::alive)
-        {
-            found.push_back(candidate);
-        }
+        this->budgets.try_emplace(placed.service, service->retry_share)
+            .first->second.arrived(try_origin::first);
     }
-    return found;
+    return this->candidates.find(placed.service, members, configured);
+}
+
+std::optional<std::size_t>
+request_router::choose(std::vector<member> const & list)
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->parts.policy.choose(
+        this->describe(list), this->parts.time.now(), this->random);
 }
 
 std::vector<placement_candidate>
@@ -101,45 +143,70 @@
         next.node = candidate.name;
         next.local = candidate.name == this->self;
         next.same_domain = candidate.domain == this->domain;
-        if (auto const found = this->in_flight.find(candidate.name);
-            found != this->in_flight.end())
+        this->signals.describe(next);
+        if (next.local)
         {
-            next.own_in_flight = found->second;
+            next.signal = this->parts.local.load();
+            next.sent_since_signal = 0;
         }
         described.push_back(std::move(next));
     }
     return described;
 }
 
-std::optional<std::size_t>
-request_router::choose(std::vector<member> const & list) const
-{
-    absl::MutexLock lock(&this->mutex);
-    return this->policy.choose(
-        this->describe(list), this->time.now(), this->random);
-}
-
 outcome request_router::try_on(member const & chosen,
                                request const & placed,
                                int caller_socket)
+{
+    time_point const sent_at = this->parts.time.now();
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->signals.sent(chosen.name, sent_at);
+    }
+    remote_result ended = this->send(chosen, placed, caller_socket);
+    this->record(chosen, sent_at, ended);
+    return std::move(ended.result);
+}
+
+remote_result request_router::send(member const & chosen,
+                                   request const & placed,
+                                   int caller_socket)
 {
     if (chosen.name == this->self)
     {
-        return this->executor.execute(placed, caller_socket);
+        return {this->parts.local.execute(placed, caller_socket), std::nullopt};
     }
     hop_request hop;
     hop.content = placed;
-    hop.try_id = this->ids.next();
-    this->count(chosen.name, 1);
-    outcome result = this->remote.execute(chosen, hop, caller_socket);
-    this->count(chosen.name, -1);
-    return result;
+    hop.try_id = this->parts.ids.next();
+    return this->parts.remote.execute(chosen, hop, caller_socket);
+}
+
+void request_router::record(member const & chosen,
+                            time_point sent_at,
+                            remote_result const & ended)
+{
+    send_report report;
+    report.ended = evidence_of(ended.result);
+    report.sent_at = sent_at;
+    if (ended.report.has_value())
+    {
+        report.signal = ended.report->signal;
+        report.time_at_node = ended.report->time_at_node;
+    }
+    absl::MutexLock lock(&this->mutex);
+    this->signals.ended(chosen.name, report, this->parts.time.now());
 }
 
-void request_router::count(node_name const & node, int change)
+bool request_router::may_try_again(outcome const & last, request const & placed)
 {
+    if (!put_load_on_a_target(last))
+    {
+        return true;
+    }
     absl::MutexLock lock(&this->mutex);
-    this->in_flight[node] += change;
+    auto const found = this->budgets.find(placed.service);
+    return found != this->budgets.end() && found->second.try_spend();
 }
 
 } // namespace endivehinge::detail
--- a/src/coordination/configuration_entry.cpp
+++ b/src/coordination/configuration_entry.cpp
@@ -11,9 +11,8 @@
 
 using nlohmann::json;
 
-constexpr entry_subject subjects[] = {entry_subject::service,
-                                      entry_subject::domain,
-                                      entry_subject::target};
+constexpr entry_subject subjects[] = {
+    entry_subject::service, entry_subject::domain, entry_subject::target};
 
 std::string prefix_of(entry_subject subject)
 {
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -59,6 +59,8 @@
         return "key_reused";
     case failure_id::retry_budget_spent:
         return "retry_budget_spent";
+    case failure_id::target_died:
+        return "target_died";
     case failure_id::internal:
         return "internal";
     }
