--- a/tools/common/object_table.cpp
+++ b/tools/common/object_table.cpp
@@ -5,6 +5,12 @@
 
 namespace endivehinge::tools
 {
+namespace
+{
+
+constexpr std::size_t most_changes_kept = 4096;
+
+} // namespace
 
 std::optional<stored_object> object_table::get(std::string const & kind,
                                                std::string const & name,
@@ -74,6 +80,51 @@
     return object_version(this->newest);
 }
 
+std::optional<stored_object> object_table::get_at(std::string const & kind,
+                                                  std::string const & name,
+                                                  object_version when) const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->find_at({kind, name}, when);
+}
+
+std::vector<stored_object> object_table::list_at(std::string const & kind,
+                                                 object_version when) const
+{
+    absl::MutexLock lock(&this->mutex);
+    std::vector<stored_object> found;
+    for (auto const & [key, object] : this->objects)
+    {
+        if (key.first != kind)
+        {
+            continue;
+        }
+        if (auto old = this->find_at(key, when))
+        {
+            found.push_back(*std::move(old));
+        }
+    }
+    return found;
+}
+
+std::optional<stored_object>
+object_table::find_at(std::pair<std::string, std::string> const & key,
+                      object_version when) const
+{
+    for (auto one = this->history.rbegin(); one != this->history.rend(); ++one)
+    {
+        if (one->kind == key.first && one->name == key.second &&
+            one->version <= when)
+        {
+            return one->removed ? std::nullopt : std::optional(*one);
+        }
+    }
+    auto const now = this->objects.find(key);
+    bool const is_old = now != this->objects.end() && !now->second.removed &&
+                        now->second.version <= when;
+    return is_old ? std::optional(now->second) : std::nullopt;
+}
+
 std::optional<object_version> object_table::write(stored_object next,
                                                   object_version expected,
                                                   failure & reason)
@@ -91,6 +142,11 @@
         return std::nullopt;
     }
     next.version = object_version(++this->newest);
+    this->history.push_back(next);
+    if (this->history.size() > most_changes_kept)
+    {
+        this->history.pop_front();
+    }
     slot = std::move(next);
     return slot.version;
 }
--- a/tools/common/object_table.hpp
+++ b/tools/common/object_table.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEHINGE_TOOLS_COMMON_OBJECT_TABLE_HPP
 
 #include <cstdint> // uint64_t
+#include <deque>   // deque
 #include <map>     // map
 #include <string>  // string
 #include <utility> // pair
@@ -46,7 +47,21 @@
     /// @brief the version of the newest change
     [[nodiscard]] object_version latest() const;
 
+    /// @brief an object as it was at an earlier version
+    /// @return nothing where it did not exist, or the history has dropped it
+    [[nodiscard]] std::optional<stored_object>
+    get_at(std::string const & kind,
+           std::string const & name,
+           object_version when) const;
+
+    /// @brief the objects of a kind as they were at an earlier version
+    [[nodiscard]] std::vector<stored_object> list_at(std::string const & kind,
+                                                     object_version when) const;
+
 private:
+    std::optional<stored_object>
+    find_at(std::pair<std::string, std::string> const & key,
+            object_version when) const;
     std::optional<object_version>
     write(stored_object next, object_version expected, failure & reason);
     std::vector<stored_object> changes_after(std::string const & kind,
@@ -55,6 +70,8 @@
     mutable absl::Mutex mutex;
     std::uint64_t newest = 0;
     std::map<std::pair<std::string, std::string>, stored_object> objects;
+    // the newest changes, oldest first
+    std::deque<stored_object> history;
 };
 
 } // namespace endivehinge::tools
--- a/tools/common/query.cpp
+++ b/tools/common/query.cpp
@@ -14,26 +14,31 @@
         path.substr(0, path.find('?')), '/', absl::SkipEmpty());
 }
 
-std::uint64_t query_number(std::string const & path,
-                           std::string const & name,
-                           std::uint64_t fallback)
+std::string query_text(std::string const & path, std::string const & name)
 {
     auto const start = path.find('?');
     if (start == std::string::npos)
     {
-        return fallback;
+        return {};
     }
+    std::string const query = path.substr(start + 1);
     std::string const prefix = absl::StrCat(name, "=");
-    for (auto const part : absl::StrSplit(path.substr(start + 1), '&'))
+    for (auto const part : absl::StrSplit(query, '&'))
     {
-        std::uint64_t value = 0;
-        if (absl::StartsWith(part, prefix) &&
-            absl::SimpleAtoi(part.substr(prefix.size()), &value))
+        if (absl::StartsWith(part, prefix))
         {
-            return value;
+            return std::string(part.substr(prefix.size()));
         }
     }
-    return fallback;
+    return {};
+}
+
+std::uint64_t query_number(std::string const & path,
+                           std::string const & name,
+                           std::uint64_t fallback)
+{
+    std::uint64_t value = 0;
+    return absl::SimpleAtoi(query_text(path, name), &value) ? value : fallback;
 }
 
 } // namespace endivehinge::tools
--- a/tools/common/query.hpp
+++ b/tools/common/query.hpp
@@ -11,6 +11,10 @@
 /// @brief the segments of a path without its query
 [[nodiscard]] std::vector<std::string> path_segments(std::string const & path);
 
+/// @brief a text from the query of a path; empty where there is none
+[[nodiscard]] std::string query_text(std::string const & path,
+                                     std::string const & name);
+
 /// @brief a number from the query of a path
 [[nodiscard]] std::uint64_t query_number(std::string const & path,
                                          std::string const & name,
