--- a/tools/common/announcer.cpp
+++ b/tools/common/announcer.cpp
@@ -35,6 +35,10 @@
 {
     {
         absl::MutexLock lock(&this->mutex);
+        if (this->current.phase == phase)
+        {
+            return;
+        }
         this->current.phase = phase;
     }
     this->send();
--- a/tools/common/announcer.hpp
+++ b/tools/common/announcer.hpp
@@ -33,7 +33,7 @@
     announcer & operator=(announcer const &) = delete;
     ~announcer();
 
-    /// @brief says something else from now on
+    /// @brief says another phase from now on; at once where it changed
     /// @note thread safety: any thread
     void change_phase(std::string const & phase);
 
--- a/tools/common/local_deployment.cpp
+++ b/tools/common/local_deployment.cpp
@@ -7,6 +7,7 @@
 #include <absl/time/clock.h>      // Now, SleepFor
 #include <nlohmann/json.hpp>      // json
 
+#include <common/control_client.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
 #include <endivehinge/detail/platform/http_object_store.hpp>
 
@@ -60,10 +61,63 @@
     {
         return false;
     }
+    if (!this->start_target(next, reason))
+    {
+        return false;
+    }
+    this->instances.push_back(std::move(next));
+    return true;
+}
+
+void local_deployment::write_history(std::string const & path)
+{
+    this->history_path = path;
+}
+
+void local_deployment::reach_platform_through(endpoint const & relay)
+{
+    this->platform_relay = relay;
+}
+
+child_process * local_deployment::start_relay(std::string const & to,
+                                              failure & reason)
+{
+    auto relay = child_process::start(
+        {this->binaries + "/relay_stand_in", "--to", to}, {}, reason);
+    if (relay == nullptr)
+    {
+        return nullptr;
+    }
+    this->relays.push_back(std::move(relay));
+    return this->relays.back().get();
+}
+
+bool local_deployment::start_target(running_instance & next,
+                                    failure & reason) const
+{
+    instance_plan const & plan = next.plan;
     std::vector<std::string> command = {
         this->binaries + "/target_stand_in",
         "--node",
-        absl::StrCat(loopback, ":", next.node->port("admin"))};
+        absl::StrCat(loopback, ":", next.node->port("admin")),
+        "--ingress",
+        absl::StrCat(loopback, ":", next.node->port("ingress")),
+        "--name",
+        plan.name,
+        "--history",
+        this->history_path};
+    if (plan.target_behind_relay)
+    {
+        next.relay = child_process::start(
+            {this->binaries + "/relay_stand_in"}, {}, reason);
+        if (next.relay == nullptr)
+        {
+            return false;
+        }
+        command.emplace_back("--announce");
+        command.push_back(
+            absl::StrCat(loopback, ":", next.relay->port("port")));
+    }
     command.insert(command.end(),
                    plan.target_arguments.begin(),
                    plan.target_arguments.end());
@@ -73,8 +127,9 @@
     {
         return false;
     }
-    this->instances.push_back(std::move(next));
-    return true;
+    nlohmann::json const link = {
+        {"to", absl::StrCat(loopback, ":", next.target->port("port"))}};
+    return next.relay == nullptr || control(*next.relay, link, reason);
 }
 
 bool local_deployment::wait_until_joined(absl::Duration patience)
@@ -109,6 +164,18 @@
     return this->instances.size();
 }
 
+running_instance * local_deployment::find(std::string const & name)
+{
+    for (auto & candidate : this->instances)
+    {
+        if (candidate.plan.name == name)
+        {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
 child_process & local_deployment::platform()
 {
     return *this->store;
@@ -121,6 +188,8 @@
 
 std::string local_deployment::write_settings(instance_plan const & plan) const
 {
+    endpoint const reached =
+        this->platform_relay.value_or(this->platform_address());
     std::string path = this->work + "/" + plan.name + ".yaml";
     std::ofstream file(path);
     file << "name: " << plan.name << "\n"
@@ -132,7 +201,7 @@
          << "  peers: 127.0.0.1:0\n"
          << "  control: 127.0.0.1:0\n"
          << "  admin: 127.0.0.1:0\n"
-         << "platform: " << this->platform_address().to_string() << "\n";
+         << "platform: " << reached.to_string() << "\n";
     return path;
 }
 
