Count outcomes, latency and burn of what callers got

Counts and quantiles by Boost.Accumulators, in the text exposition format at /metrics of the admin port; /burn gives good and bad requests over 5 and 30 minutes, 1 and 6 hours, as counts, so that those of several nodes add up. Kept by the minute: 360 buckets a service at 16 bytes, none for a service without requests. Buckets of 10 seconds were weighed: six times the memory for no other figure of these windows.

--- a/src/app/admin_handler.cpp
+++ b/src/app/admin_handler.cpp
@@ -1,6 +1,8 @@
 #include <endivehinge/detail/node/admin_handler.hpp>
 
-#include <string> // string
+#include <algorithm> // sort
+#include <string>    // string
+#include <vector>    // vector
 
 #include <nlohmann/json.hpp> // json
 
@@ -37,6 +39,23 @@
     return text == "draining" ? target_phase::draining : target_phase::absent;
 }
 
+template <class Names>
+json names_of(Names const & names)
+{
+    std::vector<std::string> sorted;
+    for (auto const & name : names)
+    {
+        sorted.push_back(name.value());
+    }
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+}
+
+std::int64_t whole_seconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(span).count();
+}
+
 } // namespace
 
 admin_handler::admin_handler(local_executor & local,
@@ -50,6 +69,11 @@
 {
 }
 
+void admin_handler::show(metrics const & source)
+{
+    this->recorded = &source;
+}
+
 http_response admin_handler::handle(http_request message, http_connection)
 {
     if (message.method == "POST" && message.path == "/v1/announce")
@@ -60,6 +84,14 @@
     {
         return this->status();
     }
+    if (message.method == "GET" && message.path == "/metrics")
+    {
+        return this->exposition();
+    }
+    if (message.method == "GET" && message.path == "/burn")
+    {
+        return this->burn();
+    }
     return json_response(status_not_found, {{"error", "no such page"}});
 }
 
@@ -100,14 +132,56 @@
         list.push_back({{"name", one.name.value()},
                         {"service", one.service.value()},
                         {"failure_domain", one.domain.value()},
+                        {"region", one.region.value()},
+                        {"state", static_cast<int>(one.state)},
+                        {"slots", one.slots},
+                        {"control", one.control_address.to_string()},
                         {"accepts_work", one.accepts_work}});
     }
+    auto const configured = this->current.current();
     auto const target = this->executor.status();
     return json_response(
         status_ok,
-        {{"configuration_version", this->current.current()->version.value()},
+        {{"configuration_version", configured->version.value()},
+         {"drained_failure_domains", names_of(configured->drained_domains)},
+         {"drained_targets", names_of(configured->drained_targets)},
          {"target_slots", target.slots},
          {"members", list}});
 }
 
+http_response admin_handler::exposition() const
+{
+    if (this->recorded == nullptr)
+    {
+        return json_response(status_not_found, {{"error", "no metrics"}});
+    }
+    http_response response;
+    response.status = status_ok;
+    response.headers.set("Content-Type", "text/plain; version=0.0.4");
+    response.body = this->recorded->exposition();
+    return response;
+}
+
+http_response admin_handler::burn() const
+{
+    json list = json::array();
+    auto const burns = this->recorded == nullptr ? std::vector<service_burn>()
+                                                 : this->recorded->burn();
+    for (auto const & one : burns)
+    {
+        json windows = json::array();
+        for (auto const & window : one.windows)
+        {
+            windows.push_back({{"length_s", whole_seconds(window.length)},
+                               {"total", window.total},
+                               {"bad", window.bad}});
+        }
+        list.push_back({{"service", one.service.value()},
+                        {"target_share", one.objective.target_share},
+                        {"latency_ms", to_milliseconds(one.objective.latency)},
+                        {"windows", windows}});
+    }
+    return json_response(status_ok, {{"services", list}});
+}
+
 } // namespace endivehinge::detail
