--- /dev/null
+++ b/src/app/commands/run_check.cpp
@@ -0,0 +1,50 @@
+#include <iostream> // cout
+
+#include <endivehinge/detail/commands/commands.hpp>
+#include <endivehinge/detail/settings/yaml_reader.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+template <class Read>
+exit_code check(std::string const & path, Read read)
+{
+    failure reason;
+    auto const text = read_file(path, reason);
+    if (!text.has_value() || !read(*text, path, reason).has_value())
+    {
+        static_cast<void>(report(reason));
+        return exit_usage;
+    }
+    std::cout << path << ": good\n";
+    return exit_ok;
+}
+
+} // namespace
+
+exit_code run_check(command_arguments const & arguments)
+{
+    auto const settings = arguments.text("settings");
+    auto const configuration = arguments.text("configuration");
+    if (!settings.has_value() && !configuration.has_value())
+    {
+        return report({failure_id::invalid_argument,
+                       "read command line",
+                       {},
+                       "--settings FILE or --configuration FILE is missing"});
+    }
+    exit_code result = exit_ok;
+    if (settings.has_value())
+    {
+        result = check(*settings, &read_node_settings);
+    }
+    if (configuration.has_value() && result == exit_ok)
+    {
+        result = check(*configuration, &read_configuration);
+    }
+    return result;
+}
+
+} // namespace endivehinge::detail
