Add membership of nodes as a pure state machine

Cause: nodes found each other through one platform object each, read by all four times a second; that grows with the square of the fleet and ends with the platform. Ruled out: a lease a node in the platform (5,500 renewals are over its several hundred writes a second), full push-pull of all records (about 330 KB an exchange at full size), gossiped suspicion for a failure domain that falls silent (thousands of records within one timeout). Change: SWIM with suspicion, refutation and Lifeguard's local health; updates ride on probes a bounded number of times; anti-entropy by a digest of 256 groups; a failure domain of which no sampled member answers is unreachable in the node's own view, probed gently and taken back; the dead are recalled now and then; byte budgets for news and for records. The configuration version is in every datagram and announced to four random members at once. Datagrams are at most 1,400 bytes. Tests: seeded schedules of loss, duplication, pause, asymmetric cut, domain cut, regions apart for an hour and mass restart at 20 to 150 members under a virtual clock, with real datagrams. Now a contact that is not among the known members is asked on and on.

--- /dev/null
+++ b/include/endivehinge/coordination/gossip_codec.hpp
@@ -0,0 +1,39 @@
+#ifndef ENDIVEHINGE_COORDINATION_GOSSIP_CODEC_HPP
+#define ENDIVEHINGE_COORDINATION_GOSSIP_CODEC_HPP
+
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <endivehinge/coordination/gossip_message.hpp>
+#include <endivehinge/core/failure.hpp>
+
+namespace endivehinge
+{
+
+/// @brief turns messages between members into datagrams and back
+class gossip_codec
+{
+public:
+    gossip_codec() = default;
+    gossip_codec(gossip_codec const &) = delete;
+    gossip_codec & operator=(gossip_codec const &) = delete;
+    virtual ~gossip_codec() = default;
+
+    /// @brief the datagram of a message
+    /// @param message as membership made it, so that its size is bounded
+    /// @note thread safety: any thread
+    [[nodiscard]] virtual std::string
+    encode(gossip_message const & message) const = 0;
+
+    /// @brief reads a datagram; any bytes are harmless
+    /// @param datagram as received
+    /// @param reason why it is no message
+    /// @note thread safety: any thread
+    [[nodiscard]] virtual std::optional<gossip_message>
+    decode(std::string_view datagram, failure & reason) const = 0;
+};
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/include/endivehinge/coordination/member_update.hpp
@@ -0,0 +1,33 @@
+#ifndef ENDIVEHINGE_COORDINATION_MEMBER_UPDATE_HPP
+#define ENDIVEHINGE_COORDINATION_MEMBER_UPDATE_HPP
+
+#include <memory> // shared_ptr
+
+#include <endivehinge/coordination/member.hpp>
+
+namespace endivehinge
+{
+
+/// @brief what one node says of a member, itself or another
+struct member_update
+{
+    // never changed once shared; its own state field is not used
+    std::shared_ptr<member const> about;
+    member_state state = member_state::alive;
+};
+
+/// @brief whether a state means that the member takes no part any more
+[[nodiscard]] inline bool is_gone(member_state state)
+{
+    return state == member_state::left || state == member_state::dead;
+}
+
+/// @brief whether a describes a later moment of the same member than b
+[[nodiscard]] inline bool is_later(member const & a, member const & b)
+{
+    return a.run != b.run ? a.run > b.run : a.sequence > b.sequence;
+}
+
+} // namespace endivehinge
+
+#endif
