--- /dev/null
+++ b/src/coordination/contact.cpp
@@ -0,0 +1,46 @@
+#include <endivehinge/coordination/contact.hpp>
+
+namespace endivehinge
+{
+namespace
+{
+
+bool is_lost(contact const & listed,
+             membership const & known,
+             bool doubt_unknown)
+{
+    auto const state = known.state_of(listed.name);
+    return state.has_value() ? is_gone(*state) : doubt_unknown;
+}
+
+} // namespace
+
+std::optional<std::vector<contact>>
+plan_contacts(std::vector<contact> const & listed,
+              membership const & known,
+              bool doubt_unknown)
+{
+    member const & self = known.self();
+    std::vector<contact> kept;
+    for (auto const & each : listed)
+    {
+        bool const is_self = each.name == self.name;
+        if (is_self && each.run == self.run &&
+            each.control_address == self.control_address)
+        {
+            return std::nullopt;
+        }
+        if (!is_self && !is_lost(each, known, doubt_unknown))
+        {
+            kept.push_back(each);
+        }
+    }
+    if (kept.size() >= max_contacts_per_domain)
+    {
+        return std::nullopt;
+    }
+    kept.push_back({self.name, self.run, self.control_address});
+    return kept;
+}
+
+} // namespace endivehinge
