--- a/include/endivehinge/detail/node/local_executor.hpp
+++ b/include/endivehinge/detail/node/local_executor.hpp
@@ -32,6 +32,11 @@
     /// @note thread safety: any thread
     void update(target_status const & status);
 
+    /// @brief takes the target out of service or puts it back; it comes back
+    ///        like a target that has just started
+    /// @note thread safety: any thread
+    void set_drained(bool drained);
+
     /// @brief the target as it last announced itself
     /// @note thread safety: any thread
     [[nodiscard]] target_status status() const;
@@ -50,6 +55,7 @@
     [[nodiscard]] outcome execute(request const & offered, int caller_socket);
 
 private:
+    void announce_to_gate();
     outcome admit_and_run(request const & offered,
                           request_fingerprint fingerprint,
                           bool alone,
@@ -67,6 +73,8 @@
     target_gate gate;
     mutable absl::Mutex mutex;
     target_status target;
+    bool drained = false;
+    std::uint64_t returns_to_service = 0;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/node/node.hpp
+++ b/include/endivehinge/detail/node/node.hpp
@@ -1,23 +1,16 @@
 #ifndef ENDIVEHINGE_DETAIL_NODE_NODE_HPP
 #define ENDIVEHINGE_DETAIL_NODE_NODE_HPP
 
-#include <cstdint> // uint16_t
-#include <memory>  // unique_ptr
+#include <memory> // unique_ptr
 
 #include <endivehinge/core/failure.hpp>
+#include <endivehinge/detail/node/node_ports.hpp>
 #include <endivehinge/detail/settings/node_settings.hpp>
 
 namespace endivehinge::detail
 {
 
-/// @brief the ports that a node listens on, once it does
-struct node_ports
-{
-    std::uint16_t ingress = 0;
-    std::uint16_t peers = 0;
-    std::uint16_t control = 0;
-    std::uint16_t admin = 0;
-};
+class node_parts;
 
 /// @brief one node: its parts, their threads and how they are joined
 class node
@@ -45,11 +38,9 @@
     [[nodiscard]] bool drain();
 
 private:
-    class parts;
-
-    explicit node(std::unique_ptr<parts> initial);
+    explicit node(std::unique_ptr<node_parts> initial);
 
-    std::unique_ptr<parts> all;
+    std::unique_ptr<node_parts> parts;
 };
 
 } // namespace endivehinge::detail
--- a/src/app/candidate_cache.cpp
+++ b/src/app/candidate_cache.cpp
@@ -45,7 +45,8 @@
         ++callers;
         callers_in_domain += candidate.domain == this->domain ? 1 : 0;
         if (candidate.service == service && candidate.accepts_work &&
-            candidate.state == member_state::alive)
+            candidate.state == member_state::alive &&
+            !this->configured->is_drained(candidate.domain, candidate.name))
         {
             takers.push_back(candidate);
         }
--- a/src/app/local_executor.cpp
+++ b/src/app/local_executor.cpp
@@ -99,7 +99,35 @@
         absl::MutexLock lock(&this->mutex);
         this->target = status;
     }
-    this->gate.announce({announced(status.phase), status.slots, status.run});
+    this->announce_to_gate();
+}
+
+void local_executor::set_drained(bool now_drained)
+{
+    {
+        absl::MutexLock lock(&this->mutex);
+        if (now_drained == this->drained)
+        {
+            return;
+        }
+        this->drained = now_drained;
+        this->returns_to_service += now_drained ? 0 : 1;
+    }
+    this->announce_to_gate();
+}
+
+void local_executor::announce_to_gate()
+{
+    target_announcement said;
+    {
+        absl::MutexLock lock(&this->mutex);
+        said.phase = this->drained ? announced_phase::draining
+                                   : announced(this->target.phase);
+        said.slots = this->target.slots;
+        // back in service it starts slowly, as after a restart
+        said.run = this->target.run + this->returns_to_service;
+    }
+    this->gate.announce(said);
 }
 
 target_status local_executor::status() const
--- a/tests/src/unit-configuration-state.cpp
+++ b/tests/src/unit-configuration-state.cpp
@@ -214,7 +214,8 @@
     void write()
     {
         failure reason;
-        std::string const name = "service." + std::to_string(this->draw(object_count));
+        std::string const name =
+            "service." + std::to_string(this->draw(object_count));
         auto const held = this->platform.get(kind, name, reason);
         auto const expected = held.has_value() ? held->version : v(0);
         if (held.has_value() && this->draw(4) == 0)
