--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -3,7 +3,6 @@
 #include <thread>  // thread
 #include <utility> // move
 
-#include <absl/strings/str_cat.h>       // StrCat
 #include <absl/synchronization/mutex.h> // Mutex
 #include <absl/time/clock.h>            // SleepFor
 #include <absl/time/time.h>             // Milliseconds
@@ -14,13 +13,17 @@
 #include <endivehinge/detail/node/admin_handler.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
 #include <endivehinge/detail/node/configuration_watcher.hpp>
+#include <endivehinge/detail/node/execution_log.hpp>
 #include <endivehinge/detail/node/ingress_handler.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 #include <endivehinge/detail/node/peer_handler.hpp>
 #include <endivehinge/detail/node/platform_directory.hpp>
+#include <endivehinge/detail/node/quarantine_board.hpp>
+#include <endivehinge/detail/node/remote_executor.hpp>
+#include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
 #include <endivehinge/detail/platform/http_object_store.hpp>
-#include <endivehinge/policy/placement_policy.hpp>
+#include <endivehinge/policy/load_aware_policy.hpp>
 
 namespace endivehinge::detail
 {
@@ -56,19 +59,22 @@
         , store(given.platform, this->client, platform_timeout)
         , directory(this->store)
         , watcher(this->store, this->configured)
-        , executor(this->client, this->time)
+        , log(this->run, this->time)
+        , ids(given.name, this->run)
+        , quarantine(this->time)
+        , executor(given.name, this->client, this->quarantine, this->time)
+        , remote(this->client, this->time)
         , router(given.name,
                  given.domain,
-                 this->directory,
-                 this->executor,
-                 this->client,
-                 this->policy,
-                 this->time)
-        , ingress(absl::StrCat(given.name.value(), "-", this->run.value()),
+                 {this->directory,
                   this->configured,
-                  this->router,
-                  this->time)
-        , peers(this->executor, this->time)
+                  this->executor,
+                  this->remote,
+                  this->ids,
+                  this->policy,
+                  this->time})
+        , ingress(this->ids, this->configured, this->router, this->time)
+        , peers(this->executor, this->log, this->time)
         , admin(this->executor, this->directory, this->configured, this->time)
     {
     }
@@ -185,8 +191,12 @@
     platform_directory directory;
     configuration_holder configured;
     configuration_watcher watcher;
-    two_choices_policy policy;
+    load_aware_policy policy;
+    execution_log log;
+    request_id_source ids;
+    quarantine_board quarantine;
     local_executor executor;
+    remote_executor remote;
     request_router router;
     ingress_handler ingress;
     peer_handler peers;
