--- a/tests/src/system-operators.cpp
+++ b/tests/src/system-operators.cpp
@@ -10,6 +10,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <common/control_client.hpp>
 #include <common/local_deployment.hpp>
 #include <endivehinge/coordination/configuration_entry.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
@@ -207,6 +208,35 @@
     EXPECT_THAT(status.output, HasSubstr("drained"));
 }
 
+TEST_F(operators, are_told_the_truth_where_the_answer_to_a_write_is_lost)
+{
+    failure reason;
+    ASSERT_TRUE(tools::control(
+        this->deployment.platform(), {{"lost_write_answers", 1}}, reason))
+        << reason.describe();
+    auto const drained = this->run("drain --force --wait --target listings-1" +
+                                   this->to_platform() + this->to_nodes());
+    EXPECT_EQ(drained.code, 0) << drained.output;
+    EXPECT_THAT(drained.output, HasSubstr("accepted as version"));
+}
+
+TEST_F(operators, do_not_see_a_change_revert_where_the_platform_is_stale)
+{
+    auto const at = " --failure-domain almaty-a" + this->to_platform();
+    ASSERT_EQ(this->run("drain" + at).code, 0);
+    ASSERT_EQ(this->run("undrain --wait" + at + this->to_nodes()).code, 0);
+    failure reason;
+    ASSERT_TRUE(tools::control(
+        this->deployment.platform(), {{"stale_versions", 1}}, reason));
+    ASSERT_TRUE(this->deployment.start_instance(
+        {"listings-3", "listings", "almaty-c", {}}, reason))
+        << reason.describe();
+    ASSERT_TRUE(this->deployment.wait_until_joined(absl::Seconds(30)));
+    auto const status = this->run("status" + this->to_nodes());
+    EXPECT_THAT(status.output, ::testing::Not(HasSubstr("drained")));
+    EXPECT_THAT(status.output, ::testing::Not(HasSubstr("not yet in force")));
+}
+
 TEST_F(operators, see_metrics_and_burn)
 {
     EXPECT_EQ(this->run("burn" + this->to_nodes()).code, 0);
