--- a/examples/placeholder.cpp
+++ /dev/null
@@ -1,4 +0,0 @@
-int main()
-{
-    return 0;
-}
--- a/src/adapters/settings/configuration_reader.cpp
+++ b/src/adapters/settings/configuration_reader.cpp
@@ -82,6 +82,29 @@
     return rule;
 }
 
+// the first route that matches counts, so a later one may never be reached
+void check_reached(YAML::Node const & node,
+                   std::string const & path,
+                   route_rule const & rule,
+                   std::vector<route_rule> const & earlier)
+{
+    for (std::size_t i = 0; i < earlier.size(); ++i)
+    {
+        bool const covers_method =
+            earlier[i].method.empty() || earlier[i].method == rule.method;
+        if (covers_method &&
+            absl::StartsWith(rule.path_prefix, earlier[i].path_prefix))
+        {
+            throw yaml_error(node.Mark(),
+                             path,
+                             absl::StrCat("is never reached, as route ",
+                                          i,
+                                          " matches all of it"),
+                             "put it before that one or take it out");
+        }
+    }
+}
+
 void read_routes(yaml_fields & fields, service_configuration & service)
 {
     auto const node = fields.find("routes");
@@ -103,18 +126,10 @@
             read_route(elements[i],
                        absl::StrCat(fields.path_of("routes"), "[", i, "]"),
                        service.name);
-        for (auto const & earlier : service.routes)
-        {
-            if (earlier.method == rule.method &&
-                earlier.path_prefix == rule.path_prefix)
-            {
-                throw yaml_error(
-                    elements[i].Mark(),
-                    absl::StrCat(fields.path_of("routes"), "[", i, "]"),
-                    "has the method and path of an earlier one",
-                    "keep one of them");
-            }
-        }
+        check_reached(elements[i],
+                      absl::StrCat(fields.path_of("routes"), "[", i, "]"),
+                      rule,
+                      service.routes);
         service.routes.push_back(std::move(rule));
     }
 }
--- a/tests/src/unit-yaml-reader.cpp
+++ b/tests/src/unit-yaml-reader.cpp
@@ -116,7 +116,7 @@
     depends_on: [archive]
     deadline_ms: 1500
     routes:
-      - {method: GET, path: /booking/, repeatable: true}
+      - {method: GET, path: /booking/list, repeatable: true}
       - {path: /booking/check, priority: internal_check, deadline_ms: 40}
     objective: {target_share: 0.995, latency_ms: 120}
     retry_share: 0.2
@@ -248,8 +248,13 @@
         bad_text{"route twice",
                  "services:\n  - name: a\n    routes:\n"
                  "      - path: /a/\n      - path: /a/",
-                 ":5: services[0].routes[1]",
-                 "keep one"},
+                 ":5: services[0].routes[1] is never reached",
+                 "put it before"},
+        bad_text{"route behind a wider one",
+                 "services:\n  - name: a\n    routes:\n"
+                 "      - path: /a/\n      - {method: GET, path: /a/check}",
+                 ":5: services[0].routes[1] is never reached, as route 0",
+                 "put it before"},
         bad_text{"priority",
                  "services:\n  - name: a\n    routes:\n"
                  "      - {path: /a/, priority: high}",
