Assign keys to owners by epochs and leases

Cause: a key has one owner at a time, also when owners are paused, crash or leave, when the platform is out and when answers of its writes are lost.

Change: pure state machines. assignment: one platform object a service, with its epoch, keeper, members and the members before; owners by rendezvous hashing over names. lease_keeper: renews the object by conditional update and grants owners' leases; no epoch is granted before every lease of the earlier one was given up or has ended. lease_holder: an owner's epoch and lease, counted from when it asked. record_coverage: since when the records of a key are whole after it changed its owner. key_owner: these with the idempotency table, and the handovers.

Ruled out: granting an epoch member by member; a new owner acted beside one that had not heard of the epoch.

Conclusion: the records alone keep a key from running twice; the epoch and the deadline at the targets come on top.

--- /dev/null
+++ b/tests/src/unit-lease-keeper.cpp
@@ -0,0 +1,287 @@
+#include <gtest/gtest.h>
+
+#include <endivehinge/coordination/lease_holder.hpp>
+#include <endivehinge/coordination/lease_keeper.hpp>
+
+namespace endivehinge
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+lease_timing const timing;
+time_point const start(seconds(1000));
+owner_identity const a{node_name("a"), incarnation(1)};
+owner_identity const b{node_name("b"), incarnation(1)};
+
+// the platform's object, with calls that end at once
+class lease : public ::testing::Test
+{
+protected:
+    // makes the calls that are due; a write can lose its answer
+    void serve(lease_keeper & one, bool answers = true)
+    {
+        while (auto const call = one.next_call(this->now, false))
+        {
+            if (!call->value.has_value())
+            {
+                one.on_read({this->object, object_version(this->version)},
+                            this->now);
+                continue;
+            }
+            bool const fits = call->expected.value() == this->version;
+            if (fits)
+            {
+                this->object = call->value;
+                ++this->version;
+            }
+            auto const result =
+                fits ? write_result::done : write_result::conflict;
+            one.on_written(answers ? result : write_result::unknown,
+                           object_version(this->version),
+                           this->now);
+        }
+    }
+
+    bool is_granted(owner_identity const & node, std::uint64_t adopted)
+    {
+        return this->keeper.renew({node, epoch(adopted), false}, this->now)
+            .span.has_value();
+    }
+
+    // node b joins node a, which keeps
+    void join()
+    {
+        this->serve(this->keeper);
+        EXPECT_TRUE(this->is_granted(a, 1));
+        EXPECT_FALSE(this->is_granted(b, 0));
+        this->now += timing.least_epoch;
+        this->serve(this->keeper);
+        ASSERT_EQ(this->object->number, epoch(2));
+        ASSERT_EQ(this->object->members, (std::vector<owner_identity>{a, b}));
+    }
+
+    time_point now = start;
+    std::optional<assignment> object;
+    std::uint64_t version = 0;
+    lease_keeper keeper{a, timing};
+    lease_keeper other{b, timing};
+};
+
+TEST_F(lease, the_first_node_makes_the_object)
+{
+    this->serve(this->keeper);
+    EXPECT_TRUE(this->keeper.is_keeper(this->now));
+    this->serve(this->other);
+    EXPECT_FALSE(this->other.is_keeper(this->now));
+    EXPECT_EQ(this->object->keeper, a);
+}
+
+TEST_F(lease, an_epoch_waits_until_the_earlier_one_is_given_up)
+{
+    this->join();
+    EXPECT_FALSE(this->is_granted(b, 2)) << "a may act under epoch 1";
+    EXPECT_TRUE(this->is_granted(a, 2));
+    EXPECT_TRUE(this->is_granted(b, 2));
+}
+
+TEST_F(lease, an_epoch_waits_until_the_earlier_leases_have_ended)
+{
+    this->join();
+    this->now += timing.owner_lease - timing.least_epoch;
+    this->serve(this->keeper);
+    EXPECT_FALSE(this->is_granted(b, 2));
+    this->now += timing.longer(timing.owner_lease) - timing.owner_lease;
+    EXPECT_TRUE(this->is_granted(b, 2));
+}
+
+TEST_F(lease, an_owner_is_taken_out_after_its_last_lease)
+{
+    this->join();
+    EXPECT_TRUE(this->is_granted(a, 2));
+    EXPECT_TRUE(this->is_granted(b, 2));
+    this->now += timing.owner_lease;
+    EXPECT_TRUE(this->is_granted(a, 2));
+    this->serve(this->keeper);
+    EXPECT_EQ(this->object->members.size(), 2U);
+    this->now += timing.longer(timing.owner_lease) - timing.owner_lease;
+    this->serve(this->keeper);
+    EXPECT_EQ(this->object->members, std::vector<owner_identity>{a});
+    EXPECT_EQ(this->object->previous.size(), 2U);
+}
+
+TEST_F(lease, an_owner_lease_ends_before_the_keepers)
+{
+    this->serve(this->keeper);
+    duration const kept = timing.shorter(timing.keeper_lease);
+    for (duration passed{0}; passed < kept; passed += milliseconds(500))
+    {
+        auto const grant =
+            this->keeper.renew({a, epoch(1), false}, start + passed);
+        ASSERT_TRUE(grant.span.has_value());
+        EXPECT_LE(passed + *grant.span, kept);
+    }
+    EXPECT_FALSE(this->keeper.renew({a, epoch(1), false}, start + kept).span);
+}
+
+TEST_F(lease, a_write_without_an_answer_is_recognised_as_the_own)
+{
+    this->serve(this->keeper, false);
+    EXPECT_FALSE(this->keeper.is_keeper(this->now));
+    this->now += timing.platform_read;
+    this->serve(this->keeper);
+    EXPECT_TRUE(this->keeper.is_keeper(this->now));
+    // counted from the first try
+    EXPECT_FALSE(
+        this->keeper.is_keeper(start + timing.shorter(timing.keeper_lease)));
+    EXPECT_EQ(this->object->number, epoch(1));
+}
+
+TEST_F(lease, another_takes_over_after_the_whole_lease)
+{
+    this->join();
+    this->serve(this->other);
+    this->now += timing.longer(timing.keeper_lease) - milliseconds(1);
+    this->serve(this->other);
+    EXPECT_FALSE(this->other.is_keeper(this->now));
+    this->now += timing.platform_read * 5;
+    this->serve(this->other);
+    EXPECT_TRUE(this->other.is_keeper(this->now));
+    EXPECT_EQ(this->object->number, epoch(3));
+    EXPECT_EQ(this->object->members, std::vector<owner_identity>{b});
+    // the earlier keeper finds out with its next write
+    EXPECT_FALSE(this->keeper.is_keeper(this->now));
+    this->serve(this->keeper);
+    EXPECT_FALSE(this->keeper.is_keeper(this->now));
+}
+
+TEST_F(lease, a_keeper_that_renews_is_not_taken_over)
+{
+    this->join();
+    for (int step = 0; step < 60; ++step)
+    {
+        this->now += timing.platform_read;
+        EXPECT_TRUE(this->keeper.renew({b, epoch(2), false}, this->now)
+                        .current.has_value());
+        this->serve(this->keeper);
+        this->serve(this->other);
+        ASSERT_FALSE(this->other.is_keeper(this->now));
+    }
+}
+
+TEST_F(lease, a_keeper_that_leaves_names_the_next_one)
+{
+    this->join();
+    EXPECT_TRUE(this->is_granted(a, 2));
+    EXPECT_TRUE(this->is_granted(b, 2));
+    this->keeper.leave();
+    this->now += timing.least_epoch;
+    this->serve(this->keeper);
+    EXPECT_EQ(this->object->keeper, b);
+    this->serve(this->other);
+    ASSERT_TRUE(this->other.is_keeper(this->now));
+    // what a granted is not known to b
+    EXPECT_FALSE(
+        this->other.renew({b, epoch(3), false}, this->now).span.has_value());
+    EXPECT_FALSE(
+        this->other.renew({a, epoch(3), true}, this->now).span.has_value());
+    EXPECT_TRUE(
+        this->other.renew({b, epoch(3), false}, this->now).span.has_value());
+}
+
+assignment make_assignment(std::uint64_t number,
+                           std::vector<owner_identity> members)
+{
+    assignment made;
+    made.number = epoch(number);
+    made.keeper = a;
+    made.members = std::move(members);
+    return made;
+}
+
+class held_lease : public ::testing::Test
+{
+protected:
+    void grant(std::uint64_t number, time_point sent, time_point came)
+    {
+        lease_grant granted;
+        granted.span = timing.owner_lease;
+        granted.current = make_assignment(number, {a});
+        this->holder.take(granted, sent, {came, wall_time()});
+    }
+
+    lease_holder holder{a, timing, std::chrono::minutes(10)};
+};
+
+TEST_F(held_lease, counts_from_when_it_was_asked_for)
+{
+    this->holder.adopt(make_assignment(1, {a}), start);
+    this->grant(1, start, start + seconds(2));
+    EXPECT_EQ(this->holder.lease_end(start + seconds(2)),
+              start + timing.shorter(timing.owner_lease));
+    EXPECT_FALSE(this->holder.lease_end(start + seconds(3)).has_value());
+    // an answer to an earlier renewal does not shorten it
+    this->grant(1, start - seconds(1), start + seconds(2));
+    EXPECT_EQ(this->holder.lease_end(start + seconds(2)),
+              start + timing.shorter(timing.owner_lease));
+}
+
+TEST_F(held_lease, ends_with_its_epoch)
+{
+    this->holder.adopt(make_assignment(1, {a}), start);
+    this->grant(1, start, start);
+    this->holder.adopt(make_assignment(2, {a, b}), start);
+    EXPECT_FALSE(this->holder.lease_end(start).has_value());
+    this->grant(1, start, start);
+    EXPECT_FALSE(this->holder.lease_end(start).has_value());
+}
+
+TEST_F(held_lease, ends_where_a_newer_epoch_is_heard_of)
+{
+    this->holder.adopt(make_assignment(1, {a}), start);
+    this->grant(1, start, start);
+    EXPECT_TRUE(this->holder.lease_end(start).has_value());
+    this->holder.hear(epoch(2));
+    EXPECT_FALSE(this->holder.lease_end(start).has_value());
+}
+
+TEST(rendezvous, moves_only_the_keys_of_the_owner_that_goes)
+{
+    std::vector<owner_identity> owners;
+    for (char const * const name : {"a", "b", "c", "d"})
+    {
+        owners.push_back({node_name(name), incarnation(1)});
+    }
+    auto const without =
+        std::vector<owner_identity>(owners.begin(), owners.end() - 1);
+    int of_last = 0;
+    for (int number = 0; number < 4000; ++number)
+    {
+        idempotency_key const key("order " + std::to_string(number));
+        auto const before = *owner_of(key, owners);
+        auto const later = *owner_of(key, without);
+        of_last += before == owners.back() ? 1 : 0;
+        EXPECT_TRUE(before == owners.back() || before == later);
+    }
+    EXPECT_GT(of_last, 800);
+    EXPECT_LT(of_last, 1200);
+}
+
+TEST(assignment_text, comes_back_as_it_was)
+{
+    auto made = make_assignment(7, {a, b});
+    made.renewals = 3;
+    made.previous = {b};
+    failure reason;
+    EXPECT_EQ(assignment::from_text(made.to_text(), reason), made);
+    for (char const * const text : {"", "{", "[]", R"({"epoch": 1})"})
+    {
+        EXPECT_FALSE(assignment::from_text(text, reason).has_value());
+        EXPECT_EQ(reason.id, failure_id::invalid_message);
+    }
+}
+
+} // namespace
+} // namespace endivehinge
