Count what callers get at the ingress

Cause: the metrics, the scrape endpoint and the burn report had no source.

Change: the ingress records service, outcome and latency of each request; the admin port shows them.

--- a/include/endivehinge/detail/node/ingress_handler.hpp
+++ b/include/endivehinge/detail/node/ingress_handler.hpp
@@ -5,6 +5,7 @@
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/http/http_handler.hpp>
+#include <endivehinge/detail/metrics/metrics.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
 #include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
@@ -19,10 +20,12 @@
     /// @param ids names each request; outlives the handler
     /// @param current the configuration; outlives the handler
     /// @param router outlives the handler
+    /// @param recorded counts what callers get; outlives the handler
     /// @param time outlives the handler
     ingress_handler(request_id_source & ids,
                     configuration_holder const & current,
                     request_router & router,
+                    metrics & recorded,
                     clock const & time);
 
     [[nodiscard]] http_response handle(http_request message,
@@ -34,6 +37,7 @@
     request_id_source & ids;
     configuration_holder const & current;
     request_router & router;
+    metrics & recorded;
     clock const & time;
 };
 
--- a/include/endivehinge/detail/node/node_parts.hpp
+++ b/include/endivehinge/detail/node/node_parts.hpp
@@ -89,6 +89,7 @@
     local_executor executor;
     remote_executor remote;
     request_router router;
+    metrics recorded;
     ingress_handler ingress;
     peer_handler peers;
     admin_handler admin;
--- a/src/app/ingress_handler.cpp
+++ b/src/app/ingress_handler.cpp
@@ -86,10 +86,12 @@
 ingress_handler::ingress_handler(request_id_source & names,
                                  configuration_holder const & configured,
                                  request_router & placing,
+                                 metrics & counted,
                                  clock const & source)
     : ids(names)
     , current(configured)
     , router(placing)
+    , recorded(counted)
     , time(source)
 {
 }
@@ -97,6 +99,7 @@
 http_response ingress_handler::handle(http_request message,
                                       http_connection connection)
 {
+    time_point const start = this->time.now();
     outcome result;
     request_id id = this->ids.next();
     if (auto read_request = this->read(std::move(message), result))
@@ -105,6 +108,8 @@
         // one that may not be repeated runs to its end without its caller
         int const watched = read_request->repeatable ? connection.socket : -1;
         result = this->router.route(*read_request, watched);
+        this->recorded.record(
+            read_request->service, result.kind, this->time.now() - start);
     }
     http_response response = result.kind == outcome_kind::answered
                                  ? std::move(result.answer)
--- a/src/app/node_parts.cpp
+++ b/src/app/node_parts.cpp
@@ -62,10 +62,13 @@
               this->ids,
               this->policy,
               this->time})
-    , ingress(this->ids, this->configured, this->router, this->time)
+    , recorded(this->configured, this->time)
+    , ingress(
+          this->ids, this->configured, this->router, this->recorded, this->time)
     , peers(this->executor, this->log, this->time)
     , admin(this->executor, *this->members, this->configured, this->time)
 {
+    this->admin.show(this->recorded);
 }
 
 node_parts::~node_parts()
