Send again on a new connection when the one to the target stays silent

Change: target_client takes the exchange with the target out of local_executor; a request that may be repeated is sent once more, on a new connection, when there is no answer after 100 ms or eight times the usual latency, within a budget of 5 percent of requests; the idle connections are dropped when the second send answers first. A request that may not be repeated is sent only on a connection that was used within half a second.

Ruled out: keep-alive probes on idle connections (they load the target and say nothing of a connection that goes silent under a request).

--- a/include/endivehinge/detail/http/http_exchange_options.hpp
+++ b/include/endivehinge/detail/http/http_exchange_options.hpp
@@ -14,6 +14,8 @@
     duration connect_timeout{std::chrono::milliseconds(250)};
     // opens a connection of its own instead of reusing one
     bool fresh_connection = false;
+    // reuses no connection that was idle for longer
+    duration longest_idle = std::chrono::hours(1);
     // ends the exchange when the peer of this socket hangs up; -1: none
     int watched_socket = -1;
 };
--- a/include/endivehinge/detail/node/local_executor.hpp
+++ b/include/endivehinge/detail/node/local_executor.hpp
@@ -9,6 +9,7 @@
 #include <endivehinge/core/request.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
 #include <endivehinge/detail/node/quarantine_board.hpp>
+#include <endivehinge/detail/node/target_client.hpp>
 #include <endivehinge/detail/node/target_gate.hpp>
 #include <endivehinge/detail/node/target_status.hpp>
 
@@ -60,16 +61,14 @@
                           request_fingerprint fingerprint,
                           bool alone,
                           int caller_socket);
-    outcome run(request const & admitted, int caller_socket);
     bool has_died(target_status const & before);
     void report_crash(request_fingerprint fingerprint,
                       target_status const & before,
                       bool alone);
 
     node_name self;
-    http_client & client;
     quarantine_board & quarantine;
-    clock const & time;
+    target_client target_exchanges;
     target_gate gate;
     mutable absl::Mutex mutex;
     target_status target;
--- a/src/adapters/http/connection_pool.hpp
+++ b/src/adapters/http/connection_pool.hpp
@@ -25,34 +25,38 @@
     {
     }
 
-    std::unique_ptr<channel> take(endpoint const & peer)
+    /// @brief an idle connection, or a channel that has none yet
+    /// @param longest_idle a connection that was idle for longer is left
+    std::unique_ptr<channel> take(endpoint const & peer, duration longest_idle)
     {
+        absl::MutexLock lock(&this->mutex);
+        auto & idle = this->idle_channels[peer];
+        // the one given back last was idle for the shortest time
+        if (!idle.empty() &&
+            machine_clock().now() - idle.back().since <= longest_idle)
         {
-            absl::MutexLock lock(&this->mutex);
-            auto & idle = this->idle_channels[peer];
-            if (!idle.empty())
-            {
-                auto taken = std::move(idle.back());
-                idle.pop_back();
-                return taken;
-            }
+            auto taken = std::move(idle.back().used);
+            idle.pop_back();
+            return taken;
         }
         return std::make_unique<channel>();
     }
 
+    /// @brief keeps a connection, unless enough are kept
     void give_back(endpoint const & peer, std::unique_ptr<channel> used)
     {
         absl::MutexLock lock(&this->mutex);
         auto & idle = this->idle_channels[peer];
         if (idle.size() < this->limits.idle_connections_per_peer)
         {
-            idle.push_back(std::move(used));
+            idle.push_back({std::move(used), machine_clock().now()});
         }
     }
 
+    /// @brief drops the idle connections to a peer
     void forget(endpoint const & peer)
     {
-        std::vector<std::unique_ptr<channel>> dropped;
+        std::vector<idle_channel> dropped;
         absl::MutexLock lock(&this->mutex);
         if (auto const found = this->idle_channels.find(peer);
             found != this->idle_channels.end())
@@ -65,9 +69,14 @@
     http_client_limits const limits;
 
 private:
+    struct idle_channel
+    {
+        std::unique_ptr<channel> used;
+        time_point since;
+    };
+
     absl::Mutex mutex;
-    absl::flat_hash_map<endpoint, std::vector<std::unique_ptr<channel>>>
-        idle_channels;
+    absl::flat_hash_map<endpoint, std::vector<idle_channel>> idle_channels;
 };
 
 } // namespace endivehinge::detail
--- a/src/adapters/http/http_call.cpp
+++ b/src/adapters/http/http_call.cpp
@@ -45,8 +45,9 @@
         , peer(where)
         , request(message)
         , options(given)
-        , used(given.fresh_connection ? std::make_unique<channel>()
-                                      : this->pool->take(where))
+        , used(given.fresh_connection
+                   ? std::make_unique<channel>()
+                   : this->pool->take(where, given.longest_idle))
         , headers(make_header_list(this->request))
         , watching(given.watched_socket >= 0)
     {
--- a/src/app/local_executor.cpp
+++ b/src/app/local_executor.cpp
@@ -5,40 +5,14 @@
 #include <absl/strings/str_cat.h> // StrCat
 
 #include <endivehinge/core/fingerprint.hpp>
-#include <endivehinge/core/header_names.hpp>
 
 namespace endivehinge::detail
 {
 namespace
 {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
-
-constexpr duration refusal_retry_after = milliseconds(50);
-constexpr duration death_check_timeout = milliseconds(100);
 constexpr int lowest_server_error = 500;
 
-http_request make_target_request(request const & admitted, time_point now)
-{
-    http_request message = admitted.message;
-    auto const left = duration_cast<milliseconds>(admitted.deadline - now);
-    message.headers.set(header_names::request_id, admitted.id.value());
-    message.headers.set(header_names::timeout_ms, absl::StrCat(left.count()));
-    message.headers.set(header_names::depth, absl::StrCat(admitted.depth));
-    message.headers.set(header_names::priority,
-                        absl::StrCat("u=", static_cast<int>(admitted.urgency)));
-    return message;
-}
-
-// a target that sheds says itself that it did not run the request
-bool was_shed(http_response const & response)
-{
-    std::string const * const said =
-        response.headers.find(header_names::outcome);
-    return said != nullptr && *said == to_string(outcome_kind::rejected);
-}
-
 announced_phase announced(target_phase phase)
 {
     switch (phase)
@@ -86,9 +60,8 @@
                                quarantine_board & board,
                                clock const & source)
     : self(std::move(name))
-    , client(exchanges)
     , quarantine(board)
-    , time(source)
+    , target_exchanges(exchanges, source)
     , gate(source)
 {
 }
@@ -175,7 +148,8 @@
         return refuse(decision);
     }
     target_status const before = this->status();
-    outcome result = this->run(offered, caller_socket);
+    outcome result = this->target_exchanges.run(
+        before.address, offered, this->gate.load().latency, caller_socket);
     if (result.kind == outcome_kind::answered)
     {
         this->quarantine.finished(fingerprint);
@@ -190,35 +164,6 @@
     return result;
 }
 
-outcome local_executor::run(request const & admitted, int caller_socket)
-{
-    time_point const now = this->time.now();
-    endpoint const address = this->status().address;
-    http_exchange_options options;
-    options.timeout = admitted.deadline - now;
-    options.watched_socket = caller_socket;
-    http_exchange_report report;
-    failure reason;
-    auto response = this->client.exchange(
-        address, make_target_request(admitted, now), options, report, reason);
-    if (!response.has_value())
-    {
-        reason.step = "run on target";
-        return report.maybe_sent
-                   ? outcome::indeterminate(std::move(reason))
-                   : outcome::rejected(std::move(reason), refusal_retry_after);
-    }
-    if (was_shed(*response))
-    {
-        return outcome::rejected({failure_id::overloaded,
-                                  "run on target",
-                                  address.to_string(),
-                                  "the target shed the request"},
-                                 refusal_retry_after);
-    }
-    return outcome::answered(*std::move(response));
-}
-
 // a target that closed one connection may be alive: only one that takes no
 // new connection, or is another run by now, has died
 bool local_executor::has_died(target_status const & before)
@@ -227,14 +172,7 @@
     {
         return true;
     }
-    http_exchange_options options;
-    options.timeout = death_check_timeout;
-    options.fresh_connection = true;
-    http_exchange_report report;
-    failure reason;
-    auto const response = this->client.exchange(
-        before.address, {"GET", "/load", {}, {}}, options, report, reason);
-    return !response.has_value() && reason.id == failure_id::connect_failed;
+    return this->target_exchanges.is_gone(before.address);
 }
 
 void local_executor::report_crash(request_fingerprint fingerprint,
