--- a/Makefile
+++ b/Makefile
@@ -35,10 +35,10 @@
 	clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: $(BUILD)/build.ninja
-	bash tools/lint $(BUILD) $(JOBS)
+	@bash tools/lint $(BUILD) $(JOBS)
 
 # writes the committed messages again; needs protoc and its gRPC plugin
 generate:
