--- a/include/endivehinge/coordination/assignment.hpp
+++ b/include/endivehinge/coordination/assignment.hpp
@@ -49,6 +49,11 @@
 [[nodiscard]] bool contains(std::vector<owner_identity> const & owners,
                             owner_identity const & one);
 
+/// @brief whether any run of a node is among them
+/// @note pure; thread safety: any thread
+[[nodiscard]] bool contains_name(std::vector<owner_identity> const & owners,
+                                 node_name const & name);
+
 } // namespace endivehinge
 
 #endif
--- a/include/endivehinge/coordination/idempotency_table.hpp
+++ b/include/endivehinge/coordination/idempotency_table.hpp
@@ -67,10 +67,8 @@
     std::shared_ptr<outcome const>
     finish(idempotency_key const & key, outcome result, moment const & at);
 
-    /// @brief the outcome of a key that is not in flight any more
-    /// @return nothing while in flight, and where the key was given back
-    [[nodiscard]] std::shared_ptr<outcome const>
-    find(idempotency_key const & key) const;
+    /// @brief whether the first request of a key runs
+    [[nodiscard]] bool is_in_flight(idempotency_key const & key) const;
 
     /// @brief copies the records that go to another owner
     /// @param selects the keys that go
--- a/include/endivehinge/coordination/key_owner.hpp
+++ b/include/endivehinge/coordination/key_owner.hpp
@@ -31,6 +31,13 @@
     epoch number;
     // where indeterminate: an earlier owner may still hand the record over
     bool awaits_records = false;
+
+    /// @brief whether the key is new and its request is to be dispatched
+    [[nodiscard]] bool started() const
+    {
+        return this->refusal == owner_refusal::none &&
+               this->key.decision == key_decision::started;
+    }
 };
 
 /// @brief a node's part as an owner of keys: lease, records and handovers
--- a/include/endivehinge/coordination/lease_messages.hpp
+++ b/include/endivehinge/coordination/lease_messages.hpp
@@ -28,6 +28,8 @@
     std::optional<duration> span;
     // nothing where the asked node knows none
     std::optional<assignment> current;
+    // whether the asked node keeps
+    bool from_keeper = false;
     // why it was not granted
     std::string reason;
 };
--- a/include/endivehinge/coordination/record_coverage.hpp
+++ b/include/endivehinge/coordination/record_coverage.hpp
@@ -48,8 +48,9 @@
     /// @brief the same for whatever key
     [[nodiscard]] std::optional<wall_time> whole_since_any(time_point now);
 
-    /// @brief whether records of the key may still come in
-    [[nodiscard]] bool awaits_records(idempotency_key const & key) const;
+    /// @brief whether records of the key are likely to come in soon
+    [[nodiscard]] bool awaits_records(idempotency_key const & key,
+                                      time_point now) const;
 
     /// @brief changes how long keys are valid from now on
     void set_window(duration window);
--- a/src/coordination/assignment.cpp
+++ b/src/coordination/assignment.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/coordination/assignment.hpp>
 
-#include <algorithm> // find
+#include <algorithm> // any_of, find
 
 #include <nlohmann/json.hpp> // json
 
@@ -110,4 +110,15 @@
     return std::find(owners.begin(), owners.end(), one) != owners.end();
 }
 
+bool contains_name(std::vector<owner_identity> const & owners,
+                   node_name const & name)
+{
+    return std::any_of(owners.begin(),
+                       owners.end(),
+                       [&name](owner_identity const & one)
+                       {
+                           return one.name == name;
+                       });
+}
+
 } // namespace endivehinge
--- a/src/coordination/idempotency_table.cpp
+++ b/src/coordination/idempotency_table.cpp
@@ -106,11 +106,11 @@
     return shared;
 }
 
-std::shared_ptr<outcome const>
-idempotency_table::find(idempotency_key const & key) const
+bool idempotency_table::is_in_flight(idempotency_key const & key) const
 {
     auto const found = this->entries.find(key);
-    return found == this->entries.end() ? nullptr : found->second.result;
+    return found != this->entries.end() &&
+           found->second.state == key_state::in_flight;
 }
 
 std::vector<idempotency_record> idempotency_table::export_records(
--- a/src/coordination/key_owner.cpp
+++ b/src/coordination/key_owner.cpp
@@ -38,7 +38,7 @@
     report.number = this->holder.current()->number;
     report.awaits_records =
         report.key.decision == key_decision::indeterminate &&
-        coverage.awaits_records(key);
+        coverage.awaits_records(key, at.now);
     return report;
 }
 
--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -1,27 +1,11 @@
 #include <endivehinge/coordination/lease_keeper.hpp>
 
-#include <algorithm> // any_of, find, max, min, sort
+#include <algorithm> // find, max, min, sort
 #include <iterator>  // next
 #include <utility>   // move
 
 namespace endivehinge
 {
-namespace
-{
-
-bool has_name(std::vector<owner_identity> const & owners,
-              node_name const & name)
-{
-    return std::any_of(owners.begin(),
-                       owners.end(),
-                       [&name](owner_identity const & one)
-                       {
-                           return one.name == name;
-                       });
-}
-
-} // namespace
-
 lease_keeper::lease_keeper(owner_identity own, lease_timing const & spans)
     : self(std::move(own))
     , timing(spans)
@@ -108,6 +92,7 @@
         answer.reason = "not the keeper";
         return answer;
     }
+    answer.from_keeper = true;
     if (asked.adopted > this->known->number)
     {
         answer.reason = "the epoch is newer than the keeper's";
@@ -246,7 +231,7 @@
     }
     for (auto const & [node, state] : this->holders)
     {
-        if (!has_name(members, node.name) && this->stays(node, now))
+        if (!contains_name(members, node.name) && this->stays(node, now))
         {
             members.push_back(node);
         }
--- a/src/coordination/record_coverage.cpp
+++ b/src/coordination/record_coverage.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t greatest_gap_count = 256;
 constexpr std::size_t greatest_handover_count = 256;
+// an earlier owner that lives has sent its records by then
+constexpr std::chrono::seconds handover_time(1);
 
 } // namespace
 
@@ -116,13 +118,17 @@
     return since;
 }
 
-bool record_coverage::awaits_records(idempotency_key const & key) const
+bool record_coverage::awaits_records(idempotency_key const & key,
+                                     time_point now) const
 {
     return std::any_of(this->gaps.begin(),
                        this->gaps.end(),
-                       [&key](gap const & missing)
+                       [&key, now](gap const & missing)
                        {
-                           return missing.owners != nullptr &&
+                           bool const is_fresh =
+                               !missing.held.has_value() ||
+                               now - *missing.held < handover_time;
+                           return is_fresh && missing.owners != nullptr &&
                                   !missing.handed_over && missing.covers(key);
                        });
 }
--- a/tests/src/simulation/owner_group.cpp
+++ b/tests/src/simulation/owner_group.cpp
@@ -203,7 +203,7 @@
             {
                 asking.keeper->hear(*grant.current);
             }
-            if (grant.current.has_value() && grant.reason != "not the keeper")
+            if (grant.from_keeper)
             {
                 asking.answered = now.now;
             }
