--- a/include/endivehinge/policy/admission_controller.hpp
+++ b/include/endivehinge/policy/admission_controller.hpp
@@ -86,11 +86,14 @@
     [[nodiscard]] bool would_be_late(ticket_info const & candidate,
                                      duration wait,
                                      time_point now) const;
+    [[nodiscard]] bool is_too_long(ticket_info const & candidate,
+                                   duration wait,
+                                   time_point now) const;
     [[nodiscard]] duration expected_run(time_point now) const;
     [[nodiscard]] duration expected_wait(std::size_t ahead,
                                          time_point now) const;
     [[nodiscard]] std::size_t count_ahead(ticket_info const & candidate) const;
-    [[nodiscard]] std::size_t queue_capacity() const;
+    [[nodiscard]] duration mean_age(time_point now) const;
     [[nodiscard]] admission_decision refuse(failure_id reason,
                                             time_point now) const;
     admission_decision start(ticket_info const & candidate, time_point now);
@@ -99,6 +102,8 @@
     void
     push_out(ticket_info const & ticket, failure_id reason, time_point now);
     void push_out_lost_ones(time_point now);
+    void push_out_late_ones(time_point now);
+    void remove_running(ticket_id id);
     [[nodiscard]] bool is_target_open() const;
 
     admission_options options;
@@ -106,9 +111,14 @@
     target_announcement target;
     bool admitting = true;
     time_point last_answer;
+    time_point last_review;
     absl::flat_hash_map<ticket_id, running_ticket> running;
+    // sum of the times at which those that run were started
+    duration start_sum{0};
     absl::flat_hash_map<ticket_id, ticket_info> waiting;
     std::set<ticket_info, by_urgency> queue;
+    // no queued deadline is before it
+    time_point earliest_deadline = time_point::max();
     std::vector<ready_ticket> pushed_out;
 };
 
--- a/include/endivehinge/policy/concurrency_limit.hpp
+++ b/include/endivehinge/policy/concurrency_limit.hpp
@@ -18,18 +18,16 @@
 /// @brief which of its mechanisms a limit uses
 struct concurrency_limit_options
 {
-    // follow measured latency; otherwise always the slots
-    bool adaptive = true;
     // start small and grow on evidence
     bool slow_start = true;
 };
 
 /// @brief how many requests may run at a target at once
 ///
-/// Compares the mean latency of each window of answers with the lowest mean
-/// known. A slower window halves the limit as an experiment: where that makes
-/// answers faster, the lower limit stays; where not, the slowness is not of
-/// our making, so the limit comes back and the baseline moves.
+/// Starts small for a new run, a cold target, or one that has suddenly become
+/// slow, and grows by windows of answers in time, each compared with the
+/// lowest mean latency known. Then it is the slots, less what sheds and
+/// failures have taken lately.
 /// @note thread safety: none; the owner serialises
 class concurrency_limit
 {
@@ -67,14 +65,6 @@
     [[nodiscard]] bool in_slow_start() const;
 
 private:
-    enum class mode
-    {
-        slow_start,
-        steady,
-        probe_settling, // halved; answers from before still come in
-        probe_measuring,
-    };
-
     struct window
     {
         std::uint32_t count = 0;
@@ -87,7 +77,6 @@
     void follow_low(double mean);
     void grow_from_start(double mean);
     void follow_steady(double mean);
-    void finish_probe(double mean);
     void clamp();
     [[nodiscard]] bool was_used() const;
 
@@ -96,11 +85,9 @@
     double limit = 1;
     double recent = 0; // nanoseconds
     double low = 0;    // nanoseconds
-    mode current = mode::slow_start;
+    bool slow_starting = true;
     slow_start_pace pace = slow_start_pace::quick;
     window open;
-    double limit_before_probe = 0;
-    double mean_before_probe = 0;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/load_aware_options.hpp
+++ b/include/endivehinge/policy/load_aware_options.hpp
@@ -24,10 +24,11 @@
     bool use_observed = true;
     // travel counts
     bool use_hop = true;
-    // age at which half of a load signal is forgotten
-    duration signal_half_life = std::chrono::milliseconds(100);
-    // age at which half of an observed latency is forgotten
-    duration observed_half_life = std::chrono::seconds(1);
+    // age, in runs of the target, at which half of its in-flight count is
+    // forgotten: a target renews its load about once a run
+    double load_half_life_in_runs = 2;
+    // age at which half of a latency is forgotten, told or observed
+    duration latency_half_life = std::chrono::seconds(1);
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/load_estimate.hpp
+++ b/include/endivehinge/policy/load_estimate.hpp
@@ -13,6 +13,8 @@
     double latency = 0;
     // travel there and back
     double hop = 0;
+    // takes no new work
+    bool closed = false;
 
     /// @brief whether one more request could start at once
     [[nodiscard]] bool has_room() const;
--- a/include/endivehinge/policy/load_signal.hpp
+++ b/include/endivehinge/policy/load_signal.hpp
@@ -11,7 +11,7 @@
 {
     // running and waiting at the target
     double in_flight = 0;
-    // requests that it can run at once now
+    // requests that it can run at once now; 0: it takes no new work
     double limit = 0;
     // recent service time
     duration latency{0};
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -13,10 +13,9 @@
 constexpr std::chrono::milliseconds shortest_retry_after(1);
 constexpr std::chrono::seconds longest_retry_after(5);
 constexpr std::chrono::milliseconds retry_after_without_target(100);
-constexpr std::size_t fewest_queue_places = 4;
 constexpr std::uint32_t reserved_for_internal_checks = 1;
-// a run this much older than usual tells of a stalled target
-constexpr int stalled_factor = 4;
+// how often the queue is looked through for those that would be late
+constexpr std::chrono::milliseconds review_interval(5);
 
 } // namespace
 
@@ -97,7 +96,7 @@
     }
     running_ticket const ended = found->second;
     auto const in_flight = this->running_count();
-    this->running.erase(found);
+    this->remove_running(id);
     switch (result)
     {
     case run_result::succeeded:
@@ -116,7 +115,7 @@
 
 void admission_controller::cancel(ticket_id id)
 {
-    this->running.erase(id);
+    this->remove_running(id);
     if (auto const found = this->waiting.find(id); found != this->waiting.end())
     {
         this->queue.erase(found->second);
@@ -127,6 +126,7 @@
 std::vector<ready_ticket> admission_controller::take_ready(time_point now)
 {
     this->push_out_lost_ones(now);
+    this->push_out_late_ones(now);
     std::vector<ready_ticket> ready = std::exchange(this->pushed_out, {});
     while (!this->queue.empty() && this->has_place(*this->queue.begin()))
     {
@@ -150,18 +150,11 @@
     load_signal signal;
     signal.in_flight =
         static_cast<double>(this->running.size() + this->queue.size());
-    signal.limit = this->concurrency.value();
-    signal.latency = this->concurrency.recent_latency();
+    bool const open = this->admitting && this->is_target_open();
+    signal.limit = open ? this->concurrency.value() : 0;
+    signal.latency =
+        std::max(this->concurrency.recent_latency(), this->mean_age(now));
     signal.received = now;
-    duration oldest{0};
-    for (auto const & [id, ticket] : this->running)
-    {
-        oldest = std::max(oldest, now - ticket.started);
-    }
-    if (oldest > stalled_factor * signal.latency)
-    {
-        signal.latency = oldest;
-    }
     return signal;
 }
 
@@ -207,11 +200,36 @@
            now + wait + this->expected_run(now) > candidate.deadline;
 }
 
+// a long wait in time would use up what another target needs
+bool admission_controller::is_too_long(ticket_info const & candidate,
+                                       duration wait,
+                                       time_point now) const
+{
+    auto const left = static_cast<double>((candidate.deadline - now).count());
+    return this->would_be_late(candidate, wait, now) ||
+           (this->options.bound_wait &&
+            static_cast<double>(wait.count()) >
+                this->options.patience_share * left);
+}
+
 duration admission_controller::expected_run(time_point now) const
 {
     bool const is_old = now - this->last_answer > this->options.forget_after;
-    return is_old ? this->concurrency.low_latency()
-                  : this->concurrency.recent_latency();
+    duration const measured = is_old ? this->concurrency.low_latency()
+                                     : this->concurrency.recent_latency();
+    return std::max(measured, this->mean_age(now));
+}
+
+// above the usual time of a run where the target stalls: seen before any
+// answer comes
+duration admission_controller::mean_age(time_point now) const
+{
+    if (this->running.empty())
+    {
+        return duration(0);
+    }
+    auto const count = static_cast<duration::rep>(this->running.size());
+    return now.time_since_epoch() - (this->start_sum / count);
 }
 
 duration admission_controller::expected_wait(std::size_t ahead,
@@ -228,13 +246,6 @@
     return static_cast<std::size_t>(std::distance(this->queue.begin(), place));
 }
 
-std::size_t admission_controller::queue_capacity() const
-{
-    auto const places = static_cast<std::size_t>(
-        this->options.queue_places_per_running * this->concurrency.value());
-    return std::max(places, fewest_queue_places);
-}
-
 admission_decision admission_controller::refuse(failure_id reason,
                                                 time_point now) const
 {
@@ -255,6 +266,7 @@
 {
     this->running.emplace(candidate.id,
                           running_ticket{now, candidate.deadline});
+    this->start_sum += now.time_since_epoch();
     return {admission_verdict::admitted, failure_id::none, duration(0)};
 }
 
@@ -263,12 +275,14 @@
 {
     duration const wait =
         this->expected_wait(this->count_ahead(candidate), now);
-    if (this->would_be_late(candidate, wait, now) ||
+    if (this->is_too_long(candidate, wait, now) ||
         !this->make_room_for(candidate, now))
     {
         return this->refuse(failure_id::overloaded, now);
     }
     this->queue.insert(candidate);
+    this->earliest_deadline =
+        std::min(this->earliest_deadline, candidate.deadline);
     this->waiting.emplace(candidate.id, candidate);
     return {admission_verdict::queued, failure_id::none, duration(0)};
 }
@@ -276,7 +290,7 @@
 bool admission_controller::make_room_for(ticket_info const & candidate,
                                          time_point now)
 {
-    if (this->queue.size() < this->queue_capacity())
+    if (this->queue.size() < this->options.most_queue_places)
     {
         return true;
     }
@@ -303,13 +317,21 @@
 void admission_controller::push_out_lost_ones(time_point now)
 {
     bool const open = this->is_target_open();
+    if (open && now < this->earliest_deadline)
+    {
+        return;
+    }
     std::vector<ticket_info> lost;
+    this->earliest_deadline = time_point::max();
     for (auto const & ticket : this->queue)
     {
         if (!open || ticket.deadline <= now)
         {
             lost.push_back(ticket);
+            continue;
         }
+        this->earliest_deadline =
+            std::min(this->earliest_deadline, ticket.deadline);
     }
     for (auto const & ticket : lost)
     {
@@ -320,6 +342,40 @@
     }
 }
 
+// the target may have become slower since they were queued
+void admission_controller::push_out_late_ones(time_point now)
+{
+    if (!this->options.refuse_late || now - this->last_review < review_interval)
+    {
+        return;
+    }
+    this->last_review = now;
+    std::vector<ticket_info> late;
+    std::size_t ahead = 0;
+    for (auto const & ticket : this->queue)
+    {
+        if (this->would_be_late(ticket, this->expected_wait(ahead, now), now))
+        {
+            late.push_back(ticket);
+            continue;
+        }
+        ++ahead;
+    }
+    for (auto const & ticket : late)
+    {
+        this->push_out(ticket, failure_id::overloaded, now);
+    }
+}
+
+void admission_controller::remove_running(ticket_id id)
+{
+    if (auto const found = this->running.find(id); found != this->running.end())
+    {
+        this->start_sum -= found->second.started.time_since_epoch();
+        this->running.erase(found);
+    }
+}
+
 bool admission_controller::is_target_open() const
 {
     return this->target.phase == announced_phase::cold ||
--- a/src/policy/concurrency_limit.cpp
+++ b/src/policy/concurrency_limit.cpp
@@ -13,9 +13,8 @@
 constexpr double low_drift_share = 0.01;
 constexpr double slower_factor = 2;
 constexpr double sudden_fall_factor = 5;
-constexpr double probe_share = 0.5;
-constexpr double probe_helped_factor = 0.75;
-constexpr double steady_growth_share = 0.25;
+constexpr double too_much_share = 0.5;
+constexpr double steady_growth_share = 0.5;
 constexpr double back_off_share = 0.8;
 constexpr double cold_share_of_slots = 0.1;
 
@@ -40,7 +39,7 @@
 {
     bool const was_full = this->limit >= this->slots;
     this->slots = std::max<std::uint32_t>(announced, 1);
-    if (was_full && this->current == mode::steady)
+    if (was_full && !this->slow_starting)
     {
         this->limit = this->slots;
     }
@@ -53,11 +52,11 @@
     this->recent = 0;
     this->low = 0;
     this->open = {};
-    this->current = mode::slow_start;
+    this->slow_starting = true;
     this->limit = this->slots * cold_share_of_slots;
     if (!this->options.slow_start)
     {
-        this->current = mode::steady;
+        this->slow_starting = false;
         this->limit = this->slots;
     }
     this->clamp();
@@ -91,10 +90,6 @@
 
 void concurrency_limit::back_off()
 {
-    if (!this->options.adaptive)
-    {
-        return;
-    }
     this->limit *= back_off_share;
     this->open = {};
     this->clamp();
@@ -117,28 +112,20 @@
 
 bool concurrency_limit::in_slow_start() const
 {
-    return this->current == mode::slow_start;
+    return this->slow_starting;
 }
 
 void concurrency_limit::close_window()
 {
     double const mean = this->open.latency_sum / this->open.count;
-    switch (this->current)
+    this->follow_low(mean);
+    if (this->slow_starting)
     {
-    case mode::slow_start:
-        this->follow_low(mean);
         this->grow_from_start(mean);
-        break;
-    case mode::steady:
-        this->follow_low(mean);
+    }
+    else
+    {
         this->follow_steady(mean);
-        break;
-    case mode::probe_settling:
-        this->current = mode::probe_measuring;
-        break;
-    case mode::probe_measuring:
-        this->finish_probe(mean);
-        break;
     }
     this->clamp();
     this->open = {};
@@ -160,7 +147,7 @@
 {
     if (mean > slower_factor * this->low || !this->open.all_in_time)
     {
-        this->limit *= probe_share;
+        this->limit *= too_much_share;
         return;
     }
     if (!this->was_used())
@@ -170,7 +157,7 @@
     this->limit += this->pace == slow_start_pace::cautious ? 1 : this->limit;
     if (this->limit >= this->slots)
     {
-        this->current = mode::steady;
+        this->slow_starting = false;
     }
 }
 
@@ -178,36 +165,16 @@
 {
     if (this->options.slow_start && mean > sudden_fall_factor * this->low)
     {
-        this->restart(slow_start_pace::quick);
+        this->restart(slow_start_pace::cautious);
         // what is known of the new speed is better than nothing
         this->recent = mean;
         return;
     }
-    if (!this->options.adaptive || !this->was_used())
-    {
-        return;
-    }
-    if (mean <= slower_factor * this->low)
+    // what sheds and failures took comes back with answers
+    if (this->was_used())
     {
         this->limit += std::max(1.0, this->limit * steady_growth_share);
-        return;
-    }
-    this->limit_before_probe = this->limit;
-    this->mean_before_probe = mean;
-    this->limit *= probe_share;
-    this->current = mode::probe_settling;
-}
-
-void concurrency_limit::finish_probe(double mean)
-{
-    this->current = mode::steady;
-    if (mean < probe_helped_factor * this->mean_before_probe)
-    {
-        this->follow_low(mean);
-        return;
     }
-    this->low = mean;
-    this->limit = this->limit_before_probe;
 }
 
 void concurrency_limit::clamp()
--- a/src/policy/load_aware_policy.cpp
+++ b/src/policy/load_aware_policy.cpp
@@ -24,6 +24,9 @@
 // own latencies above this multiple of the told one make it a lie
 constexpr double lie_factor = 2;
 constexpr double stalled_factor = 3;
+// how long a target that takes no work is left alone
+constexpr std::chrono::seconds closed_memory(2);
+constexpr duration shortest_run = std::chrono::milliseconds(1);
 
 using sample_indices = absl::InlinedVector<std::size_t, usual_sample>;
 using load_estimates = absl::InlinedVector<load_estimate, usual_sample>;
@@ -108,12 +111,26 @@
     double latency = usual_latency_ns;
 };
 
-double weight_of(load_signal const & signal,
-                 load_aware_options const & options,
-                 time_point now)
+double load_weight(load_signal const & signal,
+                   load_aware_options const & options,
+                   time_point now)
+{
+    if (!options.decay_signals)
+    {
+        return 1;
+    }
+    duration const run = std::max(signal.latency, shortest_run);
+    return share_left(now - signal.received,
+                      duration(static_cast<duration::rep>(
+                          options.load_half_life_in_runs * to_ns(run))));
+}
+
+double latency_weight(load_signal const & signal,
+                      load_aware_options const & options,
+                      time_point now)
 {
     return options.decay_signals
-               ? share_left(now - signal.received, options.signal_half_life)
+               ? share_left(now - signal.received, options.latency_half_life)
                : 1;
 }
 
@@ -130,12 +147,13 @@
     for (auto const index : sample)
     {
         auto const & signal = candidates[index].signal;
-        if (!signal.has_value() || signal->latency <= duration(0))
+        if (!signal.has_value() || signal->latency <= duration(0) ||
+            signal->limit < 1)
         {
             continue;
         }
-        double const weight = weight_of(*signal, options, now);
-        double const limit = std::max(signal->limit, 1.0);
+        double const weight = load_weight(*signal, options, now);
+        double const limit = signal->limit;
         utilisation_sum += weight * signal->in_flight / limit;
         limit_sum += weight * limit;
         known += weight;
@@ -151,34 +169,31 @@
     return usual;
 }
 
-double observed_latency_of(placement_candidate const & candidate,
-                           load_aware_options const & options,
-                           double told,
-                           double usual,
-                           time_point now)
+// what was seen from here counts where it contradicts what was told
+void believe_own_eyes(load_estimate & told,
+                      placement_candidate const & candidate,
+                      load_aware_options const & options,
+                      double usual,
+                      time_point now)
 {
-    double latency = told;
+    double const expected = told.answer_time();
+    double seen = 0;
     if (candidate.observed.has_value())
     {
-        double const left = share_left(now - candidate.observed->at,
-                                       options.observed_half_life);
-        double const seen =
+        double const left =
+            share_left(now - candidate.observed->at, options.latency_half_life);
+        seen =
             (left * to_ns(candidate.observed->latency)) + ((1 - left) * usual);
-        if (seen > lie_factor * told)
-        {
-            latency = seen;
-        }
     }
     if (candidate.waiting_since.has_value())
     {
-        double const age =
-            to_ns(now - *candidate.waiting_since) - to_ns(candidate.hop);
-        if (age > stalled_factor * latency)
-        {
-            latency = age;
-        }
+        double const age = to_ns(now - *candidate.waiting_since);
+        seen = age > stalled_factor * expected ? std::max(seen, age) : seen;
+    }
+    if (seen > lie_factor * expected)
+    {
+        told.latency = seen;
     }
-    return latency;
 }
 
 load_estimate estimate(placement_candidate const & candidate,
@@ -194,14 +209,16 @@
     if (candidate.signal.has_value())
     {
         load_signal const & told = *candidate.signal;
-        double const left = weight_of(told, options, now);
+        found.closed = told.limit < 1 && now - told.received < closed_memory;
+        double const left = load_weight(told, options, now);
         found.limit = std::max(told.limit, 1.0);
         found.in_flight = (left * told.in_flight) +
                           ((1 - left) * usual.utilisation * found.limit);
         if (told.latency > duration(0))
         {
+            double const kept = latency_weight(told, options, now);
             found.latency =
-                (left * to_ns(told.latency)) + ((1 - left) * usual.latency);
+                (kept * to_ns(told.latency)) + ((1 - kept) * usual.latency);
         }
     }
     if (options.count_own_sends)
@@ -210,8 +227,7 @@
     }
     if (options.use_observed)
     {
-        found.latency = observed_latency_of(
-            candidate, options, found.latency, usual.latency, now);
+        believe_own_eyes(found, candidate, options, usual.latency, now);
     }
     return found;
 }
@@ -237,6 +253,10 @@
                load_estimate const & b,
                load_aware_options const & options)
 {
+    if (a.closed != b.closed)
+    {
+        return b.closed;
+    }
     if (options.room_first && a.has_room() != b.has_room())
     {
         return a.has_room();
@@ -270,8 +290,9 @@
             estimate(candidates[index], this->options, usual, now));
     }
     level_latencies(estimates);
-    std::size_t best = 0;
-    for (std::size_t next = 1; next < estimates.size(); ++next)
+    // from a random start, so that equals share
+    auto best = absl::Uniform<std::size_t>(random, 0, estimates.size());
+    for (std::size_t next = 0; next < estimates.size(); ++next)
     {
         if (is_better(estimates[next], estimates[best], this->options))
         {
