Keep room at a straggler from counting, and hedges from waiting

Change: a latency above four times the best counts as no room; a ticket says whether it may wait; a request may wait 0.15 of the time it has left; the place in the queue is counted from the end of its priority.

--- a/benchmarks/policy.cpp
+++ b/benchmarks/policy.cpp
@@ -45,7 +45,8 @@
             {"overload", {120}},
             {"domain-out", usual},
             {"signals-lie", {85}},
-            {"slots-lie", {85, 120}}};
+            {"slots-lie", {85, 120}},
+            {"short-limits", {85, 120}}};
 }
 
 std::vector<deployment> deployments()
@@ -62,7 +63,7 @@
     {
         targets += faults.capacity_left(where, index);
     }
-    duration const measured = length - simulation::simulation::measured_from;
+    duration const measured = length - deployment_simulation::measured_from;
     return targets * where.slots * static_cast<double>(measured.count()) /
            static_cast<double>(mean_work().count());
 }
@@ -95,7 +96,7 @@
         {
             continue;
         }
-        simulation::simulation run(
+        deployment_simulation run(
             where, faults, setup, arrivals, length, options.seed);
         auto summary = run.run();
         std::printf("policy=%s case=%s load=%.2f %s deployment=%s\n",
--- a/benchmarks/policy_simulation/arrivals.cpp
+++ b/benchmarks/policy_simulation/arrivals.cpp
@@ -10,6 +10,10 @@
 
 constexpr double shortest_work_ns = 4e6;
 constexpr double mean_extra_work_ns = 4e6;
+constexpr std::chrono::milliseconds usual_time_limit(250);
+// what is left deep in a chain of calls
+constexpr std::chrono::milliseconds short_time_limit(25);
+constexpr double short_limit_share = 0.3;
 constexpr double internal_check_share = 0.02;
 constexpr double repeatable_share = 0.7;
 
@@ -51,11 +55,6 @@
         static_cast<duration::rep>(shortest_work_ns + mean_extra_work_ns));
 }
 
-duration time_limit()
-{
-    return std::chrono::milliseconds(250);
-}
-
 std::vector<arrival> make_arrivals(deployment const & where,
                                    fault_case const & faults,
                                    double load,
@@ -77,6 +76,7 @@
                                                     capacities.end());
     std::bernoulli_distribution internal(internal_check_share);
     std::bernoulli_distribution repeatable(repeatable_share);
+    std::bernoulli_distribution is_short(short_limit_share);
     std::vector<arrival> made;
     double now = gap(random);
     while (now < static_cast<double>(length.count()))
@@ -90,6 +90,9 @@
         next.urgency =
             internal(random) ? priority::internal_check : priority::interactive;
         next.repeatable = repeatable(random);
+        next.time_limit = faults.short_limits && is_short(random)
+                              ? short_time_limit
+                              : usual_time_limit;
         made.push_back(next);
         now += gap(random);
     }
--- a/benchmarks/policy_simulation/arrivals.hpp
+++ b/benchmarks/policy_simulation/arrivals.hpp
@@ -21,6 +21,8 @@
     std::size_t service = 0;
     // time at a target at full speed
     duration work{0};
+    // from the caller's start to its answer
+    duration time_limit{0};
     priority urgency = priority::interactive;
     bool repeatable = false;
 };
@@ -28,9 +30,6 @@
 /// @brief mean time of a request at a target at full speed
 [[nodiscard]] duration mean_work();
 
-/// @brief time that every request has to be answered in
-[[nodiscard]] duration time_limit();
-
 /// @brief the same requests for the same arguments
 /// @param load share of what the targets can do under the faults of the case
 /// @param length how long requests come in
--- a/benchmarks/policy_simulation/fault_case.cpp
+++ b/benchmarks/policy_simulation/fault_case.cpp
@@ -21,6 +21,7 @@
     made.end = time_point(length / 4 * 3);
     made.noisy = name == "noisy" || name == "straggler";
     made.signals_lie = name == "signals-lie";
+    made.short_limits = name == "short-limits";
     made.slots_lie = name == "slots-lie";
     made.straggler = name == "straggler" || made.signals_lie;
     made.drain = name == "drain";
--- a/benchmarks/policy_simulation/fault_case.hpp
+++ b/benchmarks/policy_simulation/fault_case.hpp
@@ -36,6 +36,8 @@
     bool signals_lie = false;
     // one target of each service bears less than its slots
     bool slots_lie = false;
+    // some callers have little time left
+    bool short_limits = false;
 
     /// @brief the case of that name, for a run of a length
     [[nodiscard]] static fault_case make(std::string name, duration length);
--- a/benchmarks/policy_simulation/simulation.cpp
+++ b/benchmarks/policy_simulation/simulation.cpp
@@ -15,12 +15,13 @@
 
 } // namespace
 
-simulation::simulation(deployment where,
-                       fault_case what,
-                       policy_setup how,
-                       std::vector<arrival> const & incoming,
-                       duration how_long,
-                       std::uint64_t with_seed)
+deployment_simulation::deployment_simulation(
+    deployment where,
+    fault_case what,
+    policy_setup how,
+    std::vector<arrival> const & incoming,
+    duration how_long,
+    std::uint64_t with_seed)
     : place(std::move(where))
     , faults(std::move(what))
     , setup(std::move(how))
@@ -45,7 +46,7 @@
     }
 }
 
-run_summary simulation::run()
+run_summary deployment_simulation::run()
 {
     this->plan_faults();
     for (std::size_t request = 0; request < this->arrivals.size(); ++request)
@@ -64,12 +65,12 @@
     return std::move(this->summary);
 }
 
-bool simulation::is_measured(std::size_t request) const
+bool deployment_simulation::is_measured(std::size_t request) const
 {
     return this->arrivals[request].at >= time_point(measured_from);
 }
 
-void simulation::arrive(std::size_t request)
+void deployment_simulation::arrive(std::size_t request)
 {
     arrival const & here = this->arrivals[request];
     sim_node & node = *this->nodes[here.ingress];
@@ -79,7 +80,7 @@
     {
         this->summary.came_in();
     }
-    if (!this->send(request))
+    if (!this->send(request, false))
     {
         this->end_refused(request);
         return;
@@ -101,7 +102,7 @@
     }
 }
 
-bool simulation::send(std::size_t request)
+bool deployment_simulation::send(std::size_t request, bool is_hedge)
 {
     arrival const & here = this->arrivals[request];
     sim_node & from = *this->nodes[here.ingress];
@@ -125,7 +126,7 @@
         this->summary.tried_again();
     }
     this->attempts.push_back(
-        {request, targets[*chosen], this->loop.now(), {}, false});
+        {request, targets[*chosen], this->loop.now(), {}, is_hedge, false});
     state.attempts.push_back(id);
     ++state.open_attempts;
     from.signals.sent(this->nodes[targets[*chosen]]->name, this->loop.now());
@@ -138,7 +139,8 @@
 }
 
 // those of the service that were not tried yet, nearest first
-std::vector<std::size_t> simulation::targets_left(std::size_t request) const
+std::vector<std::size_t>
+deployment_simulation::targets_left(std::size_t request) const
 {
     arrival const & here = this->arrivals[request];
     std::vector<std::size_t> found;
@@ -165,7 +167,8 @@
     return found;
 }
 
-placement_candidate simulation::describe(std::size_t from, std::size_t to) const
+placement_candidate deployment_simulation::describe(std::size_t from,
+                                                    std::size_t to) const
 {
     placement_candidate made;
     made.node = this->nodes[to]->name;
@@ -176,18 +179,18 @@
     return made;
 }
 
-void simulation::hedge(std::size_t request)
+void deployment_simulation::hedge(std::size_t request)
 {
     sim_node & node = *this->nodes[this->arrivals[request].ingress];
     if (!this->requests[request].over && node.hedges.try_spend())
     {
-        this->send(request);
+        this->send(request, true);
     }
 }
 
-void simulation::take_answer(std::size_t id,
-                             load_signal signal,
-                             duration at_node)
+void deployment_simulation::take_answer(std::size_t id,
+                                        load_signal signal,
+                                        duration at_node)
 {
     attempt const & tried = this->attempts[id];
     arrival const & here = this->arrivals[tried.request];
@@ -219,7 +222,7 @@
     this->cancel_others(tried.request, id);
 }
 
-void simulation::take_refusal(std::size_t id, load_signal signal)
+void deployment_simulation::take_refusal(std::size_t id, load_signal signal)
 {
     attempt const & tried = this->attempts[id];
     std::size_t const request = tried.request;
@@ -239,13 +242,14 @@
     {
         return;
     }
-    if (!from.retries.try_spend() || !this->send(request))
+    if (!from.retries.try_spend() || !this->send(request, false))
     {
         this->end_refused(request);
     }
 }
 
-void simulation::cancel_others(std::size_t request, std::size_t winner)
+void deployment_simulation::cancel_others(std::size_t request,
+                                          std::size_t winner)
 {
     for (auto const id : this->requests[request].attempts)
     {
@@ -261,7 +265,7 @@
     }
 }
 
-void simulation::end_refused(std::size_t request)
+void deployment_simulation::end_refused(std::size_t request)
 {
     this->requests[request].over = true;
     if (this->is_measured(request))
@@ -270,7 +274,7 @@
     }
 }
 
-void simulation::end_late(std::size_t request)
+void deployment_simulation::end_late(std::size_t request)
 {
     if (this->requests[request].over)
     {
@@ -279,19 +283,22 @@
     this->requests[request].over = true;
     if (this->is_measured(request))
     {
-        this->summary.late(time_limit());
+        this->summary.late(this->arrivals[request].time_limit);
     }
     this->cancel_others(request, this->attempts.size());
 }
 
-void simulation::reach(std::size_t id)
+void deployment_simulation::reach(std::size_t id)
 {
     attempt & tried = this->attempts[id];
     arrival const & here = this->arrivals[tried.request];
     tried.reached_at = this->loop.now();
-    auto const decision = this->nodes[tried.node]->gate.offer(
-        {ticket_id(id), here.urgency, this->deadline_of(tried.request)},
-        this->loop.now());
+    auto const decision =
+        this->nodes[tried.node]->gate.offer({ticket_id(id),
+                                             here.urgency,
+                                             this->deadline_of(tried.request),
+                                             !tried.is_hedge},
+                                            this->loop.now());
     std::size_t const node = tried.node;
     if (decision.verdict == admission_verdict::admitted)
     {
@@ -304,7 +311,7 @@
     this->settle(node);
 }
 
-void simulation::settle(std::size_t node)
+void deployment_simulation::settle(std::size_t node)
 {
     for (auto const & ready :
          this->nodes[node]->gate.take_ready(this->loop.now()))
@@ -320,14 +327,14 @@
     }
 }
 
-void simulation::start(std::size_t id)
+void deployment_simulation::start(std::size_t id)
 {
     attempt const & tried = this->attempts[id];
     this->nodes[tried.node]->target.start(ticket_id(id),
                                           this->arrivals[tried.request].work);
 }
 
-void simulation::refuse(std::size_t id)
+void deployment_simulation::refuse(std::size_t id)
 {
     attempt & tried = this->attempts[id];
     tried.over = true;
@@ -339,7 +346,7 @@
                      });
 }
 
-void simulation::complete(std::size_t id)
+void deployment_simulation::complete(std::size_t id)
 {
     attempt & tried = this->attempts[id];
     sim_node & node = *this->nodes[tried.node];
@@ -355,7 +362,7 @@
                      });
 }
 
-void simulation::withdraw(std::size_t id)
+void deployment_simulation::withdraw(std::size_t id)
 {
     attempt & tried = this->attempts[id];
     if (tried.over)
@@ -374,7 +381,7 @@
     this->settle(tried.node);
 }
 
-load_signal simulation::told_by(sim_node const & node) const
+load_signal deployment_simulation::told_by(sim_node const & node) const
 {
     load_signal signal = node.gate.load(this->loop.now());
     if (this->faults.signals_lie &&
@@ -387,16 +394,16 @@
     return signal;
 }
 
-duration simulation::travel(std::size_t id) const
+duration deployment_simulation::travel(std::size_t id) const
 {
     attempt const & tried = this->attempts[id];
     return this->place.travel(this->arrivals[tried.request].ingress,
                               tried.node);
 }
 
-time_point simulation::deadline_of(std::size_t request) const
+time_point deployment_simulation::deadline_of(std::size_t request) const
 {
-    return this->arrivals[request].at + time_limit() -
+    return this->arrivals[request].at + this->arrivals[request].time_limit -
            (2 * this->place.from_client);
 }
 
--- a/benchmarks/policy_simulation/simulation.hpp
+++ b/benchmarks/policy_simulation/simulation.hpp
@@ -19,19 +19,19 @@
 
 /// @brief one policy, one case, one load, under a virtual clock
 /// @note thread safety: none; one simulation a thread
-class simulation
+class deployment_simulation
 {
 public:
     /// @brief requests before it are run but not counted: every target is new
     static constexpr std::chrono::milliseconds measured_from{500};
 
     /// @param arrivals outlives the simulation
-    simulation(deployment where,
-               fault_case faults,
-               policy_setup setup,
-               std::vector<arrival> const & arrivals,
-               duration length,
-               std::uint64_t seed);
+    deployment_simulation(deployment where,
+                          fault_case faults,
+                          policy_setup setup,
+                          std::vector<arrival> const & arrivals,
+                          duration length,
+                          std::uint64_t seed);
 
     /// @brief runs until every request has ended
     [[nodiscard]] run_summary run();
@@ -44,6 +44,7 @@
         std::size_t node = 0;
         time_point sent_at;
         time_point reached_at;
+        bool is_hedge = false;
         bool over = false;
     };
 
@@ -56,7 +57,7 @@
 
     // from placement to the caller
     void arrive(std::size_t request);
-    bool send(std::size_t request);
+    bool send(std::size_t request, bool is_hedge);
     [[nodiscard]] std::vector<std::size_t>
     targets_left(std::size_t request) const;
     [[nodiscard]] placement_candidate describe(std::size_t from,
--- a/benchmarks/policy_simulation/simulation_faults.cpp
+++ b/benchmarks/policy_simulation/simulation_faults.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void simulation::plan_faults()
+void deployment_simulation::plan_faults()
 {
     for (std::size_t node = 0; node < this->nodes.size(); ++node)
     {
@@ -48,7 +48,7 @@
 
 // on every other target the neighbour slows each request; on the rest it
 // takes processors
-void simulation::plan_noise(std::size_t node)
+void deployment_simulation::plan_noise(std::size_t node)
 {
     bool const drags =
         this->faults.straggler && node == fault_case::struck_instance;
@@ -84,7 +84,7 @@
     }
 }
 
-void simulation::plan_weakness(std::size_t node)
+void deployment_simulation::plan_weakness(std::size_t node)
 {
     auto const set = [this, node](double left)
     {
@@ -102,7 +102,7 @@
                   });
 }
 
-void simulation::plan_straggler()
+void deployment_simulation::plan_straggler()
 {
     auto const set = [this](double speed)
     {
@@ -121,28 +121,28 @@
 }
 
 // the target says so at once; its node tells the others; it comes back cold
-void simulation::plan_drain()
+void deployment_simulation::plan_drain()
 {
-    std::size_t const node = fault_case::struck_instance;
+    constexpr std::size_t node = fault_case::struck_instance;
     this->loop.at(this->faults.begin,
-                  [this, node]()
+                  [this]()
                   {
                       this->announce(node, announced_phase::draining, 1);
                   });
     this->loop.at(this->faults.begin + dissemination,
-                  [this, node]()
+                  [this]()
                   {
                       this->set_open(node, false);
                   });
     this->loop.at(this->faults.end,
-                  [this, node]()
+                  [this]()
                   {
                       this->set_open(node, true);
                       this->turn_cold(node, true);
                   });
 }
 
-void simulation::plan_cold()
+void deployment_simulation::plan_cold()
 {
     this->loop.at(this->faults.begin,
                   [this]()
@@ -152,7 +152,7 @@
                   });
 }
 
-void simulation::plan_domain_out()
+void deployment_simulation::plan_domain_out()
 {
     for (std::size_t node = 0; node < this->nodes.size(); ++node)
     {
@@ -175,12 +175,12 @@
     }
 }
 
-void simulation::set_open(std::size_t node, bool open)
+void deployment_simulation::set_open(std::size_t node, bool open)
 {
     this->nodes[node]->accepts_work = open;
 }
 
-void simulation::turn_cold(std::size_t node, bool announced)
+void deployment_simulation::turn_cold(std::size_t node, bool announced)
 {
     this->nodes[node]->target.turn_cold();
     if (announced)
@@ -190,7 +190,7 @@
     }
 }
 
-void simulation::announce_when_warm(std::size_t node)
+void deployment_simulation::announce_when_warm(std::size_t node)
 {
     this->loop.after(warmth_poll,
                      [this, node]()
@@ -206,7 +206,7 @@
 }
 
 // each target's health end point is read now and then, and told to all
-void simulation::plan_reports()
+void deployment_simulation::plan_reports()
 {
     for (time_point due; due < time_point(this->length); due += report_interval)
     {
@@ -221,7 +221,7 @@
     }
 }
 
-void simulation::tell_all(sim_node const & told)
+void deployment_simulation::tell_all(sim_node const & told)
 {
     load_signal signal = this->told_by(told);
     signal.received += report_travel;
@@ -235,9 +235,9 @@
                      });
 }
 
-void simulation::announce(std::size_t node,
-                          announced_phase phase,
-                          std::uint64_t run)
+void deployment_simulation::announce(std::size_t node,
+                                     announced_phase phase,
+                                     std::uint64_t run)
 {
     this->nodes[node]->gate.announce({phase, this->place.slots, run});
     this->settle(node);
--- a/include/endivehinge/policy/admission_controller.hpp
+++ b/include/endivehinge/policy/admission_controller.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEHINGE_POLICY_ADMISSION_CONTROLLER_HPP
 
 #include <cstdint> // uint32_t
+#include <map>     // map
 #include <set>     // set
 #include <vector>  // vector
 
@@ -104,6 +105,7 @@
     void push_out_lost_ones(time_point now);
     void push_out_late_ones(time_point now);
     void remove_running(ticket_id id);
+    void remove_waiting(ticket_info ticket);
     [[nodiscard]] bool is_target_open() const;
 
     admission_options options;
@@ -117,6 +119,8 @@
     duration start_sum{0};
     absl::flat_hash_map<ticket_id, ticket_info> waiting;
     std::set<ticket_info, by_urgency> queue;
+    // of each priority, how many are in the queue
+    std::map<priority, std::size_t> queued_of;
     // no queued deadline is before it
     time_point earliest_deadline = time_point::max();
     std::vector<ready_ticket> pushed_out;
--- a/include/endivehinge/policy/admission_options.hpp
+++ b/include/endivehinge/policy/admission_options.hpp
@@ -20,7 +20,7 @@
     // order the queue by priority and deadline; otherwise by arrival
     bool order_by_urgency = true;
     // share of the time left that a request may be expected to wait
-    double patience_share = 0.2;
+    double patience_share = 0.15;
     // places in the queue whatever the estimates say
     std::size_t most_queue_places = 10000;
     // measured latency is not used as an estimate after this long a silence
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -118,8 +118,7 @@
     this->remove_running(id);
     if (auto const found = this->waiting.find(id); found != this->waiting.end())
     {
-        this->queue.erase(found->second);
-        this->waiting.erase(found);
+        this->remove_waiting(found->second);
     }
 }
 
@@ -131,8 +130,7 @@
     while (!this->queue.empty() && this->has_place(*this->queue.begin()))
     {
         ticket_info const next = this->waiting.at(this->queue.begin()->id);
-        this->queue.erase(this->queue.begin());
-        this->waiting.erase(next.id);
+        this->remove_waiting(next);
         bool const idle = this->running.empty();
         bool const hopeless =
             next.deadline <= now ||
@@ -242,8 +240,24 @@
 std::size_t
 admission_controller::count_ahead(ticket_info const & candidate) const
 {
-    auto const place = this->queue.lower_bound(candidate);
-    return static_cast<std::size_t>(std::distance(this->queue.begin(), place));
+    if (!this->options.order_by_urgency)
+    {
+        return this->queue.size();
+    }
+    std::size_t not_after = 0;
+    for (auto const & [urgency, count] : this->queued_of)
+    {
+        not_after += urgency <= candidate.urgency ? count : 0;
+    }
+    // counted from the end of its priority, where a new deadline mostly falls
+    ticket_info const next_priority{
+        {},
+        static_cast<priority>(static_cast<int>(candidate.urgency) + 1),
+        time_point::min(),
+        true};
+    auto const behind = std::distance(this->queue.lower_bound(candidate),
+                                      this->queue.lower_bound(next_priority));
+    return not_after - static_cast<std::size_t>(behind);
 }
 
 admission_decision admission_controller::refuse(failure_id reason,
@@ -275,12 +289,13 @@
 {
     duration const wait =
         this->expected_wait(this->count_ahead(candidate), now);
-    if (this->is_too_long(candidate, wait, now) ||
+    if (!candidate.may_wait || this->is_too_long(candidate, wait, now) ||
         !this->make_room_for(candidate, now))
     {
         return this->refuse(failure_id::overloaded, now);
     }
     this->queue.insert(candidate);
+    ++this->queued_of[candidate.urgency];
     this->earliest_deadline =
         std::min(this->earliest_deadline, candidate.deadline);
     this->waiting.emplace(candidate.id, candidate);
@@ -308,8 +323,7 @@
                                     failure_id reason,
                                     time_point now)
 {
-    this->queue.erase(ticket);
-    this->waiting.erase(ticket.id);
+    this->remove_waiting(ticket);
     this->pushed_out.push_back({ticket.id, this->refuse(reason, now)});
 }
 
@@ -376,6 +390,13 @@
     }
 }
 
+void admission_controller::remove_waiting(ticket_info ticket)
+{
+    this->queue.erase(ticket);
+    this->waiting.erase(ticket.id);
+    --this->queued_of[ticket.urgency];
+}
+
 bool admission_controller::is_target_open() const
 {
     return this->target.phase == announced_phase::cold ||
--- a/src/policy/load_aware_policy.cpp
+++ b/src/policy/load_aware_policy.cpp
@@ -21,6 +21,8 @@
 constexpr double usual_latency_ns = 10e6;
 // latencies nearer than this to the best are taken for the same
 constexpr double same_latency_factor = 1.5;
+// a latency above this multiple of the best makes a straggler
+constexpr double straggler_factor = 4;
 // own latencies above this multiple of the told one make it a lie
 constexpr double lie_factor = 2;
 constexpr double stalled_factor = 3;
@@ -232,8 +234,9 @@
     return found;
 }
 
-// small differences of latency are chance: they must not outweigh the load
-void level_latencies(load_estimates & estimates)
+// small differences of latency are chance: they must not outweigh the load;
+// gives the best latency
+double level_latencies(load_estimates & estimates)
 {
     double best = std::numeric_limits<double>::max();
     for (auto const & each : estimates)
@@ -247,19 +250,28 @@
             each.latency = best;
         }
     }
+    return best;
+}
+
+// room at a straggler is no reason to go there
+bool has_room(load_estimate const & each, double best_latency)
+{
+    return each.has_room() && each.latency < straggler_factor * best_latency;
 }
 
 bool is_better(load_estimate const & a,
                load_estimate const & b,
-               load_aware_options const & options)
+               load_aware_options const & options,
+               double best_latency)
 {
     if (a.closed != b.closed)
     {
         return b.closed;
     }
-    if (options.room_first && a.has_room() != b.has_room())
+    bool const a_has_room = has_room(a, best_latency);
+    if (options.room_first && a_has_room != has_room(b, best_latency))
     {
-        return a.has_room();
+        return a_has_room;
     }
     return a.answer_time() < b.answer_time();
 }
@@ -289,12 +301,13 @@
         estimates.push_back(
             estimate(candidates[index], this->options, usual, now));
     }
-    level_latencies(estimates);
+    double const best_latency = level_latencies(estimates);
     // from a random start, so that equals share
     auto best = absl::Uniform<std::size_t>(random, 0, estimates.size());
     for (std::size_t next = 0; next < estimates.size(); ++next)
     {
-        if (is_better(estimates[next], estimates[best], this->options))
+        if (is_better(
+                estimates[next], estimates[best], this->options, best_latency))
         {
             best = next;
         }
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -115,6 +115,14 @@
         {place::near, 18},
         0);
     add("holds a request back", {place::near, 2, 10, 0, 0, 0, 0, 60}, usual, 1);
+    add("room at a straggler is no room",
+        {place::near, 0, 100},
+        {place::near, 22},
+        1);
+    add("takes no work",
+        {place::near, 0, 10, 0, 0, 0, 0, 0, 0},
+        {place::far, 30},
+        1);
     add("cold with a small limit",
         {place::near, 2, 10, 0, 0, 0, 0, 0, 2},
         {place::near, 15},
