Move the admission queue into a class of its own

Change: admission_queue keeps order, ids and the earliest deadline. The mean age of runs is kept against the first start, so that it cannot overflow.

--- a/include/endivehinge/policy/admission_controller.hpp
+++ b/include/endivehinge/policy/admission_controller.hpp
@@ -2,8 +2,6 @@
 #define ENDIVEHINGE_POLICY_ADMISSION_CONTROLLER_HPP
 
 #include <cstdint> // uint32_t
-#include <map>     // map
-#include <set>     // set
 #include <vector>  // vector
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
@@ -11,6 +9,7 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/policy/admission_decision.hpp>
 #include <endivehinge/policy/admission_options.hpp>
+#include <endivehinge/policy/admission_queue.hpp>
 #include <endivehinge/policy/concurrency_limit.hpp>
 #include <endivehinge/policy/load_signal.hpp>
 #include <endivehinge/policy/ready_ticket.hpp>
@@ -69,13 +68,6 @@
     [[nodiscard]] std::uint32_t limit() const;
 
 private:
-    struct by_urgency
-    {
-        bool operator()(ticket_info const & a, ticket_info const & b) const;
-
-        bool by_arrival = false;
-    };
-
     struct running_ticket
     {
         time_point started;
@@ -83,7 +75,6 @@
     };
 
     [[nodiscard]] bool has_place(ticket_info const & candidate) const;
-    [[nodiscard]] bool goes_first(ticket_info const & candidate) const;
     [[nodiscard]] bool would_be_late(ticket_info const & candidate,
                                      duration wait,
                                      time_point now) const;
@@ -93,7 +84,6 @@
     [[nodiscard]] duration expected_run(time_point now) const;
     [[nodiscard]] duration expected_wait(std::size_t ahead,
                                          time_point now) const;
-    [[nodiscard]] std::size_t count_ahead(ticket_info const & candidate) const;
     [[nodiscard]] duration mean_age(time_point now) const;
     [[nodiscard]] admission_decision refuse(failure_id reason,
                                             time_point now) const;
@@ -105,7 +95,6 @@
     void push_out_lost_ones(time_point now);
     void push_out_late_ones(time_point now);
     void remove_running(ticket_id id);
-    void remove_waiting(ticket_info ticket);
     [[nodiscard]] bool is_target_open() const;
 
     admission_options options;
@@ -115,14 +104,10 @@
     time_point last_answer;
     time_point last_review;
     absl::flat_hash_map<ticket_id, running_ticket> running;
-    // sum of the times at which those that run were started
+    // when the first started since none ran, and the sum of the starts since
+    time_point first_start;
     duration start_sum{0};
-    absl::flat_hash_map<ticket_id, ticket_info> waiting;
-    std::set<ticket_info, by_urgency> queue;
-    // of each priority, how many are in the queue
-    std::map<priority, std::size_t> queued_of;
-    // no queued deadline is before it
-    time_point earliest_deadline = time_point::max();
+    admission_queue queue;
     std::vector<ready_ticket> pushed_out;
 };
 
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -1,8 +1,7 @@
 #include <endivehinge/policy/admission_controller.hpp>
 
 #include <algorithm> // clamp, max, min
-#include <iterator>  // distance, prev
-#include <tuple>     // tie
+#include <iterator>  // prev
 #include <utility>   // exchange
 
 namespace endivehinge
@@ -19,21 +18,11 @@
 
 } // namespace
 
-bool admission_controller::by_urgency::operator()(ticket_info const & a,
-                                                  ticket_info const & b) const
-{
-    if (this->by_arrival)
-    {
-        return a.id < b.id;
-    }
-    return std::tie(a.urgency, a.deadline, a.id) <
-           std::tie(b.urgency, b.deadline, b.id);
-}
-
 admission_controller::admission_controller(admission_options chosen)
     : options(chosen)
     , concurrency(chosen.concurrency)
-    , queue(by_urgency{!chosen.order_by_urgency})
+    , queue(chosen.order_by_urgency ? queue_order::urgency
+                                    : queue_order::arrival)
 {
 }
 
@@ -72,13 +61,13 @@
         return this->refuse(failure_id::no_target, now);
     }
     // an idle target takes anything: a wrong estimate must not last
-    bool const idle = this->running.empty() && this->queue.empty();
+    bool const idle = this->running.empty() && this->queue.tickets().empty();
     if (offered.deadline <= now ||
         (!idle && this->would_be_late(offered, duration(0), now)))
     {
         return this->refuse(failure_id::deadline_too_near, now);
     }
-    if (this->has_place(offered) && this->goes_first(offered))
+    if (this->has_place(offered) && this->queue.goes_first(offered))
     {
         return this->start(offered, now);
     }
@@ -116,10 +105,7 @@
 void admission_controller::cancel(ticket_id id)
 {
     this->remove_running(id);
-    if (auto const found = this->waiting.find(id); found != this->waiting.end())
-    {
-        this->remove_waiting(found->second);
-    }
+    this->queue.erase(id);
 }
 
 std::vector<ready_ticket> admission_controller::take_ready(time_point now)
@@ -127,10 +113,11 @@
     this->push_out_lost_ones(now);
     this->push_out_late_ones(now);
     std::vector<ready_ticket> ready = std::exchange(this->pushed_out, {});
-    while (!this->queue.empty() && this->has_place(*this->queue.begin()))
+    while (!this->queue.tickets().empty() &&
+           this->has_place(*this->queue.tickets().begin()))
     {
-        ticket_info const next = this->waiting.at(this->queue.begin()->id);
-        this->remove_waiting(next);
+        ticket_info const next = *this->queue.tickets().begin();
+        this->queue.erase(next.id);
         bool const idle = this->running.empty();
         bool const hopeless =
             next.deadline <= now ||
@@ -146,8 +133,8 @@
 load_signal admission_controller::load(time_point now) const
 {
     load_signal signal;
-    signal.in_flight =
-        static_cast<double>(this->running.size() + this->queue.size());
+    signal.in_flight = static_cast<double>(this->running.size() +
+                                           this->queue.tickets().size());
     bool const open = this->admitting && this->is_target_open();
     signal.limit = open ? this->concurrency.value() : 0;
     signal.latency =
@@ -163,7 +150,7 @@
 
 std::uint32_t admission_controller::queued_count() const
 {
-    return static_cast<std::uint32_t>(this->queue.size());
+    return static_cast<std::uint32_t>(this->queue.tickets().size());
 }
 
 std::uint32_t admission_controller::limit() const
@@ -184,12 +171,6 @@
     return this->running.size() < places;
 }
 
-bool admission_controller::goes_first(ticket_info const & candidate) const
-{
-    return this->queue.empty() ||
-           this->queue.key_comp()(candidate, *this->queue.begin());
-}
-
 bool admission_controller::would_be_late(ticket_info const & candidate,
                                          duration wait,
                                          time_point now) const
@@ -227,7 +208,7 @@
         return duration(0);
     }
     auto const count = static_cast<duration::rep>(this->running.size());
-    return now.time_since_epoch() - (this->start_sum / count);
+    return now - this->first_start - (this->start_sum / count);
 }
 
 duration admission_controller::expected_wait(std::size_t ahead,
@@ -237,29 +218,6 @@
     return this->expected_run(now) * turns / this->concurrency.value();
 }
 
-std::size_t
-admission_controller::count_ahead(ticket_info const & candidate) const
-{
-    if (!this->options.order_by_urgency)
-    {
-        return this->queue.size();
-    }
-    std::size_t not_after = 0;
-    for (auto const & [urgency, count] : this->queued_of)
-    {
-        not_after += urgency <= candidate.urgency ? count : 0;
-    }
-    // counted from the end of its priority, where a new deadline mostly falls
-    ticket_info const next_priority{
-        {},
-        static_cast<priority>(static_cast<int>(candidate.urgency) + 1),
-        time_point::min(),
-        true};
-    auto const behind = std::distance(this->queue.lower_bound(candidate),
-                                      this->queue.lower_bound(next_priority));
-    return not_after - static_cast<std::size_t>(behind);
-}
-
 admission_decision admission_controller::refuse(failure_id reason,
                                                 time_point now) const
 {
@@ -267,10 +225,10 @@
     if (reason == failure_id::overloaded ||
         reason == failure_id::deadline_too_near)
     {
-        retry_after =
-            std::clamp<duration>(this->expected_wait(this->queue.size(), now),
-                                 shortest_retry_after,
-                                 longest_retry_after);
+        retry_after = std::clamp<duration>(
+            this->expected_wait(this->queue.tickets().size(), now),
+            shortest_retry_after,
+            longest_retry_after);
     }
     return {admission_verdict::refused, reason, retry_after};
 }
@@ -278,9 +236,14 @@
 admission_decision admission_controller::start(ticket_info const & candidate,
                                                time_point now)
 {
+    if (this->running.empty())
+    {
+        this->first_start = now;
+        this->start_sum = duration(0);
+    }
     this->running.emplace(candidate.id,
                           running_ticket{now, candidate.deadline});
-    this->start_sum += now.time_since_epoch();
+    this->start_sum += now - this->first_start;
     return {admission_verdict::admitted, failure_id::none, duration(0)};
 }
 
@@ -288,28 +251,24 @@
                                                  time_point now)
 {
     duration const wait =
-        this->expected_wait(this->count_ahead(candidate), now);
+        this->expected_wait(this->queue.count_ahead(candidate), now);
     if (!candidate.may_wait || this->is_too_long(candidate, wait, now) ||
         !this->make_room_for(candidate, now))
     {
         return this->refuse(failure_id::overloaded, now);
     }
     this->queue.insert(candidate);
-    ++this->queued_of[candidate.urgency];
-    this->earliest_deadline =
-        std::min(this->earliest_deadline, candidate.deadline);
-    this->waiting.emplace(candidate.id, candidate);
     return {admission_verdict::queued, failure_id::none, duration(0)};
 }
 
 bool admission_controller::make_room_for(ticket_info const & candidate,
                                          time_point now)
 {
-    if (this->queue.size() < this->options.most_queue_places)
+    if (this->queue.tickets().size() < this->options.most_queue_places)
     {
         return true;
     }
-    ticket_info const last = *std::prev(this->queue.end());
+    ticket_info const last = *std::prev(this->queue.tickets().end());
     // among equals, the one that waits keeps its place
     if (candidate.urgency >= last.urgency)
     {
@@ -323,36 +282,26 @@
                                     failure_id reason,
                                     time_point now)
 {
-    this->remove_waiting(ticket);
+    this->queue.erase(ticket.id);
     this->pushed_out.push_back({ticket.id, this->refuse(reason, now)});
 }
 
 // another target may still take those in time
 void admission_controller::push_out_lost_ones(time_point now)
 {
-    bool const open = this->is_target_open();
-    if (open && now < this->earliest_deadline)
-    {
-        return;
-    }
-    std::vector<ticket_info> lost;
-    this->earliest_deadline = time_point::max();
-    for (auto const & ticket : this->queue)
+    if (!this->is_target_open())
     {
-        if (!open || ticket.deadline <= now)
+        std::vector<ticket_info> const all(this->queue.tickets().begin(),
+                                           this->queue.tickets().end());
+        for (auto const & ticket : all)
         {
-            lost.push_back(ticket);
-            continue;
+            this->push_out(ticket, failure_id::draining, now);
         }
-        this->earliest_deadline =
-            std::min(this->earliest_deadline, ticket.deadline);
+        return;
     }
-    for (auto const & ticket : lost)
+    for (auto const & ticket : this->queue.expired(now))
     {
-        this->push_out(ticket,
-                       open ? failure_id::deadline_too_near
-                            : failure_id::draining,
-                       now);
+        this->push_out(ticket, failure_id::deadline_too_near, now);
     }
 }
 
@@ -366,7 +315,7 @@
     this->last_review = now;
     std::vector<ticket_info> late;
     std::size_t ahead = 0;
-    for (auto const & ticket : this->queue)
+    for (auto const & ticket : this->queue.tickets())
     {
         if (this->would_be_late(ticket, this->expected_wait(ahead, now), now))
         {
@@ -385,18 +334,11 @@
 {
     if (auto const found = this->running.find(id); found != this->running.end())
     {
-        this->start_sum -= found->second.started.time_since_epoch();
+        this->start_sum -= found->second.started - this->first_start;
         this->running.erase(found);
     }
 }
 
-void admission_controller::remove_waiting(ticket_info ticket)
-{
-    this->queue.erase(ticket);
-    this->waiting.erase(ticket.id);
-    --this->queued_of[ticket.urgency];
-}
-
 bool admission_controller::is_target_open() const
 {
     return this->target.phase == announced_phase::cold ||
--- /dev/null
+++ b/src/policy/admission_queue.cpp
@@ -0,0 +1,105 @@
+#include <endivehinge/policy/admission_queue.hpp>
+
+#include <algorithm> // min
+#include <iterator>  // distance
+#include <tuple>     // tie
+
+namespace endivehinge
+{
+namespace
+{
+
+bool is_more_urgent(ticket_info const & a, ticket_info const & b)
+{
+    return std::tie(a.urgency, a.deadline, a.id) <
+           std::tie(b.urgency, b.deadline, b.id);
+}
+
+bool came_before(ticket_info const & a, ticket_info const & b)
+{
+    return a.id < b.id;
+}
+
+} // namespace
+
+admission_queue::admission_queue(queue_order chosen)
+    : order(chosen)
+    , ordered(chosen == queue_order::urgency ? is_more_urgent : came_before)
+{
+}
+
+void admission_queue::insert(ticket_info const & ticket)
+{
+    this->ordered.insert(ticket);
+    this->by_id.emplace(ticket.id, ticket);
+    ++this->count_of[ticket.urgency];
+    this->earliest_deadline =
+        std::min(this->earliest_deadline, ticket.deadline);
+}
+
+void admission_queue::erase(ticket_id id)
+{
+    auto const found = this->by_id.find(id);
+    if (found == this->by_id.end())
+    {
+        return;
+    }
+    --this->count_of[found->second.urgency];
+    this->ordered.erase(found->second);
+    this->by_id.erase(found);
+}
+
+bool admission_queue::goes_first(ticket_info const & ticket) const
+{
+    return this->ordered.empty() ||
+           this->ordered.key_comp()(ticket, *this->ordered.begin());
+}
+
+std::size_t admission_queue::count_ahead(ticket_info const & ticket) const
+{
+    if (this->order == queue_order::arrival)
+    {
+        return this->ordered.size();
+    }
+    std::size_t not_after = 0;
+    for (auto const & [urgency, count] : this->count_of)
+    {
+        not_after += urgency <= ticket.urgency ? count : 0;
+    }
+    // counted from the end of its priority, where a new deadline mostly falls
+    ticket_info const next_priority{
+        {},
+        static_cast<priority>(static_cast<int>(ticket.urgency) + 1),
+        time_point::min(),
+        true};
+    auto const behind = std::distance(this->ordered.lower_bound(ticket),
+                                      this->ordered.lower_bound(next_priority));
+    return not_after - static_cast<std::size_t>(behind);
+}
+
+std::vector<ticket_info> admission_queue::expired(time_point now)
+{
+    std::vector<ticket_info> found;
+    if (now < this->earliest_deadline)
+    {
+        return found;
+    }
+    this->earliest_deadline = time_point::max();
+    for (auto const & ticket : this->ordered)
+    {
+        this->earliest_deadline =
+            std::min(this->earliest_deadline, ticket.deadline);
+        if (ticket.deadline <= now)
+        {
+            found.push_back(ticket);
+        }
+    }
+    return found;
+}
+
+admission_queue::ordered_tickets const & admission_queue::tickets() const
+{
+    return this->ordered;
+}
+
+} // namespace endivehinge
