--- a/include/endivehinge/core/request.hpp
+++ b/include/endivehinge/core/request.hpp
@@ -18,6 +18,9 @@
     batch = 2,
 };
 
+/// @brief the name of a priority, as the configuration writes it
+[[nodiscard]] char const * to_string(priority urgency);
+
 /// @brief a request on its way, with what has to travel with it
 struct request
 {
@@ -27,6 +30,8 @@
     time_point deadline;
     priority urgency = priority::interactive;
     bool repeatable = false;
+    // an earlier try may have crashed its target
+    bool suspect = false;
     // calls above this one in its chain
     int depth = 0;
     // set where the caller named a request that runs at most once
--- a/src/app/local_executor.cpp
+++ b/src/app/local_executor.cpp
@@ -3,52 +3,104 @@
 #include <utility> // move
 
 #include <absl/strings/str_cat.h> // StrCat
-#include <absl/time/time.h>       // FromChrono
 
-#include <endivehinge/core/header_names.hpp>
+#include <endivehinge/core/fingerprint.hpp>
 
 namespace endivehinge::detail
 {
 namespace
 {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
+constexpr int lowest_server_error = 500;
 
-constexpr milliseconds refusal_retry_after(50);
+announced_phase announced(target_phase phase)
+{
+    switch (phase)
+    {
+    case target_phase::cold:
+        return announced_phase::cold;
+    case target_phase::ready:
+        return announced_phase::ready;
+    case target_phase::draining:
+        return announced_phase::draining;
+    case target_phase::absent:
+        break;
+    }
+    return announced_phase::absent;
+}
 
-http_request make_target_request(request const & admitted, time_point now)
+// what the outcome says of the target's state
+run_result evidence_of(outcome const & result)
 {
-    http_request message = admitted.message;
-    auto const left = duration_cast<milliseconds>(admitted.deadline - now);
-    message.headers.set(header_names::request_id, admitted.id.value());
-    message.headers.set(header_names::timeout_ms, absl::StrCat(left.count()));
-    message.headers.set(header_names::depth, absl::StrCat(admitted.depth));
-    message.headers.set(header_names::priority,
-                        absl::StrCat("u=", static_cast<int>(admitted.urgency)));
-    return message;
+    switch (result.kind)
+    {
+    case outcome_kind::answered:
+        return result.answer.status < lowest_server_error
+                   ? run_result::succeeded
+                   : run_result::failed;
+    case outcome_kind::rejected:
+        return run_result::shed;
+    case outcome_kind::indeterminate:
+        break;
+    }
+    return result.reason.id == failure_id::cancelled ? run_result::abandoned
+                                                     : run_result::failed;
 }
 
-// a target that sheds says itself that it did not run the request
-bool was_shed(http_response const & response)
+outcome refuse(admission_decision const & decision)
 {
-    std::string const * const said =
-        response.headers.find(header_names::outcome);
-    return said != nullptr && *said == to_string(outcome_kind::rejected);
+    return outcome::rejected({decision.reason, "admit", {}, {}},
+                             decision.retry_after);
 }
 
 } // namespace
 
-local_executor::local_executor(http_client & exchanges, clock const & source)
-    : client(exchanges)
-    , time(source)
+local_executor::local_executor(node_name name,
+                               http_client & exchanges,
+                               quarantine_board & board,
+                               clock const & source)
+    : self(std::move(name))
+    , quarantine(board)
+    , target_exchanges(exchanges, source)
+    , gate(source)
 {
 }
 
 void local_executor::update(target_status const & status)
 {
-    absl::MutexLock lock(&this->mutex);
-    this->target = status;
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->target = status;
+    }
+    this->announce_to_gate();
+}
+
+void local_executor::set_drained(bool now_drained)
+{
+    {
+        absl::MutexLock lock(&this->mutex);
+        if (now_drained == this->drained)
+        {
+            return;
+        }
+        this->drained = now_drained;
+        this->returns_to_service += now_drained ? 0 : 1;
+    }
+    this->announce_to_gate();
+}
+
+void local_executor::announce_to_gate()
+{
+    target_announcement said;
+    {
+        absl::MutexLock lock(&this->mutex);
+        said.phase = this->drained ? announced_phase::draining
+                                   : announced(this->target.phase);
+        said.slots = this->target.slots;
+        // back in service it starts slowly, as after a restart
+        said.run = this->target.run + this->returns_to_service;
+    }
+    this->gate.announce(said);
 }
 
 target_status local_executor::status() const
@@ -59,83 +111,84 @@
 
 void local_executor::stop_admitting()
 {
-    absl::MutexLock lock(&this->mutex);
-    this->admitting = false;
+    this->gate.stop_admitting();
+}
+
+load_signal local_executor::load() const
+{
+    return this->gate.load();
 }
 
-outcome local_executor::execute(request const & admitted, int caller_socket)
+outcome local_executor::execute(request const & offered, int caller_socket)
 {
-    failure reason;
-    if (!this->admit(admitted, reason))
+    request_fingerprint const fingerprint = fingerprint_of(offered);
+    auto const [verdict, remaining] = this->quarantine.check(fingerprint);
+    if (verdict == quarantine_verdict::crashing)
     {
-        return outcome::rejected(std::move(reason), refusal_retry_after);
+        return outcome::rejected({failure_id::quarantined,
+                                  "admit",
+                                  {},
+                                  "the request crashes its targets"},
+                                 remaining);
     }
-    outcome result = this->run(admitted, caller_socket);
-    this->release();
-    return result;
+    bool const alone =
+        offered.suspect || verdict == quarantine_verdict::suspect;
+    return this->admit_and_run(offered, fingerprint, alone, caller_socket);
 }
 
-bool local_executor::admit(request const & candidate, failure & reason)
+outcome local_executor::admit_and_run(request const & offered,
+                                      request_fingerprint fingerprint,
+                                      bool alone,
+                                      int caller_socket)
 {
-    absl::MutexLock lock(&this->mutex);
-    if (!this->admitting || this->target.phase == target_phase::draining)
+    ticket_id ticket;
+    auto const decision = this->gate.enter(offered, alone, ticket);
+    if (decision.verdict != admission_verdict::admitted)
     {
-        reason = {failure_id::draining, "admit", {}, "the target is leaving"};
-        return false;
+        return refuse(decision);
     }
-    if (this->target.phase == target_phase::absent)
+    target_status const before = this->status();
+    outcome result = this->target_exchanges.run(
+        before.address, offered, this->gate.load().latency, caller_socket);
+    if (result.kind == outcome_kind::answered)
     {
-        reason = {failure_id::no_target, "admit", {}, "no target announced"};
-        return false;
+        this->quarantine.finished(fingerprint);
     }
-    auto const has_room = [this]()
+    if (result.reason.id == failure_id::connection_lost &&
+        this->has_died(before))
     {
-        return this->in_flight < this->target.slots;
-    };
-    if (!this->mutex.AwaitWithTimeout(
-            absl::Condition(&has_room),
-            absl::FromChrono(candidate.deadline - this->time.now())))
-    {
-        reason = {failure_id::overloaded, "admit", {}, "no slot in time"};
-        return false;
+        this->report_crash(fingerprint, before, alone);
+        result.reason.id = failure_id::target_died;
     }
-    ++this->in_flight;
-    return true;
+    this->gate.leave(ticket, alone, evidence_of(result));
+    return result;
 }
 
-void local_executor::release()
+// a target that closed one connection may be alive: only one that takes no
+// new connection, or is another run by now, has died
+bool local_executor::has_died(target_status const & before)
 {
-    absl::MutexLock lock(&this->mutex);
-    --this->in_flight;
-}
-
-outcome local_executor::run(request const & admitted, int caller_socket)
-{
-    time_point const now = this->time.now();
-    endpoint const address = this->status().address;
-    http_exchange_options options;
-    options.timeout = admitted.deadline - now;
-    options.watched_socket = caller_socket;
-    http_exchange_report report;
-    failure reason;
-    auto response = this->client.exchange(
-        address, make_target_request(admitted, now), options, report, reason);
-    if (!response.has_value())
+    if (this->status().run != before.run)
     {
-        reason.step = "run on target";
-        return report.maybe_sent
-                   ? outcome::indeterminate(std::move(reason))
-                   : outcome::rejected(std::move(reason), refusal_retry_after);
+        return true;
     }
-    if (was_shed(*response))
+    return this->target_exchanges.is_gone(before.address);
+}
+
+void local_executor::report_crash(request_fingerprint fingerprint,
+                                  target_status const & before,
+                                  bool alone)
+{
+    this->quarantine.crashed(
+        fingerprint,
+        crash_id(absl::StrCat(this->self.value(), "/", before.run)),
+        alone);
+    target_status gone = before;
+    gone.phase = target_phase::absent;
+    if (this->status().run == before.run)
     {
-        return outcome::rejected({failure_id::overloaded,
-                                  "run on target",
-                                  address.to_string(),
-                                  "the target shed the request"},
-                                 refusal_retry_after);
+        this->update(gone);
     }
-    return outcome::answered(*std::move(response));
 }
 
 } // namespace endivehinge::detail
