Keep a node's health out of cuts, and let a suspect refute at once

Cause: benchmark_membership_recovery 2000 showed a false death at the end of a region cut (210 nodes held one member for dead). Each probe into a domain that was cut off worsened the prober's local health, so its periods grew ninefold, and news spread too slowly for a suspect, which a lost datagram had made, to hear of it in time. Ruled out: a longer suspicion (true deaths would be seen later). Change: health worsens only where the domain answers and its member does not; a node that suspects a member pings it at once with the suspicion. Also: the cost of the real thread in benchmark_capacity.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -5,14 +5,18 @@
 #include <cstdio>    // printf
 #include <cstdlib>   // strtoul
 #include <ctime>     // clock_gettime
-#include <memory>    // make_shared
+#include <memory>    // make_shared, make_unique
 #include <random>    // mt19937_64
+#include <string>    // to_string
 #include <utility>   // exchange
 #include <vector>    // vector
 
-#include <malloc.h> // mallinfo2
+#include <absl/time/clock.h> // SleepFor
+#include <absl/time/time.h>  // FromChrono
+#include <malloc.h>          // mallinfo2
 
 #include <common/gossip_network.hpp>
+#include <endivehinge/detail/log/log.hpp>
 #include <endivehinge/detail/membership/contact_list.hpp>
 
 namespace endivehinge
@@ -25,6 +29,8 @@
 using tools::gossip_network;
 using tools::gossip_network_options;
 
+// sockets and threads in one process
+constexpr std::size_t real_members = 20;
 constexpr std::size_t full_domains = 19;
 constexpr std::size_t full_regions = 8;
 constexpr std::size_t full_services = 260;
@@ -346,6 +352,48 @@
     }
 }
 
+// the same over real sockets and threads, with the system calls
+void measure_processor_time()
+{
+    machine_clock const time;
+    std::vector<std::unique_ptr<detail::membership_service>> services;
+    for (std::size_t i = 0; i < real_members; ++i)
+    {
+        auto next = std::make_unique<detail::membership_service>(time);
+        failure reason;
+        if (!next->open({"127.0.0.1", 0}, reason))
+        {
+            std::printf("capacity role=membership_thread failed=%s\n",
+                        reason.describe().c_str());
+            return;
+        }
+        member self;
+        self.name = node_name("node-" + std::to_string(i));
+        self.run = incarnation(1);
+        self.service = service_name("listings");
+        self.domain = failure_domain("almaty-a");
+        self.region = region_name("almaty");
+        self.peer_address = next->address();
+        next->announce(self);
+        next->start(nullptr);
+        next->join(
+            {services.empty() ? next->address() : services.front()->address()});
+        services.push_back(std::move(next));
+    }
+    absl::SleepFor(absl::FromChrono(settle_span));
+    double const before = cpu_seconds();
+    absl::SleepFor(absl::FromChrono(calm_span));
+    double const spent = cpu_seconds() - before;
+    double const node_seconds = static_cast<double>(real_members) *
+                                static_cast<double>(calm_span.count());
+    constexpr double microseconds = 1e6;
+    std::printf("capacity role=membership_thread members=%zu "
+                "cpu_us_per_s=%.0f known=%zu\n",
+                real_members,
+                spent * microseconds / node_seconds,
+                services.back()->snapshot()->size());
+}
+
 } // namespace
 } // namespace endivehinge
 
@@ -360,6 +408,8 @@
     {
         sizes = {50, 500, 2000, 5500};
     }
+    endivehinge::detail::start_logging(endivehinge::detail::log_level::warning);
+    endivehinge::measure_processor_time();
     for (std::size_t const members : sizes)
     {
         endivehinge::measure(members);
--- a/src/coordination/membership_probing.cpp
+++ b/src/coordination/membership_probing.cpp
@@ -147,7 +147,6 @@
     {
         return;
     }
-    this->health.worsen();
     member_entry const & entry = this->table.at(failed.index);
     bool const is_same =
         entry.about != nullptr && entry.about->name == failed.name;
@@ -213,9 +212,16 @@
 
 void membership::suspect(member_index index, time_point now)
 {
+    // its domain answers, so either of the two is at fault; a domain that is
+    // cut off says nothing of this node's health
+    this->health.worsen();
     member_update claim = this->update_of(index);
     claim.state = member_state::suspect;
-    this->apply(claim, now, true);
+    if (this->apply(claim, now, true))
+    {
+        // so that it can refute at once
+        this->start_probe(index, probe_purpose::recall, now);
+    }
 }
 
 void membership::check_suspicions(time_point now, absl::BitGenRef random)
