--- a/include/endivehinge/detail/node/configuration_service.hpp
+++ b/include/endivehinge/detail/node/configuration_service.hpp
@@ -92,6 +92,8 @@
     duration read_platform();
     void note_platform(bool answered, failure const & reason);
     bool holds_watch() const;
+    bool is_alone() const;
+    bool wait_before_read(duration pause);
     duration read_interval(absl::BitGenRef spread) const;
     void exchange_with_peers();
     void ask_first_peers();
--- a/src/app/configuration_service.cpp
+++ b/src/app/configuration_service.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/node/configuration_service.hpp>
 
-#include <algorithm> // min, sample
+#include <algorithm> // all_of, max, sample
 #include <iterator>  // back_inserter
 #include <string>    // to_string
 #include <utility>   // move
@@ -9,6 +9,7 @@
 #include <absl/time/time.h>                       // FromChrono
 
 #include <endivehinge/coordination/configuration_entry.hpp>
+#include <endivehinge/coordination/configuration_timing.hpp>
 #include <endivehinge/coordination/watcher_election.hpp>
 #include <endivehinge/detail/control/change_set_codec.hpp>
 #include <endivehinge/detail/log/log.hpp>
@@ -18,30 +19,7 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-// how long one call of a watch waits for changes
-constexpr duration watch_patience = seconds(2);
-// reads of a node that holds no watch: one in this time for each member, so
-// that the fleet's reads do not grow with it
-constexpr duration read_interval_per_member = milliseconds(10);
-constexpr duration shortest_read_interval = seconds(2);
-constexpr duration first_platform_wait = milliseconds(250);
-constexpr duration longest_platform_wait = seconds(10);
-constexpr duration budget_wait = milliseconds(100);
-constexpr double platform_reads_per_second = 10;
-constexpr double platform_read_burst = 10;
-// each node asks a random peer about once in this time
-constexpr duration anti_entropy_interval = seconds(4);
-constexpr duration peer_timeout = seconds(1);
-// peers that a node tells what is new to it
-constexpr std::size_t push_fanout = 2;
-// peers that a fresh node asks
-constexpr std::size_t fresh_node_peers = 3;
-// how long a fresh node waits until it knows of any peer
-constexpr duration first_peers_patience = seconds(1);
-constexpr duration first_peers_step = milliseconds(20);
+constexpr configuration_timing timing;
 constexpr std::size_t task_capacity = 64;
 // leaves room for what is added on the wire
 constexpr std::size_t change_set_bytes = std::size_t{2} * 1024 * 1024;
@@ -88,8 +66,9 @@
     , client(peers)
     , holder(target)
     , time(source)
-    , platform_backoff(first_platform_wait, longest_platform_wait)
-    , platform_reads(platform_reads_per_second, platform_read_burst)
+    , platform_backoff(timing.first_platform_wait, timing.longest_platform_wait)
+    , platform_reads(timing.platform_reads_per_second,
+                     timing.platform_read_burst)
     , tasks(task_capacity)
 {
 }
@@ -179,20 +158,35 @@
     bool goes_on = true;
     while (goes_on)
     {
-        duration pause = budget_wait;
+        duration pause = timing.budget_wait;
         if (this->platform_reads.try_take(this->time.now()))
         {
             pause = this->read_platform();
         }
-        goes_on = !this->wait_stopping(pause);
+        goes_on = !this->wait_before_read(pause);
     }
 }
 
+// a node that gets to know others has no reason to wait as a lone one
+bool configuration_service::wait_before_read(duration pause)
+{
+    bool const was_alone = this->is_alone();
+    time_point const until = this->time.now() + pause;
+    while (was_alone && this->is_alone() && this->time.now() < until)
+    {
+        if (this->wait_stopping(timing.budget_wait))
+        {
+            return true;
+        }
+    }
+    return this->wait_stopping(was_alone ? duration(0) : pause);
+}
+
 // returns how long to wait before the next read
 duration configuration_service::read_platform()
 {
     duration const patience =
-        this->holds_watch() ? watch_patience : duration(0);
+        this->holds_watch() ? timing.watch_patience : duration(0);
     failure reason;
     object_version const after = this->version();
     auto const seen =
@@ -236,18 +230,35 @@
             return false;
         }
     }
-    return is_watcher(this->self,
-                      this->domain,
-                      *this->members.snapshot(),
-                      watchers_per_failure_domain);
+    member_snapshot const known = this->members.snapshot();
+    return !this->is_alone() &&
+           is_watcher(
+               this->self, this->domain, *known, watchers_per_failure_domain);
+}
+
+// in a restart of the whole fleet nobody knows anybody at first; were each its
+// own watcher then, the platform would get more calls than it takes
+bool configuration_service::is_alone() const
+{
+    member_snapshot const known = this->members.snapshot();
+    return std::all_of(known->begin(),
+                       known->end(),
+                       [this](member const & other)
+                       {
+                           return other.name == this->self;
+                       });
 }
 
 duration configuration_service::read_interval(absl::BitGenRef spread) const
 {
+    if (this->is_alone())
+    {
+        return around(timing.lone_read_interval, spread);
+    }
     auto const count =
         static_cast<std::int64_t>(this->members.snapshot()->size());
-    return around(std::max<duration>(shortest_read_interval,
-                                     read_interval_per_member * count),
+    return around(std::max<duration>(timing.shortest_read_interval,
+                                     timing.read_interval_per_member * count),
                   spread);
 }
 
@@ -258,7 +269,7 @@
     {
         absl::BitGen spread;
         auto const next = this->tasks.pop(
-            absl::FromChrono(around(anti_entropy_interval, spread)));
+            absl::FromChrono(around(timing.anti_entropy_interval, spread)));
         if (this->tasks.is_closed())
         {
             return;
@@ -269,22 +280,23 @@
         }
         else
         {
-            this->pull_from_some(this->is_ready() ? 1 : fresh_node_peers);
+            this->pull_from_some(this->is_ready() ? 1
+                                                  : timing.fresh_node_peers);
         }
     }
 }
 
 void configuration_service::ask_first_peers()
 {
-    time_point const deadline = this->time.now() + first_peers_patience;
+    time_point const deadline = this->time.now() + timing.first_peers_patience;
     while (this->choose_peers(1).empty() && this->time.now() < deadline)
     {
-        if (this->wait_stopping(first_peers_step))
+        if (this->wait_stopping(timing.first_peers_step))
         {
             return;
         }
     }
-    this->pull_from_some(fresh_node_peers);
+    this->pull_from_some(timing.fresh_node_peers);
     absl::MutexLock lock(&this->mutex);
     this->has_asked_peers = true;
     this->publish();
@@ -312,7 +324,7 @@
         request.set_after(this->version().value());
         failure reason;
         auto const response =
-            this->client.pull(peer, request, peer_timeout, reason);
+            this->client.pull(peer, request, timing.peer_timeout, reason);
         if (!response.has_value())
         {
             return;
@@ -334,11 +346,11 @@
         *request.mutable_changes() =
             encode(this->state.changes_after(after, change_set_bytes));
     }
-    for (auto const & peer : this->choose_peers(push_fanout))
+    for (auto const & peer : this->choose_peers(timing.push_fanout))
     {
         failure reason;
         static_cast<void>(this->client.push(
-            peer.control_address, request, peer_timeout, reason));
+            peer.control_address, request, timing.peer_timeout, reason));
     }
 }
 
@@ -370,7 +382,7 @@
     // a platform that returns old data must not undo what peers know
     bool const by_platform = this->platform_answered && this->has_asked_peers;
     bool const by_peers =
-        this->platform_failed && this->peer_answers >= fresh_node_peers;
+        this->platform_failed && this->peer_answers >= timing.fresh_node_peers;
     return by_platform || by_peers;
 }
 
