Refuse change sets whose versions do not fit, and pull once

A set that claimed a version beyond its objects would have moved a node past changes that it never got. Such a set is now no set. A pull that was queued for a version which another peer has given meanwhile is left out; membership tells of a new version from many peers at once.

--- a/include/endivehinge/detail/node/configuration_service.hpp
+++ b/include/endivehinge/detail/node/configuration_service.hpp
@@ -84,8 +84,8 @@
         kind what;
         // of a pull: from whom
         endpoint peer;
-        // of a push: what was new, from this version on
-        object_version after;
+        // of a pull: what the peer has; of a push: what is after it is new
+        object_version version;
     };
 
     void watch_platform();
--- a/src/adapters/control/change_set_codec.cpp
+++ b/src/adapters/control/change_set_codec.cpp
@@ -1,5 +1,7 @@
 #include <endivehinge/detail/control/change_set_codec.hpp>
 
+#include <algorithm> // max
+
 #include <endivehinge/coordination/configuration_entry.hpp>
 
 namespace endivehinge::detail
@@ -21,18 +23,32 @@
     return message;
 }
 
-change_set decode(wire::change_set const & message)
+std::optional<change_set> decode(wire::change_set const & message,
+                                 failure & reason)
 {
     change_set changes{
         object_version(message.after()), object_version(message.upto()), {}};
+    object_version newest = changes.after;
+    bool good = changes.upto >= changes.after;
     for (auto const & object : message.objects())
     {
+        object_version const version(object.version());
+        good = good && version > changes.after && version <= changes.upto;
+        newest = std::max(newest, version);
         changes.objects.push_back({configuration_kind,
                                    object.name(),
-                                   object_version(object.version()),
+                                   version,
                                    object.value(),
                                    object.removed()});
     }
+    if (!good || newest != changes.upto)
+    {
+        reason = {failure_id::invalid_message,
+                  "read changes",
+                  {},
+                  "the versions do not fit together"};
+        return std::nullopt;
+    }
     return changes;
 }
 
--- a/src/app/configuration_service.cpp
+++ b/src/app/configuration_service.cpp
@@ -108,7 +108,7 @@
     {
         // a full ring is no loss: anti-entropy catches up
         static_cast<void>(this->tasks.try_push(
-            {task::kind::pull, peer.control_address, object_version()}));
+            {task::kind::pull, peer.control_address, version}));
     }
 }
 
@@ -136,17 +136,25 @@
 bool configuration_service::push(wire::push_request const & request,
                                  wire::push_response & response)
 {
-    change_set const changes = decode(request.changes());
-    bool const advanced = this->take_in(changes);
+    failure reason;
+    auto const changes = decode(request.changes(), reason);
+    if (!changes.has_value())
+    {
+        log().warning(
+            "A peer sent what is no set of changes.",
+            {{"peer", request.from()}, {"reason", reason.describe()}});
+        return false;
+    }
+    bool const advanced = this->take_in(*changes);
     object_version const reached = this->version();
     response.set_version(reached.value());
-    if (!advanced && changes.upto > reached)
+    if (!advanced && changes->upto > reached)
     {
         for (auto const & peer : *this->members.snapshot())
         {
             if (peer.name.value() == request.from())
             {
-                this->peer_has(peer, changes.upto);
+                this->peer_has(peer, changes->upto);
             }
         }
     }
@@ -306,9 +314,10 @@
 {
     if (next.what == task::kind::push)
     {
-        this->push_on(next.after);
+        this->push_on(next.version);
     }
-    else
+    // another peer may have given it meanwhile
+    else if (next.version > this->version())
     {
         this->pull_from(next.peer);
     }
@@ -330,7 +339,8 @@
             return;
         }
         // a large set of changes comes in parts
-        more = this->take_in(decode(response->changes()));
+        auto const changes = decode(response->changes(), reason);
+        more = changes.has_value() && this->take_in(*changes);
     }
     absl::MutexLock lock(&this->mutex);
     ++this->peer_answers;
--- a/tests/src/system-configuration-service.cpp
+++ b/tests/src/system-configuration-service.cpp
@@ -308,6 +308,28 @@
         }));
 }
 
+TEST_F(configuration_nodes, objects_of_other_kinds_change_no_version)
+{
+    this->start(2);
+    auto const version = drain(this->store, "a", true, object_version());
+    ASSERT_TRUE(this->all_have(version));
+    failure reason;
+    object_version last;
+    for (int i = 0; i < 50; ++i)
+    {
+        last = *this->store.put("lease", "a", last, "held", reason);
+    }
+    int const calls = this->store.calls;
+    ASSERT_TRUE(eventually(
+        [this, calls]()
+        {
+            return this->store.calls > calls + 4;
+        }));
+    EXPECT_EQ(this->nodes[0]->service.version(), version);
+    auto const next = drain(this->store, "b", true, object_version());
+    EXPECT_TRUE(this->all_have(next));
+}
+
 TEST_F(configuration_nodes, an_object_that_does_not_read_keeps_its_last_value)
 {
     this->start(1);
--- a/tests/src/unit-control.cpp
+++ b/tests/src/unit-control.cpp
@@ -1,7 +1,14 @@
+#include <arpa/inet.h>  // htons, htonl
+#include <netinet/in.h> // sockaddr_in
+#include <sys/socket.h> // socket, connect, send
+#include <unistd.h>     // close
+
 #include <string> // string
+#include <vector> // vector
 
 #include <gtest/gtest.h>
 
+#include <endivehinge/detail/control/change_set_codec.hpp>
 #include <endivehinge/detail/control/control_client.hpp>
 #include <endivehinge/detail/control/control_server.hpp>
 
@@ -115,6 +122,73 @@
     }
 }
 
+TEST_F(control, garbage_harms_nobody_else)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        int const raw = ::socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_GE(raw, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(this->server->port());
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ASSERT_EQ(::connect(raw,
+                            reinterpret_cast<sockaddr *>(&address), // NOLINT
+                            sizeof address),
+                  0);
+        std::string const garbage(1000, static_cast<char>(i * 13));
+        static_cast<void>(
+            ::send(raw, garbage.data(), garbage.size(), MSG_NOSIGNAL));
+        EXPECT_TRUE(
+            this->client.pull(this->address(), {}, generous, this->reason));
+        ::close(raw);
+    }
+}
+
+struct change_set_case
+{
+    std::uint64_t after;
+    std::uint64_t upto;
+    std::vector<std::uint64_t> versions;
+    bool good;
+};
+
+TEST(change_set_codec, takes_sets_whose_versions_fit_and_no_others)
+{
+    change_set_case const cases[] = {
+        {0, 0, {}, true},
+        {3, 3, {}, true},
+        {0, 5, {2, 5}, true},
+        {0, 5, {5, 2}, true},
+        {0, 5, {}, false},
+        {0, 5, {4}, false},
+        {0, 5, {5, 6}, false},
+        {2, 5, {2, 5}, false},
+        {5, 3, {}, false},
+        {0, ~std::uint64_t{0}, {1}, false},
+    };
+    for (auto const & tried : cases)
+    {
+        change_set changes{
+            object_version(tried.after), object_version(tried.upto), {}};
+        for (auto const version : tried.versions)
+        {
+            changes.objects.push_back({"configuration",
+                                       "service.a",
+                                       object_version(version),
+                                       "text",
+                                       false});
+        }
+        failure reason;
+        auto const read = decode(encode(changes), reason);
+        EXPECT_EQ(read.has_value(), tried.good) << tried.upto;
+        if (read.has_value())
+        {
+            EXPECT_EQ(read->objects.size(), changes.objects.size());
+        }
+    }
+}
+
 TEST_F(control, a_port_in_use_is_an_error_that_names_it)
 {
     auto const second = control_server::start(
