--- a/include/endivehinge/detail/node/configuration_service.hpp
+++ b/include/endivehinge/detail/node/configuration_service.hpp
@@ -11,14 +11,13 @@
 
 #include <endivehinge/coordination/backoff.hpp>
 #include <endivehinge/coordination/call_budget.hpp>
-#include <endivehinge/coordination/configuration_state.hpp>
 #include <endivehinge/coordination/member.hpp>
 #include <endivehinge/coordination/object_store.hpp>
 #include <endivehinge/core/bounded_ring.hpp>
 #include <endivehinge/detail/control/configuration_handler.hpp>
 #include <endivehinge/detail/control/control_client.hpp>
-#include <endivehinge/detail/node/configuration_assembler.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
+#include <endivehinge/detail/node/configuration_ledger.hpp>
 
 namespace endivehinge::detail
 {
@@ -90,7 +89,6 @@
 
     void watch_platform();
     duration read_platform();
-    void note_platform(bool answered, failure const & reason);
     bool holds_watch() const;
     bool is_alone() const;
     bool wait_before_read(duration pause);
@@ -103,9 +101,6 @@
     void pull_from_some(std::size_t count);
     bool take_in(change_set const & changes);
     bool wait_stopping(duration patience);
-    // these two: the mutex is held
-    bool may_serve() const;
-    void publish();
     std::vector<member> choose_peers(std::size_t count);
 
     node_name self;
@@ -113,18 +108,12 @@
     object_store & store;
     member_directory const & members;
     control_client & client;
-    configuration_holder & holder;
     clock const & time;
-    mutable absl::Mutex mutex;
-    configuration_state state;
-    configuration_assembler assembler;
+    configuration_ledger ledger;
+    absl::Mutex mutex;
     absl::BitGen random;
     backoff platform_backoff;
     call_budget platform_reads;
-    bool platform_answered = false;
-    std::size_t peer_answers = 0;
-    bool platform_failed = false;
-    bool has_asked_peers = false;
     bool stopping = false;
     bounded_ring<task> tasks;
     std::thread watching;
--- a/src/app/configuration_service.cpp
+++ b/src/app/configuration_service.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm> // all_of, max, sample
 #include <iterator>  // back_inserter
-#include <string>    // to_string
 #include <utility>   // move
 
 #include <absl/random/uniform_int_distribution.h> // uniform_int_distribution
@@ -21,8 +20,6 @@
 
 constexpr configuration_timing timing;
 constexpr std::size_t task_capacity = 64;
-// leaves room for what is added on the wire
-constexpr std::size_t change_set_bytes = std::size_t{2} * 1024 * 1024;
 
 logger const & log()
 {
@@ -64,8 +61,8 @@
     , store(platform)
     , members(directory)
     , client(peers)
-    , holder(target)
     , time(source)
+    , ledger(target)
     , platform_backoff(timing.first_platform_wait, timing.longest_platform_wait)
     , platform_reads(timing.platform_reads_per_second,
                      timing.platform_read_burst)
@@ -114,22 +111,19 @@
 
 object_version configuration_service::version() const
 {
-    absl::MutexLock lock(&this->mutex);
-    return this->state.version();
+    return this->ledger.version();
 }
 
 bool configuration_service::is_ready() const
 {
-    absl::MutexLock lock(&this->mutex);
-    return this->may_serve();
+    return this->ledger.is_ready();
 }
 
 bool configuration_service::pull(wire::pull_request const & request,
                                  wire::pull_response & response)
 {
-    absl::MutexLock lock(&this->mutex);
-    *response.mutable_changes() = encode(this->state.changes_after(
-        object_version(request.after()), change_set_bytes));
+    *response.mutable_changes() =
+        encode(this->ledger.changes_after(object_version(request.after())));
     return true;
 }
 
@@ -202,44 +196,20 @@
     absl::BitGen spread;
     if (!seen.has_value())
     {
-        this->note_platform(false, reason);
+        this->ledger.note_platform(false, reason);
         return this->platform_backoff.after_failure(spread);
     }
     this->platform_backoff.reset();
     static_cast<void>(this->take_in(changes_of(after, *seen)));
-    this->note_platform(true, reason);
+    this->ledger.note_platform(true, reason);
     return this->holds_watch() ? duration(0) : this->read_interval(spread);
 }
 
-void configuration_service::note_platform(bool answered, failure const & reason)
-{
-    absl::MutexLock lock(&this->mutex);
-    if (!answered && !this->platform_failed)
-    {
-        log().warning("The platform does not answer.",
-                      {{"reason", reason.describe()}});
-    }
-    if (answered && this->platform_failed)
-    {
-        log().info("The platform answers again.");
-    }
-    this->platform_failed = !answered;
-    this->platform_answered = this->platform_answered || answered;
-    this->publish();
-}
-
 // the first read does not wait, so that a fresh node soon knows what is there
 bool configuration_service::holds_watch() const
 {
-    {
-        absl::MutexLock lock(&this->mutex);
-        if (!this->platform_answered)
-        {
-            return false;
-        }
-    }
     member_snapshot const known = this->members.snapshot();
-    return !this->is_alone() &&
+    return this->ledger.has_platform_answered() && !this->is_alone() &&
            is_watcher(
                this->self, this->domain, *known, watchers_per_failure_domain);
 }
@@ -305,9 +275,7 @@
         }
     }
     this->pull_from_some(timing.fresh_node_peers);
-    absl::MutexLock lock(&this->mutex);
-    this->has_asked_peers = true;
-    this->publish();
+    this->ledger.note_first_peers_asked();
 }
 
 void configuration_service::do_task(task const & next)
@@ -342,20 +310,14 @@
         auto const changes = decode(response->changes(), reason);
         more = changes.has_value() && this->take_in(*changes);
     }
-    absl::MutexLock lock(&this->mutex);
-    ++this->peer_answers;
-    this->publish();
+    this->ledger.note_peer_answer();
 }
 
 void configuration_service::push_on(object_version after)
 {
     wire::push_request request;
     request.set_from(this->self.value());
-    {
-        absl::MutexLock lock(&this->mutex);
-        *request.mutable_changes() =
-            encode(this->state.changes_after(after, change_set_bytes));
-    }
+    *request.mutable_changes() = encode(this->ledger.changes_after(after));
     for (auto const & peer : this->choose_peers(timing.push_fanout))
     {
         failure reason;
@@ -375,40 +337,13 @@
 // returns whether anything in it was new
 bool configuration_service::take_in(change_set const & changes)
 {
-    absl::MutexLock lock(&this->mutex);
-    object_version const before = this->state.version();
-    if (this->state.merge(changes) != merge_result::advanced)
-    {
-        return false;
-    }
-    static_cast<void>(
-        this->tasks.try_push({task::kind::push, endpoint(), before}));
-    this->publish();
-    return true;
-}
-
-bool configuration_service::may_serve() const
-{
-    // a platform that returns old data must not undo what peers know
-    bool const by_platform = this->platform_answered && this->has_asked_peers;
-    bool const by_peers =
-        this->platform_failed && this->peer_answers >= timing.fresh_node_peers;
-    return by_platform || by_peers;
-}
-
-void configuration_service::publish()
-{
-    if (!this->may_serve() ||
-        this->state.version() <= this->holder.current()->version)
-    {
-        return;
-    }
-    if (this->holder.replace(this->assembler.assemble(this->state)))
+    auto const before = this->ledger.take_in(changes);
+    if (before.has_value())
     {
-        log().info(
-            "A configuration is in force.",
-            {{"version", std::to_string(this->state.version().value())}});
+        static_cast<void>(
+            this->tasks.try_push({task::kind::push, endpoint(), *before}));
     }
+    return before.has_value();
 }
 
 bool configuration_service::wait_stopping(duration patience)
