Bring requests with a key to the key's owner

Change: keyed_router finds the owner, retries where the owner has moved, and dispatches as owner; peers refuse an older epoch; leases, keeper and handover run in each node, and a leaving node hands its keys over first. A timeout header beyond what a clock can hold is clamped.

Ruled out: counting keys that could not be handed over as requests cut short: with the whole service leaving there is no next owner; it is logged.

--- a/include/endivehinge/detail/node/ingress_handler.hpp
+++ b/include/endivehinge/detail/node/ingress_handler.hpp
@@ -7,6 +7,7 @@
 #include <endivehinge/detail/http/http_handler.hpp>
 #include <endivehinge/detail/metrics/metrics.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
+#include <endivehinge/detail/node/keyed_router.hpp>
 #include <endivehinge/detail/node/request_id_source.hpp>
 #include <endivehinge/detail/node/request_router.hpp>
 
@@ -20,11 +21,13 @@
     /// @param ids names each request; outlives the handler
     /// @param current the configuration; outlives the handler
     /// @param router outlives the handler
+    /// @param keyed takes requests that run at most once; outlives the handler
     /// @param recorded counts what callers get; outlives the handler
     /// @param time outlives the handler
     ingress_handler(request_id_source & ids,
                     configuration_holder const & current,
                     request_router & router,
+                    keyed_router & keyed,
                     metrics & recorded,
                     clock const & time);
 
@@ -32,11 +35,13 @@
                                        http_connection connection) override;
 
 private:
+    outcome route(request const & incoming, int caller_socket);
     std::optional<request> read(http_request message, outcome & refusal);
 
     request_id_source & ids;
     configuration_holder const & current;
     request_router & router;
+    keyed_router & keyed;
     metrics & recorded;
     clock const & time;
 };
--- a/include/endivehinge/detail/node/node_parts.hpp
+++ b/include/endivehinge/detail/node/node_parts.hpp
@@ -18,9 +18,13 @@
 #include <endivehinge/detail/node/event_dispatcher.hpp>
 #include <endivehinge/detail/node/execution_log.hpp>
 #include <endivehinge/detail/node/ingress_handler.hpp>
+#include <endivehinge/detail/node/key_ownership.hpp>
+#include <endivehinge/detail/node/keyed_router.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 #include <endivehinge/detail/node/mark_sharer.hpp>
 #include <endivehinge/detail/node/node_ports.hpp>
+#include <endivehinge/detail/node/owner_locator.hpp>
+#include <endivehinge/detail/node/ownership_service.hpp>
 #include <endivehinge/detail/node/peer_handler.hpp>
 #include <endivehinge/detail/node/quarantine_board.hpp>
 #include <endivehinge/detail/node/remote_executor.hpp>
@@ -62,6 +66,7 @@
     void start_threads();
     void watch_self();
     void announce_self();
+    void apply_configuration();
     void stop_self_check();
     bool takes_work(target_status const & target) const;
 
@@ -79,6 +84,9 @@
     std::unique_ptr<configuration_service> configuration;
     std::unique_ptr<event_dispatcher> events;
     std::unique_ptr<mark_sharer> marks;
+    key_ownership ownership;
+    std::unique_ptr<ownership_service> leases;
+    owner_locator locator;
     std::unique_ptr<control_server> control;
 
     // requests //
@@ -90,6 +98,7 @@
     remote_executor remote;
     request_router router;
     metrics recorded;
+    keyed_router keyed;
     ingress_handler ingress;
     peer_handler peers;
     admin_handler admin;
--- a/include/endivehinge/detail/node/peer_handler.hpp
+++ b/include/endivehinge/detail/node/peer_handler.hpp
@@ -5,6 +5,8 @@
 #include <endivehinge/detail/http/http_handler.hpp>
 #include <endivehinge/detail/node/execution_log.hpp>
 #include <endivehinge/detail/node/hop_codec.hpp>
+#include <endivehinge/detail/node/key_ownership.hpp>
+#include <endivehinge/detail/node/keyed_router.hpp>
 #include <endivehinge/detail/node/local_executor.hpp>
 
 namespace endivehinge::detail
@@ -15,9 +17,13 @@
 {
 public:
     /// @param executor outlives the handler
+    /// @param keyed acts as key owner; outlives the handler
+    /// @param ownership knows the epoch in force; outlives the handler
     /// @param log outlives the handler
     /// @param time outlives the handler
     peer_handler(local_executor & executor,
+                 keyed_router & keyed,
+                 key_ownership & ownership,
                  execution_log & log,
                  clock const & time);
 
@@ -28,8 +34,11 @@
     http_response answer_query(http_request const & message);
     outcome execute(hop_request const & hop, int caller_socket);
     outcome start(hop_request const & hop, int caller_socket);
+    outcome take_part(hop_request const & hop, int caller_socket);
 
     local_executor & executor;
+    keyed_router & keyed;
+    key_ownership & ownership;
     execution_log & log;
     clock const & time;
 };
--- a/src/app/hop_codec.cpp
+++ b/src/app/hop_codec.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/node/hop_codec.hpp>
 
-#include <utility> // move
+#include <algorithm> // clamp
+#include <utility>   // move
 
 #include <absl/strings/numbers.h> // SimpleAtoi
 #include <absl/strings/str_cat.h> // StrCat
@@ -15,6 +16,8 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// no deadline of a configuration is as far away
+constexpr std::int64_t longest_ms = 3600 * 1000;
 constexpr int status_unavailable = 503;
 constexpr int status_unknown = 504;
 constexpr char const * role_own = "own";
@@ -123,7 +126,8 @@
         reason = missing(header_names::request_id);
         return std::nullopt;
     }
-    content.deadline = now + milliseconds(*left);
+    content.deadline =
+        now + milliseconds(std::clamp<std::int64_t>(*left, 0, longest_ms));
     content.urgency = read_priority(headers);
     content.repeatable = read_text(headers, header_names::repeatable) == "1";
     content.suspect = read_text(headers, header_names::suspect) == "1";
--- a/src/app/ingress_handler.cpp
+++ b/src/app/ingress_handler.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/node/ingress_handler.hpp>
 
-#include <algorithm> // min, max
+#include <algorithm> // clamp
 #include <utility>   // move
 
 #include <absl/strings/numbers.h> // SimpleAtoi
@@ -70,8 +70,8 @@
     {
         return configured;
     }
-    return std::min<duration>(milliseconds(std::max<std::int64_t>(0, asked_ms)),
-                              configured);
+    auto const configured_ms = duration_cast<milliseconds>(configured).count();
+    return milliseconds(std::clamp<std::int64_t>(asked_ms, 0, configured_ms));
 }
 
 int requested_depth(http_headers const & headers)
@@ -86,11 +86,13 @@
 ingress_handler::ingress_handler(request_id_source & names,
                                  configuration_holder const & configured,
                                  request_router & placing,
+                                 keyed_router & owning,
                                  metrics & counted,
                                  clock const & source)
     : ids(names)
     , current(configured)
     , router(placing)
+    , keyed(owning)
     , recorded(counted)
     , time(source)
 {
@@ -105,9 +107,7 @@
     if (auto read_request = this->read(std::move(message), result))
     {
         read_request->id = id;
-        // one that may not be repeated runs to its end without its caller
-        int const watched = read_request->repeatable ? connection.socket : -1;
-        result = this->router.route(*read_request, watched);
+        result = this->route(*read_request, connection.socket);
         this->recorded.record(
             read_request->service, result.kind, this->time.now() - start);
     }
@@ -119,6 +119,17 @@
     return response;
 }
 
+outcome ingress_handler::route(request const & incoming, int caller_socket)
+{
+    if (incoming.key.has_value() && !incoming.repeatable)
+    {
+        return this->keyed.route(incoming);
+    }
+    // one that may not be repeated runs to its end without its caller
+    return this->router.route(incoming,
+                              incoming.repeatable ? caller_socket : -1);
+}
+
 std::optional<request> ingress_handler::read(http_request message,
                                              outcome & refusal)
 {
--- a/src/app/node_parts.cpp
+++ b/src/app/node_parts.cpp
@@ -5,6 +5,8 @@
 #include <absl/time/clock.h> // SleepFor
 #include <absl/time/time.h>  // Milliseconds
 
+#include <endivehinge/detail/log/log.hpp>
+
 namespace endivehinge::detail
 {
 namespace
@@ -16,9 +18,17 @@
 constexpr absl::Duration self_check_interval = absl::Milliseconds(100);
 // others stop sending to a node that leaves within this time
 constexpr absl::Duration leave_notice = absl::Seconds(2);
+// the next owners of the keys have the records within this time
+constexpr absl::Duration key_handover_patience = absl::Seconds(5);
 // one number for TCP and UDP: a free one may be taken for the other
 constexpr int most_port_tries = 16;
 
+logger const & node_log()
+{
+    static logger const instance("node");
+    return instance;
+}
+
 incarnation this_run(clock const & time)
 {
     return incarnation(
@@ -48,6 +58,25 @@
                                           *this->members,
                                           this->calls,
                                           this->quarantine))
+    , ownership({given.name, this->run},
+                given.service,
+                lease_timing(),
+                idempotency_limits(),
+                this->time)
+    , leases(std::make_unique<ownership_service>(
+          owner_identity{given.name, this->run},
+          given.service,
+          this->ownership,
+          *this->members,
+          this->store,
+          this->calls,
+          this->time))
+    , locator(given.service,
+              this->ownership,
+              *this->members,
+              this->store,
+              this->calls,
+              this->time)
     , log(this->run, this->time)
     , ids(given.name, this->run)
     , quarantine(this->time)
@@ -63,9 +92,20 @@
               this->policy,
               this->time})
     , recorded(this->configured, this->time)
-    , ingress(
-          this->ids, this->configured, this->router, this->recorded, this->time)
-    , peers(this->executor, this->log, this->time)
+    , keyed(given.name,
+            {this->locator,
+             this->ownership,
+             this->router,
+             this->remote,
+             this->ids,
+             this->time})
+    , ingress(this->ids,
+              this->configured,
+              this->router,
+              this->keyed,
+              this->recorded,
+              this->time)
+    , peers(this->executor, this->keyed, this->ownership, this->log, this->time)
     , admin(this->executor, *this->members, this->configured, this->time)
 {
     this->admin.show(this->recorded);
@@ -78,6 +118,7 @@
     this->peer_server.reset();
     this->ingress_server.reset();
     this->control.reset();
+    this->leases->stop();
     this->marks->stop();
     this->contacts->stop();
     this->members->stop();
@@ -111,6 +152,11 @@
     }
     this->announce_self();
     this->ingress_server->close_connections_after_answers();
+    if (!this->leases->leave(key_handover_patience))
+    {
+        // with the whole service leaving there is no next owner
+        node_log().warning("The keys were not handed over.");
+    }
     absl::SleepFor(leave_notice);
     absl::Duration const patience =
         absl::FromChrono(this->settings.shutdown_deadline);
@@ -139,6 +185,7 @@
 {
     control_handlers handlers;
     handlers.configuration = this->configuration.get();
+    handlers.lease = &this->ownership;
     handlers.marks = this->marks.get();
     this->control = control_server::start(
         this->settings.control, handlers, control_limits(), reason);
@@ -171,6 +218,7 @@
     this->contacts->start();
     this->configuration->start();
     this->marks->start();
+    this->leases->start();
     this->self_check = std::thread(&node_parts::watch_self, this);
 }
 
@@ -191,8 +239,7 @@
 void node_parts::announce_self()
 {
     target_status const target = this->executor.status();
-    this->executor.set_drained(this->configured.current()->is_drained(
-        this->settings.domain, this->settings.name));
+    this->apply_configuration();
     member self;
     self.name = this->settings.name;
     self.run = this->run;
@@ -207,6 +254,17 @@
     this->members->set_configuration_version(this->configuration->version());
 }
 
+void node_parts::apply_configuration()
+{
+    auto const in_force = this->configured.current();
+    this->executor.set_drained(
+        in_force->is_drained(this->settings.domain, this->settings.name));
+    if (auto const * const service = in_force->find(this->settings.service))
+    {
+        this->ownership.set_window(service->idempotency_window);
+    }
+}
+
 bool node_parts::takes_work(target_status const & target) const
 {
     bool const is_fresh =
--- a/src/app/peer_handler.cpp
+++ b/src/app/peer_handler.cpp
@@ -23,9 +23,13 @@
 } // namespace
 
 peer_handler::peer_handler(local_executor & local,
+                           keyed_router & owning,
+                           key_ownership & epochs,
                            execution_log & records,
                            clock const & source)
     : executor(local)
+    , keyed(owning)
+    , ownership(epochs)
     , log(records)
     , time(source)
 {
@@ -89,12 +93,27 @@
 
 outcome peer_handler::start(hop_request const & hop, int caller_socket)
 {
-    // one that may not be repeated runs to its end: if the connection was
-    // lost, its sender asks for the outcome
-    int const watched = hop.content.repeatable ? caller_socket : -1;
-    outcome result = this->executor.execute(hop.content, watched);
+    outcome result = this->take_part(hop, caller_socket);
     this->log.finish(hop.try_id, result);
     return result;
 }
 
+outcome peer_handler::take_part(hop_request const & hop, int caller_socket)
+{
+    request const & content = hop.content;
+    if (hop.role == hop_role::own)
+    {
+        return this->keyed.execute_as_owner(content);
+    }
+    if (content.owner_epoch.has_value() &&
+        !this->ownership.admits(*content.owner_epoch))
+    {
+        return refuse(failure_id::stale_epoch, "the key has a newer owner");
+    }
+    // one that may not be repeated runs to its end: if the connection was
+    // lost, its sender asks for the outcome
+    int const watched = content.repeatable ? caller_socket : -1;
+    return this->executor.execute(content, watched);
+}
+
 } // namespace endivehinge::detail
