Doubt a keeper that others came between

Cause: a keeper whose lease had lapsed, and whom a later keeper named again before it looked at the platform, took itself for the keeper all along. It granted a new epoch while owners held leases of the one in between, which it had never heard of. The history check did not reach this order of events; a review did.

Change: what another wrote ends the keeper's part until it has written itself, and it then waits for the leases that may have been granted. An object that was removed does not take its epochs back. The keeper's own owner adopts a new epoch at once. Tests of the messages between nodes.

Conclusion: the history check needs more appointments after takeovers.

--- a/src/app/key_ownership.cpp
+++ b/src/app/key_ownership.cpp
@@ -242,8 +242,13 @@
     absl::MutexLock lock(&this->mutex);
     time_point const now = this->time.now();
     this->keeper.on_written(result, version, now);
-    // a new epoch waits for this owner too
-    this->owner.lease().renew_soon(now);
+    if (result == write_result::done)
+    {
+        // a new epoch waits for this owner too
+        this->take_locked({std::nullopt, this->keeper.current(), false, {}},
+                          now);
+        this->owner.lease().renew_soon(now);
+    }
 }
 
 std::vector<record_handover> key_ownership::take_handovers()
--- a/src/coordination/lease_keeper.cpp
+++ b/src/coordination/lease_keeper.cpp
@@ -306,9 +306,10 @@
     {
         this->version = seen.version;
         this->version_seen = now;
-        this->known = seen.value;
-        this->keeps =
-            this->keeps && seen.value.has_value() && this->is_own(*seen.value);
+        // an object that was removed does not take its epochs back
+        this->known = seen.value.has_value() ? seen.value : this->known;
+        // others may have kept in between
+        this->keeps = false;
     }
     if (this->keeps)
     {
--- a/tests/src/unit-lease-keeper.cpp
+++ b/tests/src/unit-lease-keeper.cpp
@@ -191,6 +191,54 @@
         this->other.renew({b, epoch(3), false}, this->now).span.has_value());
 }
 
+TEST_F(lease, a_removed_object_does_not_take_its_epochs_back)
+{
+    this->join();
+    this->serve(this->other);
+    this->object.reset();
+    this->version = 0;
+    this->serve(this->other);
+    EXPECT_FALSE(this->other.is_keeper(this->now));
+    for (int step = 0; step < 4; ++step)
+    {
+        this->now += timing.platform_read * 5;
+        this->serve(this->other);
+    }
+    ASSERT_TRUE(this->other.is_keeper(this->now));
+    EXPECT_EQ(this->object->number, epoch(3));
+}
+
+// it has not heard of the keeper in between, and kept the same service before
+TEST_F(lease, a_keeper_that_is_named_again_waits_for_the_leases_in_between)
+{
+    auto const is_granted_by_other =
+        [this](owner_identity const & node, std::uint64_t adopted)
+    {
+        return this->other.renew({node, epoch(adopted), false}, this->now)
+            .span.has_value();
+    };
+    this->join();
+    this->serve(this->other);
+    this->now += timing.longer(timing.keeper_lease);
+    this->serve(this->other);
+    EXPECT_TRUE(is_granted_by_other(b, 3));
+    EXPECT_FALSE(is_granted_by_other(a, 2));
+    this->now += timing.least_epoch;
+    this->serve(this->other);
+    EXPECT_FALSE(is_granted_by_other(a, 4));
+    EXPECT_TRUE(is_granted_by_other(b, 4));
+    this->other.leave();
+    this->now += timing.least_epoch;
+    this->serve(this->other);
+    ASSERT_EQ(this->object->keeper, a);
+    ASSERT_EQ(this->object->number, epoch(5));
+    this->serve(this->keeper);
+    ASSERT_TRUE(this->keeper.is_keeper(this->now));
+    EXPECT_FALSE(this->is_granted(a, 5)) << "b acts under epoch 4";
+    this->now += timing.longer(timing.owner_lease);
+    EXPECT_TRUE(this->is_granted(a, 5));
+}
+
 assignment make_assignment(std::uint64_t number,
                            std::vector<owner_identity> members)
 {
