--- a/tests/src/simulation/owner_group.cpp
+++ b/tests/src/simulation/owner_group.cpp
@@ -15,7 +15,6 @@
 
 constexpr milliseconds tick_interval(50);
 constexpr milliseconds network_delay(30);
-constexpr milliseconds platform_timeout(2000);
 constexpr double greatest_rate_error = 0.004;
 
 } // namespace
@@ -145,6 +144,13 @@
     {
         return;
     }
+    node const * const receiver = this->find(to);
+    bool const is_cut =
+        receiver != nullptr && this->events.now() < receiver->network_cut_until;
+    if (is_cut)
+    {
+        return;
+    }
     duration delay = this->between(milliseconds(1), network_delay);
     if (this->faults.lost_messages && this->chance(0.05))
     {
@@ -224,110 +230,6 @@
     this->send(to, answer);
 }
 
-void owner_group::call_platform(node & one)
-{
-    moment const at = this->read(one);
-    bool const answers = at.now - one.answered < seconds(2);
-    auto const call = one.keeper->next_call(at.now, answers);
-    if (!call.has_value())
-    {
-        return;
-    }
-    owner_identity const caller = one.identity;
-    this->events.after(this->between(milliseconds(1), network_delay),
-                       [this, caller, call]()
-                       {
-                           call->value.has_value()
-                               ? this->write_platform(caller, *call)
-                               : this->read_platform(caller);
-                       });
-}
-
-void owner_group::read_platform(owner_identity const & caller)
-{
-    ++this->history.platform_reads;
-    bool const is_down = this->events.now() < this->platform_down_until;
-    stored_assignment const seen{this->object,
-                                 object_version(this->object_number)};
-    this->events.after(is_down ? platform_timeout
-                               : this->between(milliseconds(1), network_delay),
-                       [this, caller, seen, is_down]()
-                       {
-                           this->at(caller,
-                                    [this, seen, is_down](node & one)
-                                    {
-                                        time_point const now =
-                                            this->read(one).now;
-                                        is_down
-                                            ? one.keeper->on_read_failed(now)
-                                            : one.keeper->on_read(seen, now);
-                                    });
-                       });
-}
-
-void owner_group::write_platform(owner_identity const & caller,
-                                 store_call const & call)
-{
-    ++this->history.platform_writes;
-    bool const is_down = this->events.now() < this->platform_down_until;
-    bool const is_lost = this->faults.lost_writes && this->chance(0.1);
-    if (!is_down && !is_lost)
-    {
-        this->apply(caller, call, true);
-        return;
-    }
-    // some take effect all the same, some of them late
-    if (this->faults.lost_writes && this->chance(0.7))
-    {
-        this->events.after(this->between(seconds(0), seconds(8)),
-                           [this, caller, call]()
-                           {
-                               this->apply(caller, call, false);
-                           });
-    }
-    this->events.after(platform_timeout,
-                       [this, caller]()
-                       {
-                           this->at(caller,
-                                    [this](node & one)
-                                    {
-                                        one.keeper->on_written(
-                                            write_result::unknown,
-                                            object_version(),
-                                            this->read(one).now);
-                                    });
-                       });
-}
-
-void owner_group::apply(owner_identity const & caller,
-                        store_call const & call,
-                        bool tells)
-{
-    bool const fits = call.expected.value() == this->object_number;
-    if (fits)
-    {
-        this->object = call.value;
-        ++this->object_number;
-    }
-    if (!tells)
-    {
-        return;
-    }
-    object_version const version(this->object_number);
-    auto const result = fits ? write_result::done : write_result::conflict;
-    this->events.after(this->between(milliseconds(1), network_delay),
-                       [this, caller, result, version]()
-                       {
-                           this->at(
-                               caller,
-                               [this, result, version](node & one)
-                               {
-                                   one.keeper->on_written(
-                                       result, version, this->read(one).now);
-                               });
-                       });
-}
-
 void owner_group::send_handovers(node & one)
 {
     for (auto & handed : one.owner->take_handovers())
@@ -346,7 +248,7 @@
 {
     std::size_t const index = this->random() % node_count;
     node & one = this->nodes[index];
-    switch (this->random() % 4)
+    switch (this->random() % 6)
     {
     case 0:
         if (this->faults.pauses)
@@ -368,6 +270,20 @@
                 this->events.now() + this->between(seconds(0), seconds(15));
         }
         break;
+    case 3:
+        if (this->faults.cuts)
+        {
+            one.platform_cut_until =
+                this->events.now() + this->between(seconds(0), seconds(30));
+        }
+        break;
+    case 4:
+        if (this->faults.cuts)
+        {
+            one.network_cut_until =
+                this->events.now() + this->between(seconds(0), seconds(20));
+        }
+        break;
     default:
         if (this->faults.leaves && one.is_up)
         {
--- a/tests/src/simulation/owner_group.hpp
+++ b/tests/src/simulation/owner_group.hpp
@@ -32,6 +32,7 @@
     bool pauses = false;      // also between reading a clock and acting on it
     bool crashes = false;
     bool leaves = false;
+    bool cuts = false; // of one node, from the platform or the others
 };
 
 /// @brief what happened, as the callers and the targets saw it
@@ -72,6 +73,8 @@
         std::unique_ptr<key_owner> owner;
         bool is_up = false;
         duration paused_until{0};
+        duration platform_cut_until{0};
+        duration network_cut_until{0};
         time_point answered;
         // what came in while it was paused
         std::deque<std::function<void()>> waiting;
@@ -96,6 +99,7 @@
     void tick(std::size_t index, owner_identity const & identity);
     void renew(node & one);
     void call_platform(node & one);
+    bool reaches_platform(owner_identity const & caller);
     void read_platform(owner_identity const & caller);
     void write_platform(owner_identity const & caller, store_call const & call);
     void
--- a/tests/src/unit-owner-group.cpp
+++ b/tests/src/unit-owner-group.cpp
@@ -1,5 +1,6 @@
-#include <iostream> // cout
-#include <ostream>  // ostream
+#include <initializer_list> // initializer_list
+#include <iostream>         // cout
+#include <ostream>          // ostream
 
 #include <gtest/gtest.h>
 
@@ -22,15 +23,37 @@
     return out << one.name;
 }
 
+fault_plan make_plan(std::initializer_list<bool fault_plan::*> faults)
+{
+    fault_plan plan;
+    for (auto const fault : faults)
+    {
+        plan.*fault = true;
+    }
+    return plan;
+}
+
+using plan = fault_plan;
+
 group_case const cases[] = {
     {"calm", {}, 5},
-    {"lost_messages", {true, false, false, false, false, false}, 20},
-    {"lost_writes", {false, true, false, false, false, false}, 20},
-    {"outages", {false, true, true, false, false, false}, 20},
-    {"pauses", {false, false, false, true, false, false}, 30},
-    {"crashes", {false, false, false, false, true, false}, 30},
-    {"leaves", {false, false, false, false, false, true}, 20},
-    {"all_at_once", {true, true, true, true, true, true}, 60},
+    {"lost_messages", make_plan({&plan::lost_messages}), 20},
+    {"lost_writes", make_plan({&plan::lost_writes}), 20},
+    {"outages", make_plan({&plan::lost_writes, &plan::outages}), 20},
+    {"pauses", make_plan({&plan::pauses}), 30},
+    {"crashes", make_plan({&plan::crashes}), 30},
+    {"leaves", make_plan({&plan::leaves}), 20},
+    {"cuts", make_plan({&plan::cuts}), 20},
+    {"cuts_and_leaves", make_plan({&plan::cuts, &plan::leaves}), 60},
+    {"all_at_once",
+     make_plan({&plan::lost_messages,
+                &plan::lost_writes,
+                &plan::outages,
+                &plan::pauses,
+                &plan::crashes,
+                &plan::leaves,
+                &plan::cuts}),
+     60},
 };
 
 class owner_history : public ::testing::TestWithParam<group_case>
