Say that a refused attempt tells nothing of earlier ones

Cause: a node without a lease refuses a key as not run without a look at its record; an earlier attempt with the key may have run.

Conclusion: the callers' page has to say the same.

--- a/src/app/key_ownership.cpp
+++ b/src/app/key_ownership.cpp
@@ -304,11 +304,12 @@
     {
     case owner_refusal::lease_expired:
         return refusal(failure_id::lease_expired,
-                       "this node holds no lease on its keys now",
+                       "this attempt did not run; no lease on the key now",
                        lease_retry_after);
     case owner_refusal::not_owner:
-        return refusal(
-            failure_id::stale_epoch, "another node owns the key", duration(0));
+        return refusal(failure_id::stale_epoch,
+                       "this attempt did not run; another node owns the key",
+                       duration(0));
     case owner_refusal::none:
         break;
     }
