Keep expired keys unknown when the window grows

Cause: with a longer validity window a stamped key whose record had expired under the shorter one lay within the window, without a record: it would have run again.

Change: the table remembers since when its records are whole under the longer window.

--- a/include/endivehinge/coordination/idempotency_table.hpp
+++ b/include/endivehinge/coordination/idempotency_table.hpp
@@ -82,7 +82,8 @@
                         moment const & at);
 
     /// @brief changes how long keys are kept from now on
-    void set_window(duration window);
+    /// @note a longer window does not bring back what has expired
+    void set_window(duration window, moment const & at);
 
     /// @brief the keys that are held
     [[nodiscard]] std::size_t size() const;
@@ -122,6 +123,8 @@
     // settled keys, the first recorded first
     std::deque<ending> endings;
     std::size_t bytes = 0;
+    // uses before that may have expired under a shorter window
+    wall_time kept_since = wall_time::min();
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/coordination/key_owner.hpp
+++ b/include/endivehinge/coordination/key_owner.hpp
@@ -78,7 +78,7 @@
     [[nodiscard]] std::vector<record_handover> take_handovers();
 
     /// @brief changes how long keys are valid from now on
-    void set_window(duration window);
+    void set_window(duration window, moment const & at);
 
     /// @brief the lease
     [[nodiscard]] lease_holder & lease();
--- a/src/app/key_ownership.cpp
+++ b/src/app/key_ownership.cpp
@@ -128,7 +128,7 @@
 void key_ownership::set_window(duration window)
 {
     absl::MutexLock lock(&this->mutex);
-    this->owner.set_window(window);
+    this->owner.set_window(window, moment::of(this->time));
 }
 
 bool key_ownership::renew_lease(wire::lease_request const & asked,
--- a/src/coordination/idempotency_table.cpp
+++ b/src/coordination/idempotency_table.cpp
@@ -145,8 +145,13 @@
     }
 }
 
-void idempotency_table::set_window(duration window)
+void idempotency_table::set_window(duration window, moment const & at)
 {
+    if (window > this->limits.window)
+    {
+        this->kept_since =
+            std::max(this->kept_since, at.wall - this->limits.window);
+    }
     this->limits.window = window;
 }
 
@@ -175,7 +180,7 @@
         return !whole_since.has_value();
     }
     // records of uses before that have expired
-    wall_time since = at.wall - this->limits.window;
+    wall_time since = std::max(this->kept_since, at.wall - this->limits.window);
     if (whole_since.has_value())
     {
         since = std::max(since, *whole_since);
--- a/src/coordination/key_owner.cpp
+++ b/src/coordination/key_owner.cpp
@@ -102,9 +102,9 @@
     return std::exchange(this->outgoing, {});
 }
 
-void key_owner::set_window(duration window)
+void key_owner::set_window(duration window, moment const & at)
 {
-    this->table.set_window(window);
+    this->table.set_window(window, at);
     this->holder.coverage().set_window(window);
 }
 
--- a/tests/src/unit-idempotency-table.cpp
+++ b/tests/src/unit-idempotency-table.cpp
@@ -160,6 +160,17 @@
     EXPECT_EQ(this->table.size(), 0U);
 }
 
+TEST_F(idempotency, a_longer_window_does_not_make_an_expired_key_new)
+{
+    EXPECT_EQ(this->use(this->key), key_decision::started);
+    this->table.finish(this->key, answer("a"), start);
+    auto const later = after(minutes(11));
+    EXPECT_EQ(this->use(this->key, later), key_decision::indeterminate);
+    this->table.set_window(minutes(60), later);
+    EXPECT_EQ(this->use(this->key, later), key_decision::indeterminate);
+    EXPECT_EQ(this->use(stamped(later.wall), later), key_decision::started);
+}
+
 TEST_F(idempotency, at_the_bound_new_keys_are_refused_and_none_is_dropped)
 {
     for (unsigned int number = 1; number <= 3; ++number)
