--- a/src/app/key_ownership.cpp
+++ b/src/app/key_ownership.cpp
@@ -128,7 +128,7 @@
 void key_ownership::set_window(duration window)
 {
     absl::MutexLock lock(&this->mutex);
-    this->owner.set_window(window);
+    this->owner.set_window(window, moment::of(this->time));
 }
 
 bool key_ownership::renew_lease(wire::lease_request const & asked,
@@ -242,8 +242,13 @@
     absl::MutexLock lock(&this->mutex);
     time_point const now = this->time.now();
     this->keeper.on_written(result, version, now);
-    // a new epoch waits for this owner too
-    this->owner.lease().renew_soon(now);
+    if (result == write_result::done)
+    {
+        // a new epoch waits for this owner too
+        this->take_locked({std::nullopt, this->keeper.current(), false, {}},
+                          now);
+        this->owner.lease().renew_soon(now);
+    }
 }
 
 std::vector<record_handover> key_ownership::take_handovers()
@@ -299,11 +304,12 @@
     {
     case owner_refusal::lease_expired:
         return refusal(failure_id::lease_expired,
-                       "this node holds no lease on its keys now",
+                       "this attempt did not run; no lease on the key now",
                        lease_retry_after);
     case owner_refusal::not_owner:
-        return refusal(
-            failure_id::stale_epoch, "another node owns the key", duration(0));
+        return refusal(failure_id::stale_epoch,
+                       "this attempt did not run; another node owns the key",
+                       duration(0));
     case owner_refusal::none:
         break;
     }
