--- a/tools/common/chain_caller.cpp
+++ b/tools/common/chain_caller.cpp
@@ -2,8 +2,8 @@
 
 #include <utility> // move
 
-#include <absl/strings/numbers.h> // SimpleAtoi
 #include <absl/strings/str_cat.h> // StrCat
+#include <absl/time/clock.h>      // Now
 
 #include <common/json_response.hpp>
 #include <endivehinge/core/header_names.hpp>
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr std::int64_t longest_timeout_ms = 30000;
-
 void forward(http_request const & above, http_request & next, char const * name)
 {
     if (auto const * const value = above.headers.find(name))
@@ -23,15 +21,6 @@
     }
 }
 
-std::int64_t timeout_ms(http_request const & message)
-{
-    auto const * const text = message.headers.find(header_names::timeout_ms);
-    std::int64_t value = 0;
-    return text != nullptr && absl::SimpleAtoi(*text, &value)
-               ? value
-               : longest_timeout_ms;
-}
-
 } // namespace
 
 chain_caller::chain_caller(std::optional<endpoint> ingress)
@@ -39,13 +28,16 @@
 {
 }
 
-bool chain_caller::call(http_request const & above, request_marks const & marks)
+bool chain_caller::call(http_request const & above,
+                        request_marks const & marks,
+                        absl::Time deadline)
 {
     if (marks.chain.empty())
     {
         return true;
     }
-    if (!this->node.has_value())
+    auto const left = absl::ToInt64Milliseconds(deadline - absl::Now());
+    if (!this->node.has_value() || left <= 0)
     {
         return false;
     }
@@ -58,11 +50,11 @@
     next.method = "GET";
     next.path =
         absl::StrCat("/", marks.chain.front(), "/chain", write_marks(rest));
-    forward(above, next, header_names::timeout_ms);
+    next.headers.set(header_names::timeout_ms, absl::StrCat(left));
     forward(above, next, header_names::depth);
     forward(above, next, header_names::priority);
     detail::http_exchange_options options;
-    options.timeout = std::chrono::milliseconds(timeout_ms(above));
+    options.timeout = std::chrono::milliseconds(left);
     detail::http_exchange_report report;
     failure reason;
     auto const answer =
--- a/tools/common/chain_caller.hpp
+++ b/tools/common/chain_caller.hpp
@@ -3,6 +3,8 @@
 
 #include <optional> // optional
 
+#include <absl/time/time.h> // Time
+
 #include <common/request_marks.hpp>
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/detail/http/http_client.hpp>
@@ -19,11 +21,13 @@
     explicit chain_caller(std::optional<endpoint> ingress);
 
     /// @brief calls the first service of the chain, which calls the rest
-    /// @param above the request that makes the call; its deadline, depth and
-    ///        priority go along
+    /// @param above the request that makes the call; its depth and priority
+    ///        go along
+    /// @param deadline what is left until then goes along
     /// @return whether the chain is empty or was answered with success
     [[nodiscard]] bool call(http_request const & above,
-                            request_marks const & marks);
+                            request_marks const & marks,
+                            absl::Time deadline);
 
 private:
     std::optional<endpoint> node;
--- a/tools/common/local_deployment.cpp
+++ b/tools/common/local_deployment.cpp
@@ -153,6 +153,13 @@
     return next.relay == nullptr || control(*next.relay, link, reason);
 }
 
+bool local_deployment::restart_target(std::size_t index, failure & reason)
+{
+    auto & again = this->instances[index];
+    again.target.reset();
+    return this->start_target(again, reason);
+}
+
 bool local_deployment::wait_until_joined(absl::Duration patience)
 {
     absl::Time const deadline = absl::Now() + patience;
--- a/tools/common/local_deployment.hpp
+++ b/tools/common/local_deployment.hpp
@@ -65,6 +65,9 @@
     [[nodiscard]] bool start_instance(instance_plan const & plan,
                                       failure & reason);
 
+    /// @brief starts a new run of a target that has ended, beside its node
+    [[nodiscard]] bool restart_target(std::size_t index, failure & reason);
+
     /// @brief waits until every node places requests on all instances
     [[nodiscard]] bool wait_until_joined(absl::Duration patience);
 
--- a/tools/common/target_handler.cpp
+++ b/tools/common/target_handler.cpp
@@ -163,12 +163,14 @@
            !this->most_running.compare_exchange_weak(most, running))
     {
     }
-    http_response response = this->run(message, connection);
+    http_response response =
+        this->run(message, deadline_of(message, now), connection);
     this->slots.leave();
     return response;
 }
 
 http_response target_handler::run(http_request const & message,
+                                  absl::Time deadline,
                                   detail::http_connection connection)
 {
     ++this->started;
@@ -182,7 +184,7 @@
     this->wait_while_frozen(connection);
     bool const done = this->work(connection);
     bool const chained =
-        done && this->chain.call(message, read_marks(message.path));
+        done && this->chain.call(message, read_marks(message.path), deadline);
     this->stopped += done ? 0 : 1;
     this->write(history_event::finish, message);
     http_response response = answer(message, this->name);
--- a/tools/common/target_handler.hpp
+++ b/tools/common/target_handler.hpp
@@ -59,6 +59,7 @@
     http_response admit(http_request const & message,
                         detail::http_connection connection);
     http_response run(http_request const & message,
+                      absl::Time deadline,
                       detail::http_connection connection);
     bool work(detail::http_connection connection);
     void wait_while_frozen(detail::http_connection connection) const;
