Take hedged requests out of the decisions

Cause: since a target with room no longer counts when it is a straggler, second tries for slow answers find nothing left to mend.

That is no worth for the load they add.

--- a/include/endivehinge/policy/retry_budget.hpp
+++ b/include/endivehinge/policy/retry_budget.hpp
@@ -13,7 +13,7 @@
 
 /// @brief bounds extra tries to a share of first tries
 ///
-/// One for each node and kind of extra try (retries, hedges). In a chain of
+/// One for each node, or for each service at a node. In a chain of
 /// calls a refusal is retried only by the node that placed the refused
 /// request; to the node above it is an answer. So each level adds its share
 /// at most, and levels do not multiply.
--- a/include/endivehinge/policy/ticket.hpp
+++ b/include/endivehinge/policy/ticket.hpp
@@ -20,8 +20,6 @@
     ticket_id id;
     priority urgency = priority::interactive;
     time_point deadline;
-    // a hedge starts at once or not at all
-    bool may_wait = true;
 };
 
 } // namespace endivehinge
--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -252,7 +252,7 @@
 {
     duration const wait =
         this->expected_wait(this->queue.count_ahead(candidate), now);
-    if (!candidate.may_wait || this->is_too_long(candidate, wait, now) ||
+    if (this->is_too_long(candidate, wait, now) ||
         !this->make_room_for(candidate, now))
     {
         return this->refuse(failure_id::overloaded, now);
--- a/src/policy/admission_queue.cpp
+++ b/src/policy/admission_queue.cpp
@@ -70,8 +70,7 @@
     ticket_info const next_priority{
         {},
         static_cast<priority>(static_cast<int>(ticket.urgency) + 1),
-        time_point::min(),
-        true};
+        time_point::min()};
     auto const behind = std::distance(this->ordered.lower_bound(ticket),
                                       this->ordered.lower_bound(next_priority));
     return not_after - static_cast<std::size_t>(behind);
