--- a/include/endivehinge/policy/link_subset.hpp
+++ b/include/endivehinge/policy/link_subset.hpp
@@ -36,8 +36,8 @@
 /// @param self the node that keeps the links
 /// @param candidates the targets of the service
 /// @return the nodes to link to; at least one from each side that has any
-/// @note pure; the bound holds by a margin for chance while a service has
-/// fewer callers than links_per_target times its targets
+/// @note pure; the bound holds, with a margin for chance, up to 90 callers for
+/// each target: beyond, two links a caller are already too many
 [[nodiscard]] std::vector<node_name>
 choose_links(node_name const & self,
              std::vector<link_candidate> const & candidates,
