Bound the fleet's reads of contacts

Cause: each node read the contacts once a minute, 92 reads a second at 5,500 nodes and growing with the fleet. Change: a node waits at least 20 ms for each member between reads, so that the fleet reads at most 50 times a second.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -307,9 +307,10 @@
 
 double platform_reads_per_s(std::size_t members)
 {
-    detail::contact_list_options const options;
+    duration const interval =
+        detail::joined_read_interval(detail::contact_list_options(), members);
     return static_cast<double>(members) /
-           std::chrono::duration<double>(options.joined_interval).count();
+           std::chrono::duration<double>(interval).count();
 }
 
 void print(std::size_t members,
--- a/include/endivehinge/detail/membership/contact_list.hpp
+++ b/include/endivehinge/detail/membership/contact_list.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_MEMBERSHIP_CONTACT_LIST_HPP
 #define ENDIVEHINGE_DETAIL_MEMBERSHIP_CONTACT_LIST_HPP
 
+#include <cstddef> // size_t
 #include <cstdint> // uint64_t
 #include <string>  // string
 #include <thread>  // thread
@@ -25,8 +26,10 @@
 /// @brief how often contacts are read and written
 struct contact_list_options
 {
-    // with 5,500 nodes: 92 reads a second
     duration joined_interval = std::chrono::seconds(60);
+    // more time between reads with more members, so that the reads of the
+    // fleet do not grow with it: at most 50 a second
+    duration joined_interval_per_member = std::chrono::milliseconds(20);
     duration min_retry = std::chrono::milliseconds(500);
     duration max_retry = std::chrono::seconds(30);
     // a node waits a random part of this, and reads again, before it writes
@@ -36,6 +39,10 @@
     std::uint64_t patient_rounds = 3;
 };
 
+/// @brief the mean time between two reads of a node that has joined
+[[nodiscard]] duration
+joined_read_interval(contact_list_options const & options, std::size_t members);
+
 /// @brief keeps contact nodes in the platform, one object a failure domain,
 ///        and joins through them
 /// @note one thread; an outage of the platform only delays it
--- a/src/adapters/membership/contact_list.cpp
+++ b/src/adapters/membership/contact_list.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/membership/contact_list.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 #include <utility>   // move
 
 #include <absl/random/distributions.h> // Uniform
@@ -78,6 +78,14 @@
     return found;
 }
 
+duration joined_read_interval(contact_list_options const & options,
+                              std::size_t members)
+{
+    return std::max(options.joined_interval,
+                    options.joined_interval_per_member *
+                        static_cast<duration::rep>(members));
+}
+
 contact_list::contact_list(object_store & platform,
                            membership_service & joined,
                            contact_list_options chosen)
@@ -117,7 +125,9 @@
         bool const has_read = this->read_all();
         bool const is_settled = has_read && this->members.has_joined();
         duration const span =
-            is_settled ? this->options.joined_interval : retry;
+            is_settled ? joined_read_interval(this->options,
+                                              this->members.snapshot()->size())
+                       : retry;
         retry = is_settled ? this->options.min_retry
                            : std::min(2 * retry, this->options.max_retry);
         if (!this->wait(this->jitter(span)))
