--- a/src/app/admin_handler.cpp
+++ b/src/app/admin_handler.cpp
@@ -4,7 +4,8 @@
 #include <string>    // string
 #include <vector>    // vector
 
-#include <nlohmann/json.hpp> // json
+#include <absl/strings/str_cat.h> // StrAppend
+#include <nlohmann/json.hpp>      // json
 
 namespace endivehinge::detail
 {
@@ -51,6 +52,12 @@
     return sorted;
 }
 
+void append_gauge(std::string & out, char const * name, double value)
+{
+    absl::StrAppend(&out, "# TYPE endivehinge_", name, " gauge\n");
+    absl::StrAppend(&out, "endivehinge_", name, " ", value, "\n");
+}
+
 std::int64_t whole_seconds(duration span)
 {
     return std::chrono::duration_cast<std::chrono::seconds>(span).count();
@@ -140,12 +147,15 @@
     }
     auto const configured = this->current.current();
     auto const target = this->executor.status();
+    load_signal const load = this->executor.load();
     return json_response(
         status_ok,
         {{"configuration_version", configured->version.value()},
          {"drained_failure_domains", names_of(configured->drained_domains)},
          {"drained_targets", names_of(configured->drained_targets)},
          {"target_slots", target.slots},
+         {"target_in_flight", load.in_flight},
+         {"target_limit", load.limit},
          {"members", list}});
 }
 
@@ -159,6 +169,9 @@
     response.status = status_ok;
     response.headers.set("Content-Type", "text/plain; version=0.0.4");
     response.body = this->recorded->exposition();
+    load_signal const load = this->executor.load();
+    append_gauge(response.body, "target_in_flight", load.in_flight);
+    append_gauge(response.body, "target_limit", load.limit);
     return response;
 }
 
--- a/tests/src/system-operators.cpp
+++ b/tests/src/system-operators.cpp
@@ -239,7 +239,29 @@
 
 TEST_F(operators, see_metrics_and_burn)
 {
-    EXPECT_EQ(this->run("burn" + this->to_nodes()).code, 0);
+    detail::http_client client{detail::http_client_limits()};
+    detail::http_exchange_options options;
+    options.timeout = std::chrono::seconds(5);
+    detail::http_exchange_report report;
+    failure reason;
+    ASSERT_TRUE(client.exchange(this->deployment.ingress(0),
+                                {"GET", "/listings/today", {}, {}},
+                                options,
+                                report,
+                                reason));
+    auto const page = client.exchange(
+        {"127.0.0.1", this->deployment.instance(0).node->port("admin")},
+        {"GET", "/metrics", {}, {}},
+        options,
+        report,
+        reason);
+    ASSERT_TRUE(page.has_value());
+    EXPECT_THAT(page->body, HasSubstr("outcome=\"answered\"} 1\n"));
+    EXPECT_THAT(page->body, HasSubstr("endivehinge_target_limit "));
+    auto const burn = this->run("burn" + this->to_nodes());
+    EXPECT_EQ(burn.code, 0);
+    EXPECT_THAT(burn.output, HasSubstr("listings: 0.999 within 250 ms"));
+    EXPECT_THAT(burn.output, HasSubstr("1 requests"));
     EXPECT_EQ(this->run("burn").code, 2);
     EXPECT_EQ(this->run("version").code, 0);
     EXPECT_EQ(this->run("help").code, 0);
