--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -1,8 +1,7 @@
 #include <endivehinge/policy/admission_controller.hpp>
 
 #include <algorithm> // clamp, max, min
-#include <iterator>  // distance, prev
-#include <tuple>     // tie
+#include <iterator>  // prev
 #include <utility>   // exchange
 
 namespace endivehinge
@@ -13,28 +12,17 @@
 constexpr std::chrono::milliseconds shortest_retry_after(1);
 constexpr std::chrono::seconds longest_retry_after(5);
 constexpr std::chrono::milliseconds retry_after_without_target(100);
-constexpr std::size_t fewest_queue_places = 4;
 constexpr std::uint32_t reserved_for_internal_checks = 1;
-// a run this much older than usual tells of a stalled target
-constexpr int stalled_factor = 4;
+// how often the queue is looked through for those that would be late
+constexpr std::chrono::milliseconds review_interval(5);
 
 } // namespace
 
-bool admission_controller::by_urgency::operator()(ticket_info const & a,
-                                                  ticket_info const & b) const
-{
-    if (this->by_arrival)
-    {
-        return a.id < b.id;
-    }
-    return std::tie(a.urgency, a.deadline, a.id) <
-           std::tie(b.urgency, b.deadline, b.id);
-}
-
 admission_controller::admission_controller(admission_options chosen)
     : options(chosen)
     , concurrency(chosen.concurrency)
-    , queue(by_urgency{!chosen.order_by_urgency})
+    , queue(chosen.order_by_urgency ? queue_order::urgency
+                                    : queue_order::arrival)
 {
 }
 
@@ -73,13 +61,13 @@
         return this->refuse(failure_id::no_target, now);
     }
     // an idle target takes anything: a wrong estimate must not last
-    bool const idle = this->running.empty() && this->queue.empty();
+    bool const idle = this->running.empty() && this->queue.tickets().empty();
     if (offered.deadline <= now ||
         (!idle && this->would_be_late(offered, duration(0), now)))
     {
         return this->refuse(failure_id::deadline_too_near, now);
     }
-    if (this->has_place(offered) && this->goes_first(offered))
+    if (this->has_place(offered) && this->queue.goes_first(offered))
     {
         return this->start(offered, now);
     }
@@ -97,7 +85,7 @@
     }
     running_ticket const ended = found->second;
     auto const in_flight = this->running_count();
-    this->running.erase(found);
+    this->remove_running(id);
     switch (result)
     {
     case run_result::succeeded:
@@ -116,23 +104,20 @@
 
 void admission_controller::cancel(ticket_id id)
 {
-    this->running.erase(id);
-    if (auto const found = this->waiting.find(id); found != this->waiting.end())
-    {
-        this->queue.erase(found->second);
-        this->waiting.erase(found);
-    }
+    this->remove_running(id);
+    this->queue.erase(id);
 }
 
 std::vector<ready_ticket> admission_controller::take_ready(time_point now)
 {
     this->push_out_lost_ones(now);
+    this->push_out_late_ones(now);
     std::vector<ready_ticket> ready = std::exchange(this->pushed_out, {});
-    while (!this->queue.empty() && this->has_place(*this->queue.begin()))
+    while (!this->queue.tickets().empty() &&
+           this->has_place(*this->queue.tickets().begin()))
     {
-        ticket_info const next = this->waiting.at(this->queue.begin()->id);
-        this->queue.erase(this->queue.begin());
-        this->waiting.erase(next.id);
+        ticket_info const next = *this->queue.tickets().begin();
+        this->queue.erase(next.id);
         bool const idle = this->running.empty();
         bool const hopeless =
             next.deadline <= now ||
@@ -148,20 +133,13 @@
 load_signal admission_controller::load(time_point now) const
 {
     load_signal signal;
-    signal.in_flight =
-        static_cast<double>(this->running.size() + this->queue.size());
-    signal.limit = this->concurrency.value();
-    signal.latency = this->concurrency.recent_latency();
+    signal.in_flight = static_cast<double>(this->running.size() +
+                                           this->queue.tickets().size());
+    bool const open = this->admitting && this->is_target_open();
+    signal.limit = open ? this->concurrency.value() : 0;
+    signal.latency =
+        std::max(this->concurrency.recent_latency(), this->mean_age(now));
     signal.received = now;
-    duration oldest{0};
-    for (auto const & [id, ticket] : this->running)
-    {
-        oldest = std::max(oldest, now - ticket.started);
-    }
-    if (oldest > stalled_factor * signal.latency)
-    {
-        signal.latency = oldest;
-    }
     return signal;
 }
 
@@ -172,7 +150,7 @@
 
 std::uint32_t admission_controller::queued_count() const
 {
-    return static_cast<std::uint32_t>(this->queue.size());
+    return static_cast<std::uint32_t>(this->queue.tickets().size());
 }
 
 std::uint32_t admission_controller::limit() const
@@ -193,12 +171,6 @@
     return this->running.size() < places;
 }
 
-bool admission_controller::goes_first(ticket_info const & candidate) const
-{
-    return this->queue.empty() ||
-           this->queue.key_comp()(candidate, *this->queue.begin());
-}
-
 bool admission_controller::would_be_late(ticket_info const & candidate,
                                          duration wait,
                                          time_point now) const
@@ -207,32 +179,43 @@
            now + wait + this->expected_run(now) > candidate.deadline;
 }
 
-duration admission_controller::expected_run(time_point now) const
+// a long wait in time would use up what another target needs
+bool admission_controller::is_too_long(ticket_info const & candidate,
+                                       duration wait,
+                                       time_point now) const
 {
-    bool const is_old = now - this->last_answer > this->options.forget_after;
-    return is_old ? this->concurrency.low_latency()
-                  : this->concurrency.recent_latency();
+    auto const left = static_cast<double>((candidate.deadline - now).count());
+    return this->would_be_late(candidate, wait, now) ||
+           (this->options.bound_wait &&
+            static_cast<double>(wait.count()) >
+                this->options.patience_share * left);
 }
 
-duration admission_controller::expected_wait(std::size_t ahead,
-                                             time_point now) const
+duration admission_controller::expected_run(time_point now) const
 {
-    auto const turns = static_cast<duration::rep>(ahead + 1);
-    return this->expected_run(now) * turns / this->concurrency.value();
+    bool const is_old = now - this->last_answer > this->options.forget_after;
+    duration const measured = is_old ? this->concurrency.low_latency()
+                                     : this->concurrency.recent_latency();
+    return std::max(measured, this->mean_age(now));
 }
 
-std::size_t
-admission_controller::count_ahead(ticket_info const & candidate) const
+// above the usual time of a run where the target stalls: seen before any
+// answer comes
+duration admission_controller::mean_age(time_point now) const
 {
-    auto const place = this->queue.lower_bound(candidate);
-    return static_cast<std::size_t>(std::distance(this->queue.begin(), place));
+    if (this->running.empty())
+    {
+        return duration(0);
+    }
+    auto const count = static_cast<duration::rep>(this->running.size());
+    return now - this->first_start - (this->start_sum / count);
 }
 
-std::size_t admission_controller::queue_capacity() const
+duration admission_controller::expected_wait(std::size_t ahead,
+                                             time_point now) const
 {
-    auto const places = static_cast<std::size_t>(
-        this->options.queue_places_per_running * this->concurrency.value());
-    return std::max(places, fewest_queue_places);
+    auto const turns = static_cast<duration::rep>(ahead + 1);
+    return this->expected_run(now) * turns / this->concurrency.value();
 }
 
 admission_decision admission_controller::refuse(failure_id reason,
@@ -242,10 +225,10 @@
     if (reason == failure_id::overloaded ||
         reason == failure_id::deadline_too_near)
     {
-        retry_after =
-            std::clamp<duration>(this->expected_wait(this->queue.size(), now),
-                                 shortest_retry_after,
-                                 longest_retry_after);
+        retry_after = std::clamp<duration>(
+            this->expected_wait(this->queue.tickets().size(), now),
+            shortest_retry_after,
+            longest_retry_after);
     }
     return {admission_verdict::refused, reason, retry_after};
 }
@@ -253,8 +236,14 @@
 admission_decision admission_controller::start(ticket_info const & candidate,
                                                time_point now)
 {
+    if (this->running.empty())
+    {
+        this->first_start = now;
+        this->start_sum = duration(0);
+    }
     this->running.emplace(candidate.id,
                           running_ticket{now, candidate.deadline});
+    this->start_sum += now - this->first_start;
     return {admission_verdict::admitted, failure_id::none, duration(0)};
 }
 
@@ -262,25 +251,24 @@
                                                  time_point now)
 {
     duration const wait =
-        this->expected_wait(this->count_ahead(candidate), now);
-    if (this->would_be_late(candidate, wait, now) ||
+        this->expected_wait(this->queue.count_ahead(candidate), now);
+    if (!candidate.may_wait || this->is_too_long(candidate, wait, now) ||
         !this->make_room_for(candidate, now))
     {
         return this->refuse(failure_id::overloaded, now);
     }
     this->queue.insert(candidate);
-    this->waiting.emplace(candidate.id, candidate);
     return {admission_verdict::queued, failure_id::none, duration(0)};
 }
 
 bool admission_controller::make_room_for(ticket_info const & candidate,
                                          time_point now)
 {
-    if (this->queue.size() < this->queue_capacity())
+    if (this->queue.tickets().size() < this->options.most_queue_places)
     {
         return true;
     }
-    ticket_info const last = *std::prev(this->queue.end());
+    ticket_info const last = *std::prev(this->queue.tickets().end());
     // among equals, the one that waits keeps its place
     if (candidate.urgency >= last.urgency)
     {
@@ -294,29 +282,60 @@
                                     failure_id reason,
                                     time_point now)
 {
-    this->queue.erase(ticket);
-    this->waiting.erase(ticket.id);
+    this->queue.erase(ticket.id);
     this->pushed_out.push_back({ticket.id, this->refuse(reason, now)});
 }
 
 // another target may still take those in time
 void admission_controller::push_out_lost_ones(time_point now)
 {
-    bool const open = this->is_target_open();
-    std::vector<ticket_info> lost;
-    for (auto const & ticket : this->queue)
+    if (!this->is_target_open())
+    {
+        std::vector<ticket_info> const all(this->queue.tickets().begin(),
+                                           this->queue.tickets().end());
+        for (auto const & ticket : all)
+        {
+            this->push_out(ticket, failure_id::draining, now);
+        }
+        return;
+    }
+    for (auto const & ticket : this->queue.expired(now))
+    {
+        this->push_out(ticket, failure_id::deadline_too_near, now);
+    }
+}
+
+// the target may have become slower since they were queued
+void admission_controller::push_out_late_ones(time_point now)
+{
+    if (!this->options.refuse_late || now - this->last_review < review_interval)
+    {
+        return;
+    }
+    this->last_review = now;
+    std::vector<ticket_info> late;
+    std::size_t ahead = 0;
+    for (auto const & ticket : this->queue.tickets())
     {
-        if (!open || ticket.deadline <= now)
+        if (this->would_be_late(ticket, this->expected_wait(ahead, now), now))
         {
-            lost.push_back(ticket);
+            late.push_back(ticket);
+            continue;
         }
+        ++ahead;
+    }
+    for (auto const & ticket : late)
+    {
+        this->push_out(ticket, failure_id::overloaded, now);
     }
-    for (auto const & ticket : lost)
+}
+
+void admission_controller::remove_running(ticket_id id)
+{
+    if (auto const found = this->running.find(id); found != this->running.end())
     {
-        this->push_out(ticket,
-                       open ? failure_id::deadline_too_near
-                            : failure_id::draining,
-                       now);
+        this->start_sum -= found->second.started - this->first_start;
+        this->running.erase(found);
     }
 }
 
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -1,10 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <string> // string
+#include <random> // mt19937_64
 #include <vector> // vector
 
-#include <absl/random/random.h> // BitGen, seed_seq
-
 #include <endivehinge/policy/load_aware_policy.hpp>
 #include <endivehinge/policy/signal_table.hpp>
 
@@ -117,6 +115,14 @@
         {place::near, 18},
         0);
     add("holds a request back", {place::near, 2, 10, 0, 0, 0, 0, 60}, usual, 1);
+    add("room at a straggler is no room",
+        {place::near, 0, 100},
+        {place::near, 22},
+        1);
+    add("takes no work",
+        {place::near, 0, 10, 0, 0, 0, 0, 0, 0},
+        {place::far, 30},
+        1);
     add("cold with a small limit",
         {place::near, 2, 10, 0, 0, 0, 0, 0, 2},
         {place::near, 15},
@@ -131,8 +137,7 @@
     {
         for (unsigned seed = 1; seed <= 5; ++seed)
         {
-            std::seed_seq words{seed};
-            absl::BitGen random(words);
+            std::mt19937_64 random(seed);
             EXPECT_EQ(policy.choose({make_candidate(row.first),
                                      make_candidate(row.second)},
                                     now,
@@ -145,7 +150,7 @@
 
 TEST(placement, no_candidates_no_choice)
 {
-    absl::BitGen random;
+    std::mt19937_64 random(1);
     EXPECT_FALSE(load_aware_policy().choose({}, now, random).has_value());
 }
 
@@ -155,8 +160,7 @@
         30, make_candidate({place::far, 10}));
     candidates[7] = make_candidate({place::far, 1, 10, 0, 0, 100});
     load_aware_policy const policy;
-    std::seed_seq words{1};
-    absl::BitGen random(words);
+    std::mt19937_64 random(1);
     for (int draw = 0; draw < 2000; ++draw)
     {
         EXPECT_NE(policy.choose(candidates, now, random), 7U);
