Refuse a keyed request at once when nobody owns its key

Change: after a refusal the router looks once for another owner or epoch; if there is none, the caller gets the refusal and when to come back. Owners' leases are 4 s instead of 2: they outlast most of the gap until the next keeper.

Ruled out: leases of 2 s with the same refusal at once. They end two to four seconds before another node may take the keeper's place, for all keys of the service; 4 s costs the keys of a dead owner 2 s more.

--- a/include/endivehinge/coordination/lease_timing.hpp
+++ b/include/endivehinge/coordination/lease_timing.hpp
@@ -14,7 +14,7 @@
     // writes of the keeper to the platform
     duration keeper_renewal = std::chrono::milliseconds(2000);
     // of an owner, from the keeper
-    duration owner_lease = std::chrono::seconds(2);
+    duration owner_lease = std::chrono::seconds(4);
     // requests of an owner to the keeper
     duration heartbeat = std::chrono::milliseconds(500);
     // the same while the owner waits for its lease
--- a/include/endivehinge/detail/node/keyed_router.hpp
+++ b/include/endivehinge/detail/node/keyed_router.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEHINGE_DETAIL_NODE_KEYED_ROUTER_HPP
 #define ENDIVEHINGE_DETAIL_NODE_KEYED_ROUTER_HPP
 
+#include <optional> // optional
+
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/core/outcome.hpp>
@@ -43,6 +45,8 @@
     [[nodiscard]] outcome execute_as_owner(request const & keyed);
 
 private:
+    std::optional<owner_location> look_again(request const & keyed,
+                                             owner_location const & refused);
     outcome try_on_owner(owner_location const & found, request const & keyed);
 
     node_name self;
--- a/src/app/keyed_router.cpp
+++ b/src/app/keyed_router.cpp
@@ -11,10 +11,10 @@
 {
 
 constexpr duration refusal_retry_after = std::chrono::milliseconds(500);
-// the owners of a service change within a few of these
-constexpr absl::Duration between_owners = absl::Milliseconds(50);
+// the news of another owner comes within this time
+constexpr absl::Duration before_second_look = absl::Milliseconds(50);
 
-// another owner, or the same one a little later, may take the request
+// another owner may take the request
 bool may_have_moved(outcome const & last)
 {
     if (last.kind != outcome_kind::rejected)
@@ -43,32 +43,42 @@
 
 outcome keyed_router::route(request const & keyed)
 {
-    outcome last = outcome::rejected(
-        {failure_id::no_target, "find key owner", {}, "no owner in time"},
-        refusal_retry_after);
-    while (this->parts.time.now() < keyed.deadline)
+    failure reason;
+    auto found = this->parts.locator.locate(keyed.service, *keyed.key, reason);
+    if (!found.has_value())
     {
-        failure reason;
-        auto const found =
-            this->parts.locator.locate(keyed.service, *keyed.key, reason);
-        if (found.has_value())
-        {
-            last = this->try_on_owner(*found, keyed);
-            if (!may_have_moved(last))
-            {
-                return last;
-            }
-            this->parts.locator.doubt(keyed.service, found->number);
-        }
-        else
+        return outcome::rejected(std::move(reason), refusal_retry_after);
+    }
+    outcome last = this->try_on_owner(*found, keyed);
+    while (may_have_moved(last) && this->parts.time.now() < keyed.deadline)
+    {
+        auto next = this->look_again(keyed, *found);
+        if (!next.has_value())
         {
-            last = outcome::rejected(std::move(reason), refusal_retry_after);
+            // nobody owns the key now: the caller is told when to come back
+            break;
         }
-        absl::SleepFor(between_owners);
+        found = std::move(next);
+        last = this->try_on_owner(*found, keyed);
     }
     return last;
 }
 
+// another owner than the one that refused, if there is one by now
+std::optional<owner_location>
+keyed_router::look_again(request const & keyed, owner_location const & refused)
+{
+    this->parts.locator.doubt(keyed.service, refused.number);
+    absl::SleepFor(before_second_look);
+    failure reason;
+    auto next = this->parts.locator.locate(keyed.service, *keyed.key, reason);
+    bool const is_other =
+        next.has_value() && (next->owner.name != refused.owner.name ||
+                             next->owner.run != refused.owner.run ||
+                             next->number != refused.number);
+    return is_other ? std::move(next) : std::nullopt;
+}
+
 outcome keyed_router::execute_as_owner(request const & keyed)
 {
     auto const dispatch = [this](request const & started)
