Hash by one library, and take no answer without a length

Causes: four copies of FNV and mixers stood in the tree for hashes that nodes have to agree on, where a library does it. An HTTP/1.1 answer without a length ends with its connection, so one that was cut looked whole. A request whose deadline had passed was refused as no_target.

Changes: stable_hash (xxHash) serves ranks, digests and fingerprints; the key's fingerprint and the crash fingerprint are one; http_call takes only answers that say how long they are; the refusal says deadline_too_near.

--- a/src/adapters/http/curl_transfer.cpp
+++ b/src/adapters/http/curl_transfer.cpp
@@ -14,6 +14,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
 std::size_t
 write_body(char const * data, std::size_t size, std::size_t count, void * out)
 {
@@ -28,6 +31,12 @@
     return bytes;
 }
 
+bool says_length(absl::string_view field)
+{
+    return absl::EqualsIgnoreCase(field, "content-length") ||
+           absl::EqualsIgnoreCase(field, "transfer-encoding");
+}
+
 std::size_t
 write_header(char const * data, std::size_t size, std::size_t count, void * out)
 {
@@ -38,11 +47,14 @@
     {
         // an interim response came before this one
         state.response.headers = {};
+        state.has_length = false;
         return bytes;
     }
     auto const colon = line.find(':');
     if (colon != absl::string_view::npos)
     {
+        state.has_length =
+            state.has_length || says_length(line.substr(0, colon));
         state.response.headers.add(
             std::string(line.substr(0, colon)),
             std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))));
@@ -167,6 +179,15 @@
     set_callbacks(easy, state);
 }
 
+bool is_whole(curl_transfer const & state, http_request const & request)
+{
+    int const status = state.response.status;
+    bool const has_no_body = request.method == "HEAD" ||
+                             status == status_no_content ||
+                             status == status_not_modified;
+    return state.has_length || has_no_body;
+}
+
 failure_id classify_transfer(CURLcode code, curl_transfer const & state)
 {
     if (state.too_large)
--- a/src/adapters/http/curl_transfer.hpp
+++ b/src/adapters/http/curl_transfer.hpp
@@ -18,6 +18,8 @@
     // times that curl was about to send the request
     int sends = 0;
     bool too_large = false;
+    // whether the end of the body can be told from a lost connection
+    bool has_length = false;
 };
 
 /// @brief the header lines to send for a request
@@ -32,6 +34,11 @@
                       http_client_limits const & limits,
                       curl_transfer & state);
 
+/// @brief whether the response is there from its first to its last byte
+/// @param request what it answers
+[[nodiscard]] bool is_whole(curl_transfer const & state,
+                            http_request const & request);
+
 /// @brief why an exchange gave no response
 [[nodiscard]] failure_id classify_transfer(CURLcode code,
                                            curl_transfer const & state);
--- a/src/adapters/http/http_call.cpp
+++ b/src/adapters/http/http_call.cpp
@@ -111,7 +111,10 @@
             curl_easy_getinfo(
                 this->used->easy.get(), CURLINFO_RESPONSE_CODE, &status);
             this->transfer.response.status = static_cast<int>(status);
-            return std::move(this->transfer.response);
+            if (is_whole(this->transfer, this->request))
+            {
+                return std::move(this->transfer.response);
+            }
         }
         reason = this->describe_failure();
         return std::nullopt;
@@ -129,6 +132,12 @@
             reason.detail = "the caller hung up";
             return reason;
         }
+        if (this->code.has_value() && *this->code == CURLE_OK)
+        {
+            reason.id = failure_id::connection_lost;
+            reason.detail = "the response does not say how long it is";
+            return reason;
+        }
         CURLcode const ended = this->code.value_or(CURLE_OPERATION_TIMEDOUT);
         reason.id = classify_transfer(ended, this->transfer);
         reason.detail = curl_easy_strerror(ended);
--- a/src/app/key_ownership.cpp
+++ b/src/app/key_ownership.cpp
@@ -5,7 +5,7 @@
 
 #include <absl/time/time.h> // FromChrono
 
-#include <endivehinge/coordination/idempotency_fingerprint.hpp>
+#include <endivehinge/core/fingerprint.hpp>
 #include <endivehinge/detail/control/lease_codec.hpp>
 
 namespace endivehinge::detail
@@ -53,7 +53,7 @@
 outcome key_ownership::execute_as_owner(request const & keyed,
                                         dispatch_function const & dispatch)
 {
-    auto const fingerprint = idempotency_fingerprint(keyed.message);
+    auto const fingerprint = fingerprint_of(keyed);
     bool has_waited_for_records = false;
     while (true)
     {
--- a/src/app/request_router.cpp
+++ b/src/app/request_router.cpp
@@ -22,6 +22,13 @@
                              refusal_retry_after);
 }
 
+outcome deadline_has_passed()
+{
+    return outcome::rejected(
+        {failure_id::deadline_too_near, "place", {}, "the deadline has passed"},
+        refusal_retry_after);
+}
+
 // a try that reached no target cost nothing that the budget guards
 bool put_load_on_a_target(outcome const & last)
 {
@@ -87,7 +94,9 @@
 outcome request_router::route(request placed, int caller_socket)
 {
     std::vector<member> left = *this->begin(placed);
-    outcome last = no_target_known();
+    outcome last = this->parts.time.now() < placed.deadline
+                       ? no_target_known()
+                       : deadline_has_passed();
     bool maybe_ran = false;
     int deaths = 0;
     while (this->parts.time.now() < placed.deadline)
--- a/src/coordination/assignment.cpp
+++ b/src/coordination/assignment.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp> // json
 
-#include <endivehinge/coordination/stable_digest.hpp>
+#include <endivehinge/core/stable_hash.hpp>
 
 namespace endivehinge
 {
@@ -88,13 +88,13 @@
 owner_identity const * owner_of(idempotency_key const & key,
                                 std::vector<owner_identity> const & owners)
 {
-    std::uint64_t const key_digest = mix_bits(stable_digest(key.value()));
+    std::uint64_t const key_digest = stable_hash(key.value());
     owner_identity const * best = nullptr;
     std::uint64_t best_weight = 0;
     for (auto const & candidate : owners)
     {
         std::uint64_t const weight =
-            mix_bits(stable_digest(candidate.name.value()) ^ key_digest);
+            stable_hash(candidate.name.value(), key_digest);
         if (best == nullptr || weight > best_weight)
         {
             best = &candidate;
--- a/src/core/fingerprint.cpp
+++ b/src/core/fingerprint.cpp
@@ -1,29 +1,19 @@
 #include <endivehinge/core/fingerprint.hpp>
 
-#include <xxhash.h> // XXH3_64bits_withSeed
+#include <cstdint> // uint64_t
 
-#include <string> // string
+#include <endivehinge/core/stable_hash.hpp>
 
 namespace endivehinge
 {
-namespace
-{
-
-// the digest so far seeds the next part, so that parts cannot run together
-std::uint64_t extend(std::uint64_t digest, std::string const & part)
-{
-    return XXH3_64bits_withSeed(part.data(), part.size(), digest);
-}
-
-} // namespace
-
 request_fingerprint fingerprint_of(request const & source)
 {
-    std::uint64_t digest = extend(0, source.service.value());
-    digest = extend(digest, source.message.method);
-    digest = extend(digest, source.message.path);
-    digest = extend(digest, source.key.has_value() ? source.key->value() : "");
-    digest = extend(digest, source.message.body);
+    std::uint64_t digest = stable_hash(source.service.value());
+    digest = stable_hash(source.message.method, digest);
+    digest = stable_hash(source.message.path, digest);
+    digest = stable_hash(
+        source.key.has_value() ? source.key->value() : std::string(), digest);
+    digest = stable_hash(source.message.body, digest);
     return request_fingerprint(digest);
 }
 
--- a/src/policy/link_subset.cpp
+++ b/src/policy/link_subset.cpp
@@ -3,7 +3,8 @@
 #include <algorithm> // clamp, max, min, partial_sort
 #include <cmath>     // sqrt
 #include <cstdint>   // uint64_t
-#include <string>    // string
+
+#include <endivehinge/core/stable_hash.hpp>
 
 namespace endivehinge
 {
@@ -20,29 +21,9 @@
     node_name node;
 };
 
-// FNV-1a: the same in every process, unlike absl::Hash
-std::uint64_t add_to_hash(std::uint64_t hash, std::string const & text)
-{
-    constexpr std::uint64_t prime = 0x100000001b3;
-    for (char const letter : text)
-    {
-        hash = (hash ^ static_cast<unsigned char>(letter)) * prime;
-    }
-    return hash * prime;
-}
-
-// the finaliser of splitmix64: FNV's high bits alone are not even enough
-std::uint64_t mix(std::uint64_t hash)
-{
-    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9;
-    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb;
-    return hash ^ (hash >> 31);
-}
-
 std::uint64_t rank_of(node_name const & self, node_name const & other)
 {
-    constexpr std::uint64_t offset = 0xcbf29ce484222325;
-    return mix(add_to_hash(add_to_hash(offset, self.value()), other.value()));
+    return stable_hash(other.value(), stable_hash(self.value()));
 }
 
 // the mean m for which m + margin * sqrt(m) is the bound
