Keep the checks of a lost target to their budget

Causes: each lost connection cost the target one check, without a bound; hedge_share and measurements_per_second of the configuration were read and not used.

Changes: threads that ask at the same time share one check, and checks keep to measurements_per_second; hedge_share bounds second sends. An unused policy of the thin path is gone; the example embeds the one in use.

--- a/benchmarks/node_cost.cpp
+++ b/benchmarks/node_cost.cpp
@@ -99,6 +99,7 @@
 {
     std::vector<std::thread> threads;
     std::vector<std::size_t> answered(callers, 0);
+    threads.reserve(answered.size());
     for (auto & count : answered)
     {
         threads.emplace_back(
--- a/examples/embedded_configuration.cpp
+++ b/examples/embedded_configuration.cpp
@@ -7,7 +7,7 @@
 
 #include <endivehinge/coordination/configuration_entry.hpp>
 #include <endivehinge/coordination/configuration_state.hpp>
-#include <endivehinge/policy/placement_policy.hpp>
+#include <endivehinge/policy/load_aware_policy.hpp>
 
 namespace
 {
@@ -57,7 +57,7 @@
     std::cout << "configuration version " << state.version() << '\n';
 
     std::mt19937_64 random(7);
-    two_choices_policy const policy;
+    load_aware_policy const policy;
     auto const candidates = three_candidates();
     auto const chosen =
         policy.choose(candidates, time_point(std::chrono::seconds(1)), random);
--- a/include/endivehinge/coordination/configuration.hpp
+++ b/include/endivehinge/coordination/configuration.hpp
@@ -44,9 +44,9 @@
     service_objective objective;
     // extra tries as a share of first tries
     double retry_share = 0.1;
-    // hedged requests as a share of first tries
+    // second sends to a target that stays silent, as a share of requests
     double hedge_share = 0.05;
-    // load and health polls that a target gets, a second
+    // checks of a target after a lost connection, a second
     double measurements_per_second = 4.0;
     // how long a key and its answer are kept
     duration idempotency_window = std::chrono::minutes(10);
--- a/include/endivehinge/detail/node/local_executor.hpp
+++ b/include/endivehinge/detail/node/local_executor.hpp
@@ -38,6 +38,11 @@
     /// @note thread safety: any thread
     void set_drained(bool drained);
 
+    /// @brief what the operators allow to be sent to the target besides the
+    ///        requests; see target_client::set_bounds
+    /// @note thread safety: any thread
+    void set_bounds(double second_send_share, double checks_per_second);
+
     /// @brief the target as it last announced itself
     /// @note thread safety: any thread
     [[nodiscard]] target_status status() const;
--- a/include/endivehinge/detail/node/target_client.hpp
+++ b/include/endivehinge/detail/node/target_client.hpp
@@ -38,10 +38,19 @@
                               int caller_socket);
 
     /// @brief whether nobody takes new connections at the target's address
+    /// @note threads that ask at the same time share one check; checks keep
+    ///       to the rate of set_bounds
     /// @note thread safety: any thread; blocks on I/O
     [[nodiscard]] bool is_gone(endpoint const & address);
 
+    /// @brief what the operators allow
+    /// @param second_send_share second sends as a share of requests, 0 to 1
+    /// @param checks_per_second of a target that may be gone; above 0
+    /// @note thread safety: any thread
+    void set_bounds(double second_send_share, double checks_per_second);
+
 private:
+    bool check_is_gone(endpoint const & address);
     http_call begin(endpoint const & address,
                     request const & admitted,
                     bool fresh_connection,
@@ -54,6 +63,13 @@
     clock const & time;
     absl::Mutex mutex;
     retry_budget second_sends;
+    double second_send_share;
+    duration check_interval;
+
+    // held during a check, so that there is one at a time
+    absl::Mutex check_mutex;
+    std::optional<time_point> checked;
+    bool found_gone = false;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/policy/placement_policy.hpp
+++ b/include/endivehinge/policy/placement_policy.hpp
@@ -35,16 +35,6 @@
            absl::BitGenRef random) const = 0;
 };
 
-/// @brief two random candidates, the one with fewer own requests in flight
-class two_choices_policy final : public placement_policy
-{
-public:
-    [[nodiscard]] std::optional<std::size_t>
-    choose(std::vector<placement_candidate> const & candidates,
-           time_point now,
-           absl::BitGenRef random) const override;
-};
-
 } // namespace endivehinge
 
 #endif
--- a/src/app/node_parts.cpp
+++ b/src/app/node_parts.cpp
@@ -262,6 +262,8 @@
     if (auto const * const service = in_force->find(this->settings.service))
     {
         this->ownership.set_window(service->idempotency_window);
+        this->executor.set_bounds(service->hedge_share,
+                                  service->measurements_per_second);
     }
 }
 
--- a/src/app/target_client.cpp
+++ b/src/app/target_client.cpp
@@ -4,6 +4,8 @@
 #include <utility>   // move
 
 #include <absl/strings/str_cat.h> // StrCat
+#include <absl/time/clock.h>      // SleepFor
+#include <absl/time/time.h>       // FromChrono
 
 #include <endivehinge/core/header_names.hpp>
 
@@ -22,7 +24,9 @@
 constexpr duration least_wait_before_second = milliseconds(100);
 constexpr int usual_latencies_before_second = 8;
 constexpr duration race_step = milliseconds(5);
-constexpr double second_send_share = 0.05;
+// until the configuration is there
+constexpr double first_second_send_share = 0.05;
+constexpr duration first_check_interval = milliseconds(250);
 constexpr double second_send_burst = 4;
 
 http_request make_target_request(request const & admitted, time_point now)
@@ -50,7 +54,9 @@
 target_client::target_client(http_client & exchanges, clock const & source)
     : client(exchanges)
     , time(source)
-    , second_sends(second_send_share, second_send_burst)
+    , second_sends(first_second_send_share, second_send_burst)
+    , second_send_share(first_second_send_share)
+    , check_interval(first_check_interval)
 {
 }
 
@@ -83,7 +89,42 @@
     return this->read(first, address);
 }
 
+void target_client::set_bounds(double share, double checks_per_second)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->check_interval = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1 / checks_per_second));
+    if (share != this->second_send_share)
+    {
+        this->second_send_share = share;
+        this->second_sends = retry_budget(share, second_send_burst);
+    }
+}
+
 bool target_client::is_gone(endpoint const & address)
+{
+    time_point const asked = this->time.now();
+    duration interval(0);
+    {
+        absl::MutexLock lock(&this->mutex);
+        interval = this->check_interval;
+    }
+    absl::MutexLock lock(&this->check_mutex);
+    if (this->checked.has_value() && *this->checked >= asked)
+    {
+        return this->found_gone;
+    }
+    if (this->checked.has_value())
+    {
+        absl::SleepFor(
+            absl::FromChrono(*this->checked + interval - this->time.now()));
+    }
+    this->checked = this->time.now();
+    this->found_gone = this->check_is_gone(address);
+    return this->found_gone;
+}
+
+bool target_client::check_is_gone(endpoint const & address)
 {
     http_exchange_options options;
     options.timeout = death_check_timeout;
--- a/tests/src/unit-concurrency-limit.cpp
+++ b/tests/src/unit-concurrency-limit.cpp
@@ -10,7 +10,8 @@
 using std::chrono::microseconds;
 
 constexpr std::uint32_t slots = 128;
-constexpr int enough_answers = 5000;
+// slow start adds one place for each window of up to 50 answers
+constexpr int enough_answers = 10000;
 
 // the latencies of a target far faster than the scheduler's steps
 duration wobbling(int answer)
