Write a product in a wide type in a test

Cause: the linter refuses a product of two ints as a size; the whole check of a fresh clone stopped there. Change: the first factor is a size.

--- a/tests/src/unit-target-client.cpp
+++ b/tests/src/unit-target-client.cpp
@@ -21,7 +21,7 @@
 TEST(target_checks, keep_to_their_rate_in_a_storm)
 {
     std::vector<tests::connection_script> const script(
-        askers * questions_each, tests::connection_script{alive});
+        std::size_t{askers} * questions_each, tests::connection_script{alive});
     tests::scripted_server const server(script);
     machine_clock const time;
     http_client client{http_client_limits()};
