--- a/tests/src/system-target-contract.cpp
+++ b/tests/src/system-target-contract.cpp
@@ -242,6 +242,11 @@
     ASSERT_TRUE(this->change({{"phase", "cold"}, {"warm_up_ms", 300000}}));
     EXPECT_EQ(this->report().at("phase"), "cold");
     ASSERT_TRUE(this->change({{"warm_up_ms", 1}}));
+    absl::Time const deadline = absl::Now() + absl::Seconds(20);
+    while (this->report().at("phase") != "ready" && absl::Now() < deadline)
+    {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
     EXPECT_EQ(this->report().at("phase"), "ready");
 }
 
