Serve requests on the users' platform by an event-loop node

Ruled out: libmicrohttpd and libcurl on one epoll loop. The request path has to see a client close while its request waits or runs, must never send a request a second time by itself (libcurl repeats on a reused connection), and has to drop late answers by id and tell whole from broken answers without a length.

Before: nothing served.

--- a/include/endivehinge/core/ids.hpp
+++ b/include/endivehinge/core/ids.hpp
@@ -27,6 +27,9 @@
 /// @brief one request, unique over all nodes and their runs
 using request_id = strong_type<struct request_id_tag, std::string>;
 
+/// @brief one run of a target; a target that starts again usually has another
+using target_id = strong_type<struct target_id_tag, std::string>;
+
 /// @brief the caller's name for a request that runs at most once
 using idempotency_key = strong_type<struct idempotency_key_tag, std::string>;
 
--- /dev/null
+++ b/include/endivehinge/detail/gateway/client_service.hpp
@@ -0,0 +1,25 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_SERVICE_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_SERVICE_HPP
+
+#include <endivehinge/detail/gateway/gateway_state.hpp>
+#include <endivehinge/detail/gateway/request_handler.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief takes the requests of clients and of the target beside this node
+/// @note thread safety: none; used on the event loop only
+class client_service final : public request_handler
+{
+public:
+    explicit client_service(gateway_state & shared);
+
+    void handle(std::shared_ptr<exchange> incoming) override;
+
+private:
+    gateway_state & state;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/detail/gateway/gateway.hpp
@@ -0,0 +1,54 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_GATEWAY_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_GATEWAY_HPP
+
+#include <functional> // function
+#include <memory>     // unique_ptr
+#include <optional>   // optional
+
+#include <boost/asio/io_context.hpp>   // io_context
+#include <boost/asio/signal_set.hpp>   // signal_set
+#include <boost/asio/steady_timer.hpp> // steady_timer
+
+#include <endivehinge/core/failure.hpp>
+#include <endivehinge/detail/gateway/gateway_adapters.hpp>
+#include <endivehinge/detail/gateway/gateway_settings.hpp>
+
+namespace endivehinge::detail
+{
+
+class gateway_parts;
+
+/// @brief a node whose surroundings are met through adapters, on one event loop
+class gateway
+{
+public:
+    /// @brief reads the settings again, at a signal to reload
+    using settings_source =
+        std::function<std::optional<gateway_settings>(failure & reason)>;
+
+    gateway(gateway_settings chosen,
+            gateway_adapters means,
+            settings_source source);
+    gateway(gateway const &) = delete;
+    gateway & operator=(gateway const &) = delete;
+    ~gateway();
+
+    /// @brief serves until a signal to stop
+    /// @param reason connect_failed with the address that could not be bound
+    /// @return whether the listeners could be opened
+    /// @note thread safety: call once, from one thread
+    [[nodiscard]] bool run(failure & reason);
+
+private:
+    void handle_signal();
+    void reload();
+    void stop();
+    void check_stopped();
+
+    std::unique_ptr<gateway_parts> parts;
+    settings_source reread;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -0,0 +1,27 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_PEER_SERVICE_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_PEER_SERVICE_HPP
+
+#include <endivehinge/detail/gateway/gateway_state.hpp>
+#include <endivehinge/detail/gateway/request_handler.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief runs the requests of other nodes on the target beside this one
+/// @note thread safety: none; used on the event loop only
+class peer_service final : public request_handler
+{
+public:
+    explicit peer_service(gateway_state & shared);
+
+    void handle(std::shared_ptr<exchange> incoming) override;
+
+private:
+    void respond(exchange & incoming, dispatch_result result);
+
+    gateway_state & state;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/detail/gateway/readiness_service.hpp
@@ -0,0 +1,25 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_READINESS_SERVICE_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_READINESS_SERVICE_HPP
+
+#include <endivehinge/detail/gateway/gateway_state.hpp>
+#include <endivehinge/detail/gateway/request_handler.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief says whether this node takes clients
+/// @note thread safety: none; used on the event loop only
+class readiness_service final : public request_handler
+{
+public:
+    explicit readiness_service(gateway_state & shared);
+
+    void handle(std::shared_ptr<exchange> incoming) override;
+
+private:
+    gateway_state & state;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/detail/gateway/report_adapter.hpp
@@ -0,0 +1,39 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPORT_ADAPTER_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_REPORT_ADAPTER_HPP
+
+#include <optional> // optional
+
+#include <endivehinge/core/failure.hpp>
+#include <endivehinge/detail/gateway/http_types.hpp>
+#include <endivehinge/policy/target_status_report.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief a report of a target, or its notice that it leaves
+struct target_notice
+{
+    target_id id;
+    // empty: the target leaves
+    std::optional<target_status_report> report;
+};
+
+/// @brief reads what targets report of themselves
+/// @note thread safety: const; any thread
+class report_adapter
+{
+public:
+    report_adapter() = default;
+    report_adapter(report_adapter const &) = delete;
+    report_adapter & operator=(report_adapter const &) = delete;
+    virtual ~report_adapter() = default;
+
+    /// @param reason not_found where the path is not one of a report,
+    /// invalid_message where the report does not hold
+    [[nodiscard]] virtual std::optional<target_notice>
+    read_notice(request_message const & message, failure & reason) const = 0;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/detail/gateway/report_service.hpp
@@ -0,0 +1,35 @@
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPORT_SERVICE_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_REPORT_SERVICE_HPP
+
+#include <endivehinge/detail/gateway/report_adapter.hpp>
+#include <endivehinge/detail/gateway/request_handler.hpp>
+#include <endivehinge/detail/gateway/store_view.hpp>
+
+namespace endivehinge::detail
+{
+
+/// @brief takes the reports of the target beside this node
+///
+/// A drain or a leave is confirmed once the store holds it, or after a bound:
+/// this node itself keeps to it from the moment it is heard.
+/// @note thread safety: none; used on the event loop only
+class report_service final : public request_handler
+{
+public:
+    report_service(gateway_state & shared,
+                   report_adapter const & codec,
+                   store_view & entries);
+
+    void handle(std::shared_ptr<exchange> incoming) override;
+
+private:
+    void confirm_when_stored(std::shared_ptr<exchange> const & incoming);
+
+    gateway_state & state;
+    report_adapter const & adapter;
+    store_view & store;
+};
+
+} // namespace endivehinge::detail
+
+#endif
--- /dev/null
+++ b/include/endivehinge/policy/gate_options.hpp
@@ -0,0 +1,29 @@
+#ifndef ENDIVEHINGE_POLICY_GATE_OPTIONS_HPP
+#define ENDIVEHINGE_POLICY_GATE_OPTIONS_HPP
+
+#include <cstddef> // size_t
+
+#include <endivehinge/core/clock.hpp>
+
+namespace endivehinge
+{
+
+/// @brief bounds of a gate_decision
+struct gate_options
+{
+    // part of the slots that is filled; targets slow down when nearly full
+    double usable_slots = 0.8;
+    // bounds memory; the waiting time bounds the queue long before
+    std::size_t waiting = 256;
+    // weight of the newest run in the mean run time
+    double run_time_weight = 0.1;
+    // weight of the newest outcome in the share of failures
+    double failure_weight = 0.1;
+    // part of the time left that waiting and running may be expected to take;
+    // the rest covers the spread of run times
+    double usable_time = 0.7;
+};
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/include/endivehinge/policy/gate_verdict.hpp
@@ -0,0 +1,48 @@
+#ifndef ENDIVEHINGE_POLICY_GATE_VERDICT_HPP
+#define ENDIVEHINGE_POLICY_GATE_VERDICT_HPP
+
+#include <cstdint> // uint64_t
+
+#include <endivehinge/core/clock.hpp>
+#include <endivehinge/core/strong_type.hpp>
+
+namespace endivehinge
+{
+
+/// @brief one request at a gate
+using gate_ticket = strong_type<struct gate_ticket_tag, std::uint64_t>;
+
+/// @brief why a gate does not run a request
+enum class gate_refusal
+{
+    none,
+    closed,    // the target drains, is evacuated or is not known
+    cold,      // the target bears no more in this second
+    busy,      // it would not be answered in time
+    too_late,  // no time is left
+    other_run, // the target is another run than the one addressed
+};
+
+/// @brief what a gate decides on a request
+struct gate_verdict
+{
+    enum class action
+    {
+        start,
+        wait,
+        refuse,
+    };
+
+    gate_ticket ticket;
+    action what = action::refuse;
+    gate_refusal reason = gate_refusal::none;
+    // when room is expected
+    duration retry_after{0};
+};
+
+/// @brief the stable name of a reason, as refusals and logs print it
+[[nodiscard]] char const * to_string(gate_refusal reason);
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/include/endivehinge/policy/routing_configuration.hpp
@@ -0,0 +1,47 @@
+#ifndef ENDIVEHINGE_POLICY_ROUTING_CONFIGURATION_HPP
+#define ENDIVEHINGE_POLICY_ROUTING_CONFIGURATION_HPP
+
+#include <cstdint>     // uint64_t
+#include <string_view> // string_view
+#include <vector>      // vector
+
+#include <endivehinge/policy/service_properties.hpp>
+#include <endivehinge/policy/service_route.hpp>
+
+namespace endivehinge
+{
+
+/// @brief bounds on what a client may send
+struct client_limits
+{
+    std::uint32_t header_bytes = 0;
+    std::uint64_t body_bytes = 0;
+    duration header_timeout{0};
+    duration idle_timeout{0};
+};
+
+/// @brief one version of the operators' routes and services
+/// @note pure; thread safety: const members from any thread
+class routing_configuration
+{
+public:
+    std::uint64_t version = 0;
+    std::vector<service_route> routes;
+    std::vector<service_properties> services;
+    client_limits limits;
+
+    /// @brief the route with the host and the longest prefix of the path
+    /// @param host without a port
+    /// @param path may have a query
+    /// @return null where there is none
+    [[nodiscard]] service_route const * find_route(std::string_view host,
+                                                   std::string_view path) const;
+
+    /// @return null where the service is not part of this version
+    [[nodiscard]] service_properties const *
+    find_service(service_name const & name) const;
+};
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/include/endivehinge/policy/target_gate_policy.hpp
@@ -0,0 +1,120 @@
+#ifndef ENDIVEHINGE_POLICY_TARGET_GATE_POLICY_HPP
+#define ENDIVEHINGE_POLICY_TARGET_GATE_POLICY_HPP
+
+#include <deque>    // deque
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+#include <absl/container/flat_hash_map.h> // flat_hash_map
+
+#include <endivehinge/policy/gate_options.hpp>
+#include <endivehinge/policy/gate_verdict.hpp>
+#include <endivehinge/policy/request_urgency.hpp>
+#include <endivehinge/policy/target_load.hpp>
+
+namespace endivehinge
+{
+
+/// @brief decides what the one way into a target runs, queues and refuses
+///
+/// Answers these load patterns: more requests than slots (queue by rank, then
+/// by target time; those that can no longer be on time give way to those that
+/// can), a target slowed by its neighbours (waits are estimated from recent
+/// run times), a cold target (a bound on each second), a queue that outgrows
+/// the time left (refused at once, not held).
+/// @note pure; thread safety: none, the owner serialises
+class target_gate_policy
+{
+public:
+    explicit target_gate_policy(gate_options chosen = {});
+
+    /// @brief the slots of the target
+    /// @pre slots is at least 1
+    void set_slots(std::uint32_t slots);
+
+    /// @brief until when the target bears only a number of requests a second
+    /// @param rate requests a second; 0: no bound
+    void set_cold(time_point until, double rate);
+
+    /// @brief the time that work takes now, relative to the usual
+    void set_slowdown(double factor);
+
+    /// @brief whether any request is taken
+    void set_open(bool open);
+
+    /// @brief asks to run a request
+    /// @param route requests of one route take about the same time
+    [[nodiscard]] gate_verdict offer(std::string const & route,
+                                     request_urgency const & urgency,
+                                     time_point now);
+
+    /// @brief a request that was started has ended
+    /// @param failed the target failed it
+    /// @note call take_ready after it
+    void finish(gate_ticket ticket, bool failed, time_point now);
+
+    /// @brief a request is withdrawn, waiting or started
+    /// @note call take_ready after it
+    void cancel(gate_ticket ticket);
+
+    /// @brief requests that leave the queue: to start, or refused
+    [[nodiscard]] std::vector<gate_verdict> take_ready(time_point now);
+
+    /// @brief the load as other nodes should see it
+    [[nodiscard]] target_load load() const;
+
+    /// @brief the mean time that requests of a route run; 0: not known
+    [[nodiscard]] duration run_time(std::string const & route) const;
+
+    /// @brief when a request in the queue has to be looked at again
+    [[nodiscard]] std::optional<time_point> next_review() const;
+
+private:
+    struct queued
+    {
+        gate_ticket ticket;
+        std::string route;
+        request_urgency urgency;
+    };
+
+    struct started
+    {
+        std::string route;
+        time_point at;
+    };
+
+    [[nodiscard]] std::size_t limit() const;
+    [[nodiscard]] bool is_cold(time_point now) const;
+    [[nodiscard]] bool has_cold_room(time_point now);
+    [[nodiscard]] duration cold_wait(time_point now) const;
+    [[nodiscard]] bool has_room(time_point now);
+    [[nodiscard]] duration mean_run_time() const;
+    [[nodiscard]] duration expected_wait(request_urgency const & urgency,
+                                         time_point now) const;
+    [[nodiscard]] bool
+    is_before(queued const & a, queued const & b, time_point now) const;
+    [[nodiscard]] bool can_be_on_time(queued const & one, time_point now) const;
+    [[nodiscard]] std::vector<queued>::iterator next_queued(time_point now);
+    void start(gate_ticket ticket, std::string const & route, time_point now);
+    [[nodiscard]] gate_verdict
+    refuse(gate_ticket ticket, gate_refusal reason, duration wait) const;
+
+    gate_options options;
+    std::uint32_t slots = 1;
+    bool open = false;
+    double slowdown = 1;
+    double failure_share = 0;
+    time_point cold_until;
+    double cold_rate = 0;
+    std::deque<time_point> cold_starts;
+    std::uint64_t last_ticket = 0;
+    std::vector<queued> waiting;
+    absl::flat_hash_map<gate_ticket, started> running;
+    absl::flat_hash_map<std::string, duration> run_times;
+    duration mean_time{0};
+};
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/src/gateway/http_types.cpp
@@ -0,0 +1,43 @@
+#include <endivehinge/detail/gateway/http_types.hpp>
+
+#include <string> // string
+#include <vector> // vector
+
+#include <boost/beast/http/rfc7230.hpp> // token_list
+
+namespace endivehinge::detail
+{
+
+namespace http = boost::beast::http;
+
+void remove_connection_fields(header_fields & fields)
+{
+    std::vector<std::string> named;
+    for (auto const & field : fields)
+    {
+        if (field.name() == http::field::connection)
+        {
+            for (auto const & token : http::token_list{field.value()})
+            {
+                named.emplace_back(token);
+            }
+        }
+    }
+    for (auto const & name : named)
+    {
+        fields.erase(name);
+    }
+    for (auto const name : {http::field::connection,
+                            http::field::keep_alive,
+                            http::field::proxy_connection,
+                            http::field::te,
+                            http::field::trailer,
+                            http::field::transfer_encoding,
+                            http::field::upgrade,
+                            http::field::expect})
+    {
+        fields.erase(name);
+    }
+}
+
+} // namespace endivehinge::detail
--- /dev/null
+++ b/src/gateway/local_target.cpp
@@ -0,0 +1,539 @@
+#include <endivehinge/detail/gateway/local_target.hpp>
+
+#include <algorithm> // max
+
+#include <absl/strings/str_cat.h> // StrCat
+#include <boost/asio/post.hpp>    // post
+
+namespace endivehinge::detail
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+// between probes of the target's health, which state its load and whether it
+// is cold; far below the budget of probes
+constexpr duration probe_interval = std::chrono::milliseconds(250);
+constexpr duration probe_timeout = std::chrono::milliseconds(1000);
+// to connect to a target on the same instance
+constexpr duration connect_timeout = std::chrono::milliseconds(250);
+// lets the target's own response at the deadline arrive first
+constexpr duration deadline_grace = std::chrono::milliseconds(30);
+// the wait that a refusal states where nothing better is known
+constexpr duration unknown_wait = std::chrono::milliseconds(100);
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+upstream_options options_of_target()
+{
+    upstream_options options;
+    options.connections = 200;
+    return options;
+}
+
+std::string milliseconds(duration span)
+{
+    return absl::StrCat(
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+} // namespace
+
+local_target::local_target(asio::io_context & loop,
+                           gateway_settings const & chosen,
+                           message_adapter const & codec,
+                           event_log & events)
+    : io(loop)
+    , settings(chosen)
+    , adapter(codec)
+    , log(events)
+    , server(loop, chosen.target_address, options_of_target())
+    , review_timer(loop)
+    , probe_timer(loop)
+{
+}
+
+// ---------------------------------------------------------------------------
+// requests
+// ---------------------------------------------------------------------------
+
+target_runner::cancel_action local_target::run(dispatch_request request,
+                                               result_handler done)
+{
+    auto const state = std::make_shared<request_state>();
+    state->request = std::move(request);
+    state->done = std::move(done);
+    state->offered = now();
+    gate_verdict verdict;
+    if (auto const & known = this->identity.current();
+        known && known->id != state->request.target)
+    {
+        verdict.reason = gate_refusal::other_run;
+    }
+    else
+    {
+        verdict = this->gate.offer(
+            state->request.route, state->request.urgency, state->offered);
+    }
+    auto const ticket = verdict.ticket;
+    if (verdict.what == gate_verdict::action::refuse)
+    {
+        dispatch_result refused;
+        refused.outcome = dispatch_outcome::refused;
+        refused.reason = to_string(verdict.reason);
+        refused.retry_after = verdict.retry_after;
+        refused.load = this->gate.load();
+        asio::post(this->io,
+                   [state, refused]
+                   {
+                       if (state->done)
+                       {
+                           state->done(refused);
+                       }
+                   });
+        return [state]
+        {
+            state->done = nullptr;
+        };
+    }
+    this->requests[ticket] = state;
+    if (verdict.what == gate_verdict::action::start)
+    {
+        this->start(ticket);
+    }
+    else
+    {
+        this->arm_review();
+    }
+    return [this, ticket]
+    {
+        auto const found = this->requests.find(ticket);
+        if (found == this->requests.end())
+        {
+            return;
+        }
+        if (found->second->connection)
+        {
+            found->second->connection->cancel();
+        }
+        this->requests.erase(found);
+        this->gate.cancel(ticket);
+        this->review();
+    };
+}
+
+void local_target::start(gate_ticket ticket)
+{
+    auto const state = this->requests.at(ticket);
+    state->running = true;
+    state->started = now();
+    this->send(ticket, state, false);
+}
+
+void local_target::send(gate_ticket ticket,
+                        state_pointer const & state,
+                        bool fresh)
+{
+    auto const & request = state->request;
+    request_message message = request.message;
+    message.version(11);
+    message.keep_alive(true);
+    message.prepare_payload();
+    this->adapter.write_dispatch(
+        message,
+        {request.target, request.caller, request.urgency.deadline - now()});
+    call_options options;
+    options.deadline = request.urgency.deadline + deadline_grace;
+    options.connect_timeout = connect_timeout;
+    options.id_field = this->adapter.request_id_field();
+    options.id_value = request.id;
+    state->connection =
+        this->server.send(std::move(message),
+                          options,
+                          fresh,
+                          [this, ticket](call_result result)
+                          {
+                              this->responded(ticket, std::move(result));
+                          });
+    if (!state->connection)
+    {
+        asio::post(this->io,
+                   [this, ticket]
+                   {
+                       call_result result;
+                       result.detail = "no connection left";
+                       this->responded(ticket, std::move(result));
+                   });
+    }
+}
+
+void local_target::responded(gate_ticket ticket, call_result result)
+{
+    auto const found = this->requests.find(ticket);
+    if (found == this->requests.end())
+    {
+        return;
+    }
+    auto const state = found->second;
+    if (this->can_send_again(*state, result))
+    {
+        state->resent = true;
+        this->send(ticket, state, true);
+        return;
+    }
+    this->respond(ticket, state, std::move(result));
+}
+
+bool local_target::can_send_again(request_state const & state,
+                                  call_result const & result) const
+{
+    bool const never_sent = result.status == call_status::not_sent;
+    bool const idle_closed =
+        result.status == call_status::lost && !result.began &&
+        state.request.idempotent &&
+        now() - state.started < std::chrono::milliseconds(20);
+    return !state.resent && state.connection && (never_sent || idle_closed);
+}
+
+void local_target::respond(gate_ticket ticket,
+                           state_pointer const & state,
+                           call_result result)
+{
+    dispatch_result outcome;
+    outcome.waited = state->started - state->offered;
+    outcome.ran = now() - state->started;
+    outcome.reason = result.detail;
+    outcome.reached_target = result.status != call_status::not_sent;
+    if (result.status == call_status::not_sent)
+    {
+        outcome.outcome = dispatch_outcome::refused;
+        outcome.retry_after = unknown_wait;
+        this->finish(ticket, std::move(outcome), true);
+        return;
+    }
+    if (result.status != call_status::answered)
+    {
+        outcome.outcome = dispatch_outcome::indeterminate;
+        this->finish(ticket, std::move(outcome), true);
+        return;
+    }
+    auto const head = this->adapter.read_response(result.response.result_int(),
+                                                  result.response);
+    this->note_head(head);
+    if (head.not_run)
+    {
+        outcome.outcome = dispatch_outcome::refused;
+        outcome.reason = head.other_target ? "other_run" : "shed";
+        outcome.retry_after = unknown_wait;
+        outcome.reached_target = !head.other_target;
+        if (head.other_target)
+        {
+            this->identity.doubt(state->request.target);
+            this->update_gate();
+        }
+        this->finish(ticket, std::move(outcome), !head.other_target);
+        return;
+    }
+    bool const failed =
+        result.response.result_int() >=
+        static_cast<unsigned>(http::status::internal_server_error);
+    outcome.outcome = dispatch_outcome::answered;
+    outcome.from_service = head.from_service;
+    outcome.response = std::move(result.response);
+    remove_connection_fields(outcome.response);
+    this->finish(ticket, std::move(outcome), failed);
+}
+
+void local_target::finish(gate_ticket ticket,
+                          dispatch_result result,
+                          bool failed)
+{
+    auto const found = this->requests.find(ticket);
+    auto const state = found->second;
+    this->requests.erase(found);
+    this->gate.finish(ticket, failed, now());
+    result.load = this->gate.load();
+    if (auto const done = std::exchange(state->done, nullptr))
+    {
+        done(std::move(result));
+    }
+    this->review();
+}
+
+void local_target::refuse(gate_ticket ticket, gate_verdict const & verdict)
+{
+    auto const found = this->requests.find(ticket);
+    if (found == this->requests.end())
+    {
+        return;
+    }
+    auto const state = found->second;
+    this->requests.erase(found);
+    dispatch_result result;
+    result.outcome = dispatch_outcome::refused;
+    result.reason = to_string(verdict.reason);
+    result.retry_after = verdict.retry_after;
+    result.waited = now() - state->offered;
+    result.load = this->gate.load();
+    if (auto const done = std::exchange(state->done, nullptr))
+    {
+        done(std::move(result));
+    }
+}
+
+void local_target::review()
+{
+    for (auto const & verdict : this->gate.take_ready(now()))
+    {
+        if (verdict.what == gate_verdict::action::start)
+        {
+            this->start(verdict.ticket);
+        }
+        else
+        {
+            this->refuse(verdict.ticket, verdict);
+        }
+    }
+    this->arm_review();
+}
+
+void local_target::arm_review()
+{
+    auto const next = this->gate.next_review();
+    if (!next)
+    {
+        return;
+    }
+    this->review_timer.expires_at(std::chrono::steady_clock::time_point(
+        std::max(*next, now() + std::chrono::milliseconds(1))));
+    this->review_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->review();
+            }
+        });
+}
+
+// ---------------------------------------------------------------------------
+// what is known of the target
+// ---------------------------------------------------------------------------
+
+bool local_target::report(target_notice const & notice)
+{
+    if (!notice.report)
+    {
+        if (this->identity.leave(notice.id))
+        {
+            this->log.write("target_left", {{"target", notice.id.value()}});
+            this->update_gate();
+        }
+        return true;
+    }
+    auto const & said = *notice.report;
+    if (said.service != this->settings.service ||
+        said.address != this->settings.target_address)
+    {
+        return false;
+    }
+    auto const change = this->identity.report(said);
+    if (change == target_identity::change::none)
+    {
+        return true;
+    }
+    if (change == target_identity::change::new_run)
+    {
+        this->server.close_idle();
+        this->cold_until = time_point();
+    }
+    this->cold_until = std::max(this->cold_until, now() + said.cold_remaining);
+    if (change != target_identity::change::refresh)
+    {
+        this->log_identity("report");
+    }
+    this->update_gate();
+    return true;
+}
+
+void local_target::set_properties(service_properties const & stated)
+{
+    this->properties = stated;
+    this->update_gate();
+}
+
+void local_target::set_evacuated(bool out)
+{
+    this->evacuated = out;
+    this->update_gate();
+}
+
+void local_target::on_entry_change(std::function<void()> action)
+{
+    this->entry_action = std::move(action);
+}
+
+std::optional<target_entry> local_target::entry() const
+{
+    auto const & known = this->identity.current();
+    if (!known)
+    {
+        return std::nullopt;
+    }
+    target_entry entry;
+    entry.node = this->settings.node;
+    entry.peer = this->settings.peer_listener;
+    entry.id = known->id;
+    entry.service = this->settings.service;
+    entry.domain = this->settings.domain;
+    entry.state = known->state;
+    entry.slots = known->slots;
+    return entry;
+}
+
+target_load local_target::load() const
+{
+    return this->gate.load();
+}
+
+std::size_t local_target::request_count() const
+{
+    return this->requests.size();
+}
+
+std::uint64_t local_target::opened_connections() const
+{
+    return this->server.opened_count();
+}
+
+void local_target::update_gate()
+{
+    auto const & known = this->identity.current();
+    bool const open =
+        known && known->state == target_state::ready && !this->evacuated;
+    if (known)
+    {
+        this->gate.set_slots(known->slots);
+    }
+    this->gate.set_cold(this->cold_until,
+                        this->properties ? this->properties->cold_rate : 0);
+    this->gate.set_open(open);
+    this->review();
+    if (this->entry_action)
+    {
+        this->entry_action();
+    }
+}
+
+void local_target::note_head(target_response_head const & head)
+{
+    this->last_response = now();
+    if (head.slowdown)
+    {
+        this->gate.set_slowdown(*head.slowdown);
+    }
+    if (head.cold_remaining)
+    {
+        this->cold_until = now() + *head.cold_remaining;
+        this->gate.set_cold(this->cold_until,
+                            this->properties ? this->properties->cold_rate : 0);
+    }
+}
+
+void local_target::log_identity(char const * how)
+{
+    auto const & known = this->identity.current();
+    this->log.write(
+        "target_known",
+        {{"target", known->id.value()},
+         {"state", known->state == target_state::ready ? "ready" : "draining"},
+         {"by", how},
+         {"sequence", absl::StrCat(known->sequence)},
+         {"slots", absl::StrCat(known->slots)},
+         {"cold_ms",
+          milliseconds(std::max(this->cold_until - now(), duration(0)))}});
+}
+
+// ---------------------------------------------------------------------------
+// health probes
+// ---------------------------------------------------------------------------
+
+void local_target::start_probing()
+{
+    this->schedule_probe();
+}
+
+void local_target::schedule_probe()
+{
+    this->probe_timer.expires_after(probe_interval);
+    this->probe_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->probe();
+            }
+        });
+}
+
+void local_target::probe()
+{
+    if (!this->properties || this->properties->health_path.empty())
+    {
+        this->schedule_probe();
+        return;
+    }
+    request_message message{http::verb::get, this->properties->health_path, 11};
+    message.set(http::field::host, this->settings.target_address.to_string());
+    call_options options;
+    options.deadline = now() + probe_timeout;
+    options.connect_timeout = connect_timeout;
+    auto const sent = this->server.send(std::move(message),
+                                        options,
+                                        false,
+                                        [this](call_result result)
+                                        {
+                                            this->probed(std::move(result));
+                                        });
+    if (!sent)
+    {
+        this->schedule_probe();
+    }
+}
+
+void local_target::probed(call_result result)
+{
+    this->schedule_probe();
+    if (result.status != call_status::answered)
+    {
+        return;
+    }
+    auto const head = this->adapter.read_response(result.response.result_int(),
+                                                  result.response);
+    this->note_head(head);
+    bool const healthy = result.response.result() == http::status::ok;
+    if (!healthy || !head.id || !head.slots)
+    {
+        return;
+    }
+    if (this->identity.seen(*head.id, *head.slots) ==
+        target_identity::change::new_run)
+    {
+        if (!head.cold_remaining && this->properties)
+        {
+            // a run that was not announced may have just started
+            this->cold_until = now() + this->properties->cold_period;
+        }
+        this->server.close_idle();
+        this->log_identity("probe");
+        this->update_gate();
+    }
+}
+
+} // namespace endivehinge::detail
--- /dev/null
+++ b/src/gateway/readiness_service.cpp
@@ -0,0 +1,27 @@
+#include <endivehinge/detail/gateway/readiness_service.hpp>
+
+namespace endivehinge::detail
+{
+
+namespace http = boost::beast::http;
+
+readiness_service::readiness_service(gateway_state & shared)
+    : state(shared)
+{
+}
+
+void readiness_service::handle(std::shared_ptr<exchange> incoming)
+{
+    auto status = http::status::not_found;
+    if (this->state.adapter.is_readiness_probe(incoming->request))
+    {
+        bool const ready =
+            this->state.fleet.configuration() && !this->state.stopping;
+        status = ready ? http::status::ok : http::status::service_unavailable;
+    }
+    response_message answer{status, 11};
+    answer.prepare_payload();
+    incoming->respond(std::move(answer));
+}
+
+} // namespace endivehinge::detail
--- /dev/null
+++ b/src/policy/split_chooser.cpp
@@ -0,0 +1,81 @@
+#include <endivehinge/policy/split_chooser.hpp>
+
+#include <algorithm> // any_of, equal, max_element
+#include <iterator>  // distance
+
+namespace endivehinge
+{
+namespace
+{
+
+double sum_of(std::vector<route_part> const & parts)
+{
+    double sum = 0;
+    for (auto const & part : parts)
+    {
+        sum += part.weight;
+    }
+    return sum;
+}
+
+bool same_parts(std::vector<route_part> const & a,
+                std::vector<route_part> const & b)
+{
+    return std::equal(a.begin(),
+                      a.end(),
+                      b.begin(),
+                      b.end(),
+                      [](route_part const & x, route_part const & y)
+                      {
+                          return x.service == y.service && x.weight == y.weight;
+                      });
+}
+
+} // namespace
+
+service_name split_chooser::choose(service_route const & route, double phase)
+{
+    if (route.parts.size() == 1)
+    {
+        return route.parts.front().service;
+    }
+    auto & state = this->states[route.name];
+    if (!same_parts(state.parts, route.parts))
+    {
+        state.parts = route.parts;
+        state.credit.assign(route.parts.size(), 0);
+        for (std::size_t i = 0; i < route.parts.size(); ++i)
+        {
+            // any start between no credit and one request's credit keeps the
+            // proportion; the sum of the credits does not matter
+            state.credit[i] = phase * route.parts[i].weight;
+        }
+    }
+    for (std::size_t i = 0; i < route.parts.size(); ++i)
+    {
+        state.credit[i] += route.parts[i].weight;
+    }
+    auto const best =
+        std::max_element(state.credit.begin(), state.credit.end());
+    *best -= sum_of(route.parts);
+    return route
+        .parts[static_cast<std::size_t>(
+            std::distance(state.credit.begin(), best))]
+        .service;
+}
+
+void split_chooser::retain(std::vector<service_route> const & routes)
+{
+    absl::erase_if(this->states,
+                   [&routes](auto const & one)
+                   {
+                       return std::none_of(routes.begin(),
+                                           routes.end(),
+                                           [&one](auto const & route)
+                                           {
+                                               return route.name == one.first;
+                                           });
+                   });
+}
+
+} // namespace endivehinge
--- /dev/null
+++ b/src/policy/target_gate_policy.cpp
@@ -0,0 +1,319 @@
+#include <endivehinge/policy/target_gate_policy.hpp>
+
+#include <algorithm> // find_if, max, min, min_element
+
+namespace endivehinge
+{
+namespace
+{
+
+// the span over which a cold target's bound is stated
+constexpr duration cold_span = std::chrono::seconds(1);
+// routes whose run times are kept; bounds memory
+constexpr std::size_t known_routes = 256;
+
+duration scaled(duration value, double factor)
+{
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+
+duration moved(duration mean, duration newest, double weight)
+{
+    return mean.count() == 0 ? newest : mean + scaled(newest - mean, weight);
+}
+
+} // namespace
+
+char const * to_string(gate_refusal reason)
+{
+    switch (reason)
+    {
+    case gate_refusal::none:
+        return "none";
+    case gate_refusal::closed:
+        return "closed";
+    case gate_refusal::cold:
+        return "cold";
+    case gate_refusal::busy:
+        return "busy";
+    case gate_refusal::too_late:
+        return "too_late";
+    case gate_refusal::other_run:
+        break;
+    }
+    return "other_run";
+}
+
+target_gate_policy::target_gate_policy(gate_options chosen)
+    : options(chosen)
+{
+}
+
+void target_gate_policy::set_slots(std::uint32_t count)
+{
+    this->slots = count;
+}
+
+void target_gate_policy::set_cold(time_point until, double rate)
+{
+    this->cold_until = until;
+    this->cold_rate = rate;
+}
+
+void target_gate_policy::set_slowdown(double factor)
+{
+    this->slowdown = factor;
+}
+
+void target_gate_policy::set_open(bool value)
+{
+    this->open = value;
+}
+
+gate_verdict target_gate_policy::offer(std::string const & route,
+                                       request_urgency const & urgency,
+                                       time_point now)
+{
+    gate_ticket const ticket(++this->last_ticket);
+    if (!this->open)
+    {
+        return this->refuse(ticket, gate_refusal::closed, duration(0));
+    }
+    if (urgency.deadline <= now)
+    {
+        return this->refuse(ticket, gate_refusal::too_late, duration(0));
+    }
+    if (!this->has_cold_room(now))
+    {
+        return this->refuse(ticket, gate_refusal::cold, this->cold_wait(now));
+    }
+    if (this->waiting.empty() && this->has_room(now))
+    {
+        this->start(ticket, route, now);
+        return {ticket, gate_verdict::action::start, gate_refusal::none, {}};
+    }
+    auto const wait = this->expected_wait(urgency, now);
+    auto const usable =
+        scaled(urgency.deadline - now, this->options.usable_time);
+    if (wait + this->run_time(route) > usable ||
+        this->waiting.size() >= this->options.waiting)
+    {
+        return this->refuse(ticket, gate_refusal::busy, wait);
+    }
+    this->waiting.push_back({ticket, route, urgency});
+    return {ticket, gate_verdict::action::wait, gate_refusal::none, wait};
+}
+
+void target_gate_policy::finish(gate_ticket ticket, bool failed, time_point now)
+{
+    auto const found = this->running.find(ticket);
+    if (found == this->running.end())
+    {
+        return;
+    }
+    auto const took = now - found->second.at;
+    auto const weight = this->options.run_time_weight;
+    if (!failed)
+    {
+        this->mean_time = moved(this->mean_time, took, weight);
+        if (this->run_times.size() < known_routes ||
+            this->run_times.contains(found->second.route))
+        {
+            auto & mean = this->run_times[found->second.route];
+            mean = moved(mean, took, weight);
+        }
+    }
+    this->failure_share += this->options.failure_weight *
+                           ((failed ? 1.0 : 0.0) - this->failure_share);
+    this->running.erase(found);
+}
+
+void target_gate_policy::cancel(gate_ticket ticket)
+{
+    this->running.erase(ticket);
+    auto const found = std::find_if(this->waiting.begin(),
+                                    this->waiting.end(),
+                                    [ticket](auto const & one)
+                                    {
+                                        return one.ticket == ticket;
+                                    });
+    if (found != this->waiting.end())
+    {
+        this->waiting.erase(found);
+    }
+}
+
+std::vector<gate_verdict> target_gate_policy::take_ready(time_point now)
+{
+    std::vector<gate_verdict> ready;
+    for (auto one = this->waiting.begin(); one != this->waiting.end();)
+    {
+        bool const late =
+            one->urgency.deadline - now < this->run_time(one->route);
+        if (this->open && !late)
+        {
+            ++one;
+            continue;
+        }
+        ready.push_back(this->refuse(one->ticket,
+                                     this->open ? gate_refusal::too_late
+                                                : gate_refusal::closed,
+                                     duration(0)));
+        one = this->waiting.erase(one);
+    }
+    while (!this->waiting.empty() && this->has_room(now))
+    {
+        auto const next = this->next_queued(now);
+        this->start(next->ticket, next->route, now);
+        ready.push_back({next->ticket,
+                         gate_verdict::action::start,
+                         gate_refusal::none,
+                         {}});
+        this->waiting.erase(next);
+    }
+    return ready;
+}
+
+target_load target_gate_policy::load() const
+{
+    target_load seen;
+    seen.running = static_cast<std::uint32_t>(this->running.size());
+    seen.waiting = static_cast<std::uint32_t>(this->waiting.size());
+    seen.limit = static_cast<std::uint32_t>(this->limit());
+    seen.slowdown = this->slowdown;
+    seen.failure_share = this->failure_share;
+    seen.closed = !this->open;
+    return seen;
+}
+
+duration target_gate_policy::run_time(std::string const & route) const
+{
+    auto const found = this->run_times.find(route);
+    return found == this->run_times.end() ? duration(0) : found->second;
+}
+
+std::optional<time_point> target_gate_policy::next_review() const
+{
+    std::optional<time_point> next;
+    for (auto const & one : this->waiting)
+    {
+        auto const at = one.urgency.deadline - this->run_time(one.route);
+        next = next ? std::min(*next, at) : at;
+    }
+    if (!this->waiting.empty() && !this->cold_starts.empty() &&
+        this->cold_rate > 0)
+    {
+        next = std::min(*next, this->cold_starts.front() + cold_span);
+    }
+    return next;
+}
+
+std::size_t target_gate_policy::limit() const
+{
+    auto const usable =
+        static_cast<std::size_t>(this->options.usable_slots * this->slots);
+    return std::max<std::size_t>(usable, 1);
+}
+
+bool target_gate_policy::is_cold(time_point now) const
+{
+    return this->cold_rate > 0 && now < this->cold_until;
+}
+
+bool target_gate_policy::has_cold_room(time_point now)
+{
+    while (!this->cold_starts.empty() &&
+           now - this->cold_starts.front() >= cold_span)
+    {
+        this->cold_starts.pop_front();
+    }
+    return !this->is_cold(now) ||
+           static_cast<double>(this->cold_starts.size()) < this->cold_rate;
+}
+
+duration target_gate_policy::cold_wait(time_point now) const
+{
+    return this->cold_starts.empty()
+               ? duration(0)
+               : this->cold_starts.front() + cold_span - now;
+}
+
+bool target_gate_policy::has_room(time_point now)
+{
+    return this->running.size() < this->limit() && this->has_cold_room(now);
+}
+
+duration target_gate_policy::mean_run_time() const
+{
+    return this->mean_time;
+}
+
+duration target_gate_policy::expected_wait(request_urgency const & urgency,
+                                           time_point now) const
+{
+    std::size_t ahead = 1;
+    queued const candidate{gate_ticket(0), "", urgency};
+    for (auto const & one : this->waiting)
+    {
+        ahead += this->is_before(candidate, one, now) ? 0 : 1;
+    }
+    return scaled(this->mean_run_time(),
+                  static_cast<double>(ahead) /
+                      static_cast<double>(this->limit()));
+}
+
+bool target_gate_policy::can_be_on_time(queued const & one,
+                                        time_point now) const
+{
+    return now + this->run_time(one.route) <= one.urgency.target_time;
+}
+
+bool target_gate_policy::is_before(queued const & a,
+                                   queued const & b,
+                                   time_point now) const
+{
+    bool const a_on_time = this->can_be_on_time(a, now);
+    bool const b_on_time = this->can_be_on_time(b, now);
+    if (a_on_time != b_on_time)
+    {
+        return a_on_time;
+    }
+    if (a.urgency.rank != b.urgency.rank)
+    {
+        return a.urgency.rank < b.urgency.rank;
+    }
+    return a.urgency.target_time < b.urgency.target_time;
+}
+
+std::vector<target_gate_policy::queued>::iterator
+target_gate_policy::next_queued(time_point now)
+{
+    return std::min_element(this->waiting.begin(),
+                            this->waiting.end(),
+                            [this, now](queued const & a, queued const & b)
+                            {
+                                return this->is_before(a, b, now);
+                            });
+}
+
+void target_gate_policy::start(gate_ticket ticket,
+                               std::string const & route,
+                               time_point now)
+{
+    this->running[ticket] = {route, now};
+    // kept at all times: a target may turn out to be cold a moment later
+    this->cold_starts.push_back(now);
+    while (now - this->cold_starts.front() >= cold_span)
+    {
+        this->cold_starts.pop_front();
+    }
+}
+
+gate_verdict target_gate_policy::refuse(gate_ticket ticket,
+                                        gate_refusal reason,
+                                        duration wait) const
+{
+    return {ticket, gate_verdict::action::refuse, reason, wait};
+}
+
+} // namespace endivehinge
