Keep a watch's version when it ends empty, and refuse what outlasts a stop

Change: an empty watch no longer moves the version; the store then says that the history is gone and the kind is listed. While a node stops it refuses what would outlast it, and leaves 2.3 s after the signal when nothing is pending.

--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -59,6 +59,8 @@
     // a peer shows a configuration that is newer than the one in force here
     std::function<void(std::uint64_t)> on_peer_version;
     bool stopping = false;
+    // while it stops: when the process ends at the latest
+    time_point stop_ends;
 
 private:
     absl::flat_hash_map<endpoint, std::unique_ptr<peer_node>> peers;
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -46,6 +46,7 @@
 
     using attempt_pointer = std::shared_ptr<attempt>;
 
+    [[nodiscard]] bool outlasts_process() const;
     void prepare_message();
     void place();
     [[nodiscard]] std::vector<target_entry const *> open_targets() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,7 +11,7 @@
 
 // the platform asks every second whether a node takes clients and stops
 // sending new ones after two answers of no
-constexpr duration clients_leave = std::chrono::milliseconds(3200);
+constexpr duration clients_leave = std::chrono::milliseconds(2300);
 // before the process is killed, for the last responses to leave
 constexpr duration kill_margin = std::chrono::milliseconds(300);
 constexpr duration stop_check = std::chrono::milliseconds(50);
@@ -163,6 +163,8 @@
     }
     p.state.stopping = true;
     p.stop_began = now();
+    p.state.stop_ends =
+        p.stop_began + p.state.settings.bounds.stop_grace - kill_margin;
     p.state.log.write(
         "stop_began",
         {{"requests", std::to_string(p.client_listener.pending_count())}});
@@ -179,8 +181,7 @@
     {
         p.client_listener.drain();
     }
-    bool const out_of_time =
-        passed >= p.state.settings.bounds.stop_grace - kill_margin;
+    bool const out_of_time = now() >= p.state.stop_ends;
     if ((passed >= clients_leave && pending == 0) || out_of_time)
     {
         p.state.log.write("stop", {{"requests", std::to_string(pending)}});
--- a/src/gateway/kind_watch.cpp
+++ b/src/gateway/kind_watch.cpp
@@ -185,15 +185,17 @@
         return;
     }
     this->succeeded();
-    if (page->version > this->copy_version)
-    {
-        this->copy_version = page->version;
-    }
     if (page->objects.empty())
     {
+        // the version stays: a store that drops history may end a watch
+        // without the changes up to the version that it names
         this->watch();
         return;
     }
+    if (page->version > this->copy_version)
+    {
+        this->copy_version = page->version;
+    }
     this->watching = false;
     this->actions.changed(page->objects);
     this->later(watch_pause,
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -27,6 +27,9 @@
 constexpr duration longest_retry = std::chrono::milliseconds(1000);
 // the wait where nothing is known
 constexpr duration usual_retry = std::chrono::milliseconds(200);
+// a request that arrives so shortly before the process ends is only taken
+// where its deadline is earlier; clients have been told to leave by then
+constexpr duration late_stop = std::chrono::milliseconds(2900);
 // spread over which refused clients come back, relative to the wait
 constexpr double retry_spread = 0.5;
 
@@ -87,6 +90,11 @@
     this->service =
         this->state.splits.choose(*this->route, this->state.random());
     this->state.budget(this->service).arrived(now());
+    if (this->outlasts_process())
+    {
+        this->reject("node_stops", usual_retry);
+        return;
+    }
     this->prepare_message();
     this->client->on_cancel(
         [weak = this->weak_from_this()]
@@ -100,6 +108,13 @@
     this->place();
 }
 
+bool request_dispatch::outlasts_process() const
+{
+    return this->state.stopping &&
+           this->state.stop_ends - this->client->arrival < late_stop &&
+           this->urgency.deadline > this->state.stop_ends;
+}
+
 void request_dispatch::prepare_message()
 {
     auto & message = this->client->request;
@@ -464,6 +479,7 @@
         "request_done",
         {{"id", this->id},
          {"route", name},
+         {"rank", absl::StrCat(this->urgency.rank)},
          {"service", this->service.value()},
          {"outcome", outcome},
          {"status", absl::StrCat(status)},
