Start work when the target is fast, list after a watch fails

Waiting or another target costs a few milliseconds.

Ruled out: a slowdown that applies to running work as it changes (archive work of 640 ms ended at 3,200 ms, not in between); fixed polling (40 a second for each target costs more probes than asking before a start).

Change: the gate asks its target before a start where what it heard is over 8 ms old, declines while slow if another target may take the request, else waits for the end of the slow period where that is sooner. At most 45 such probes a second.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -25,6 +25,8 @@
     request_urgency urgency;
     // may run more than once
     bool idempotent = false;
+    // another target may take it if this one is slow now
+    bool may_decline = false;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/kind_watch.hpp
+++ b/include/endivehinge/detail/gateway/kind_watch.hpp
@@ -18,8 +18,8 @@
 /// @brief keeps this node's copy of one kind of objects up to date
 ///
 /// Lists once, then watches from the version of the list; lists again where
-/// the store no longer has that history. A store that fails is asked again
-/// after a growing pause.
+/// the store no longer has that history, or a watch failed. A store that fails
+/// is asked again after a growing pause.
 /// @note thread safety: none; used on the event loop only
 class kind_watch
 {
@@ -81,7 +81,6 @@
     std::shared_ptr<client_connection> active;
     std::vector<store_object> pages;
     object_version copy_version;
-    bool has_list = false;
     bool connected = false;
     bool watching = false;
     std::uint32_t failures = 0;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -100,6 +100,9 @@
     void note_head(target_response_head const & head);
     void log_identity(char const * how);
     void probe();
+    [[nodiscard]] bool send_probe(duration timeout,
+                                  client_connection::result_handler done);
+    void probe_slowdown();
     void probed(call_result result);
     void schedule_probe();
 
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -82,6 +82,10 @@
     std::vector<attempt_pointer> attempts;
     // targets that refused, or to which it was sent
     absl::flat_hash_set<target_id> tried;
+    // targets that would take it were they not slow
+    std::vector<target_id> declined;
+    // no target may decline it any more
+    bool last_round = false;
     std::uint32_t arrivals = 0;
     std::uint32_t placements = 0;
     std::optional<duration> shortest_wait;
--- a/include/endivehinge/policy/gate_options.hpp
+++ b/include/endivehinge/policy/gate_options.hpp
@@ -19,6 +19,20 @@
     double run_time_weight = 0.1;
     // weight of the newest outcome in the share of failures
     double failure_weight = 0.1;
+    // a slowdown that was heard this long ago still holds
+    duration fresh = std::chrono::milliseconds(8);
+    // a target slower than this is slow
+    double slow = 1.5;
+    // how long a slow period lasts where none was seen yet
+    duration slow_period = std::chrono::milliseconds(100);
+    // between probes while requests wait for the slow period to end
+    duration probe_interval = std::chrono::milliseconds(12);
+    // probes of the target in a second, for the slowdown
+    double probe_rate = 45;
+    // a probe without an answer for so long counts as failed
+    duration probe_patience = std::chrono::milliseconds(30);
+    // after a failed probe requests start without one for this long
+    duration probe_pause = std::chrono::milliseconds(250);
     // part of the time left that waiting and running may be expected to take;
     // the rest covers the spread of run times
     double usable_time = 0.7;
--- a/include/endivehinge/policy/gate_verdict.hpp
+++ b/include/endivehinge/policy/gate_verdict.hpp
@@ -19,6 +19,7 @@
     closed,    // the target drains, is evacuated or is not known
     cold,      // the target bears no more in this second
     busy,      // it would not be answered in time
+    slow,      // the target is slow now, and another may not be
     too_late,  // no time is left
     other_run, // the target is another run than the one addressed
 };
--- a/include/endivehinge/policy/target_gate_policy.hpp
+++ b/include/endivehinge/policy/target_gate_policy.hpp
@@ -20,9 +20,10 @@
 ///
 /// Answers these load patterns: more requests than slots (queue by rank, then
 /// by target time; those that can no longer be on time give way to those that
-/// can), a target slowed by its neighbours (waits are estimated from recent
-/// run times), a cold target (a bound on each second), a queue that outgrows
-/// the time left (refused at once, not held).
+/// can), a target slowed by its neighbours for a fraction of a second (work
+/// that starts then is slow to its end, so it goes elsewhere, or waits for the
+/// end of the slow period where that is sooner), a cold target (a bound on each
+/// second), a queue that outgrows the time left (refused at once, not held).
 /// @note pure; thread safety: none, the owner serialises
 class target_gate_policy
 {
@@ -37,16 +38,28 @@
     /// @param rate requests a second; 0: no bound
     void set_cold(time_point until, double rate);
 
-    /// @brief the time that work takes now, relative to the usual
-    void set_slowdown(double factor);
+    /// @brief the target stated the time that work takes now, relative to the
+    /// usual
+    void set_slowdown(double factor, time_point now);
+
+    /// @brief whether the target should be asked for its slowdown now; then
+    /// the probe counts as sent
+    [[nodiscard]] bool take_probe(time_point now);
+
+    /// @brief a probe had no answer that states a slowdown
+    /// @note call take_ready after it
+    void probe_failed(time_point now);
 
     /// @brief whether any request is taken
     void set_open(bool open);
 
     /// @brief asks to run a request
     /// @param route requests of one route take about the same time
+    /// @param may_decline another target may take it if this one is slow
+    /// @note a verdict to wait may change at once: call take_ready after it
     [[nodiscard]] gate_verdict offer(std::string const & route,
                                      request_urgency const & urgency,
+                                     bool may_decline,
                                      time_point now);
 
     /// @brief a request that was started has ended
@@ -76,6 +89,14 @@
         gate_ticket ticket;
         std::string route;
         request_urgency urgency;
+        bool may_decline = false;
+    };
+
+    enum class readiness
+    {
+        start,
+        wait,
+        decline,
     };
 
     struct started
@@ -89,6 +110,11 @@
     [[nodiscard]] bool has_cold_room(time_point now);
     [[nodiscard]] duration cold_wait(time_point now) const;
     [[nodiscard]] bool has_room(time_point now);
+    [[nodiscard]] bool is_slowdown_fresh(time_point now) const;
+    [[nodiscard]] bool is_probe_pending(time_point now) const;
+    [[nodiscard]] readiness readiness_of(queued const & one,
+                                         time_point now) const;
+    void refuse_late(std::vector<gate_verdict> & ready, time_point now);
     [[nodiscard]] duration mean_run_time() const;
     [[nodiscard]] duration expected_wait(request_urgency const & urgency,
                                          time_point now) const;
@@ -104,6 +130,15 @@
     std::uint32_t slots = 1;
     bool open = false;
     double slowdown = 1;
+    // whether the target states its slowdown at all
+    bool states_slowdown = false;
+    time_point slowdown_heard;
+    time_point slow_since;
+    duration mean_slow_period;
+    std::optional<time_point> probe_sent;
+    time_point probe_pause_ends;
+    double probe_tokens = 0;
+    time_point tokens_counted;
     double failure_share = 0;
     time_point cold_until;
     double cold_rate = 0;
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -19,7 +19,8 @@
 constexpr char const * route_field = "Endivehinge-Route";
 constexpr char const * caller_field = "Endivehinge-Caller";
 constexpr char const * id_field = "Endivehinge-Id";
-// microseconds until the target time and the deadline, rank, idempotent
+// microseconds until the target time and the deadline, rank, idempotent, may
+// be declined
 constexpr char const * urgency_field = "Endivehinge-Urgency";
 // outcome, from the service, reached, waited, ran and retry after in
 // microseconds, version of the configuration
@@ -116,7 +117,9 @@
                              " ",
                              request.urgency.rank,
                              " ",
-                             request.idempotent ? 1 : 0));
+                             request.idempotent ? 1 : 0,
+                             " ",
+                             request.may_decline ? 1 : 0));
 }
 
 std::optional<dispatch_request> read_hop_request(request_message message,
@@ -128,7 +131,7 @@
     request.route = take(message, route_field);
     request.caller = service_name(take(message, caller_field));
     request.id = take(message, id_field);
-    if (numbers.size() != 4 || request.target.value().empty())
+    if (numbers.size() != 5 || request.target.value().empty())
     {
         return std::nullopt;
     }
@@ -136,6 +139,7 @@
     request.urgency.deadline = now + from_microseconds(numbers[1]);
     request.urgency.rank = static_cast<std::uint32_t>(numbers[2]);
     request.idempotent = numbers[3] != 0;
+    request.may_decline = numbers[4] != 0;
     request.message = std::move(message);
     return request;
 }
--- a/src/gateway/kind_watch.cpp
+++ b/src/gateway/kind_watch.cpp
@@ -143,7 +143,6 @@
         this->list(page->objects.back().name);
         return;
     }
-    this->has_list = true;
     this->succeeded();
     this->actions.listed(std::exchange(this->pages, {}));
     this->watch();
@@ -229,14 +228,9 @@
     this->later(spread,
                 [this]
                 {
-                    if (this->has_list)
-                    {
-                        this->watch();
-                    }
-                    else
-                    {
-                        this->list("");
-                    }
+                    // a store that cut a watch may have dropped changes that
+                    // a new watch from the old version does not show
+                    this->list("");
                 });
 }
 
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -18,6 +18,8 @@
 // is cold; far below the budget of probes
 constexpr duration probe_interval = std::chrono::milliseconds(250);
 constexpr duration probe_timeout = std::chrono::milliseconds(1000);
+// a target answers a probe at once, whatever runs; a request waits for it
+constexpr duration slowdown_probe_timeout = std::chrono::milliseconds(30);
 // to connect to a target on the same instance
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // lets the target's own response at the deadline arrive first
@@ -78,8 +80,10 @@
     }
     else
     {
-        verdict = this->gate.offer(
-            state->request.route, state->request.urgency, state->offered);
+        verdict = this->gate.offer(state->request.route,
+                                   state->request.urgency,
+                                   state->request.may_decline,
+                                   state->offered);
     }
     auto const ticket = verdict.ticket;
     if (verdict.what == gate_verdict::action::refuse)
@@ -103,14 +107,11 @@
         };
     }
     this->requests[ticket] = state;
-    if (verdict.what == gate_verdict::action::start)
-    {
-        this->start(ticket);
-    }
-    else
-    {
-        this->arm_review();
-    }
+    asio::post(this->io,
+               [this]
+               {
+                   this->review();
+               });
     return [this, ticket]
     {
         auto const found = this->requests.find(ticket);
@@ -300,6 +301,10 @@
             this->refuse(verdict.ticket, verdict);
         }
     }
+    if (this->gate.take_probe(now()))
+    {
+        this->probe_slowdown();
+    }
     this->arm_review();
 }
 
@@ -436,7 +441,7 @@
     this->last_response = now();
     if (head.slowdown)
     {
-        this->gate.set_slowdown(*head.slowdown);
+        this->gate.set_slowdown(*head.slowdown, this->last_response);
     }
     if (head.cold_remaining)
     {
@@ -484,32 +489,56 @@
 
 void local_target::probe()
 {
-    if (!this->properties || this->properties->health_path.empty())
+    this->schedule_probe();
+    // responses to requests state the same, and whether the target is cold
+    if (now() - this->last_response < probe_interval)
     {
-        this->schedule_probe();
         return;
     }
+    static_cast<void>(this->send_probe(probe_timeout,
+                                       [this](call_result result)
+                                       {
+                                           this->probed(std::move(result));
+                                       }));
+}
+
+bool local_target::send_probe(duration timeout,
+                              client_connection::result_handler done)
+{
+    if (!this->properties || this->properties->health_path.empty())
+    {
+        return false;
+    }
     request_message message{http::verb::get, this->properties->health_path, 11};
     message.set(http::field::host, this->settings.target_address.to_string());
     call_options options;
-    options.deadline = now() + probe_timeout;
+    options.deadline = now() + timeout;
     options.connect_timeout = connect_timeout;
-    auto const sent = this->server.send(std::move(message),
-                                        options,
-                                        false,
-                                        [this](call_result result)
-                                        {
-                                            this->probed(std::move(result));
-                                        });
-    if (!sent)
-    {
-        this->schedule_probe();
+    return this->server.send(
+               std::move(message), options, false, std::move(done)) != nullptr;
+}
+
+void local_target::probe_slowdown()
+{
+    auto const done = [this](call_result result)
+    {
+        bool const answered = result.status == call_status::answered;
+        auto const before = this->last_response;
+        this->probed(std::move(result));
+        if (!answered || this->last_response == before)
+        {
+            this->gate.probe_failed(now());
+        }
+        this->review();
+    };
+    if (!this->send_probe(slowdown_probe_timeout, done))
+    {
+        this->gate.probe_failed(now());
     }
 }
 
 void local_target::probed(call_result result)
 {
-    this->schedule_probe();
     if (result.status != call_status::answered)
     {
         return;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -17,7 +17,7 @@
 
 // placements of one request, refused ones included; bounds the work that one
 // request may cause
-constexpr std::uint32_t largest_placements = 6;
+constexpr std::uint32_t largest_placements = 8;
 // a client that states no time to wait is served within this one
 constexpr duration longest_wait = std::chrono::seconds(30);
 // a target that reaches the deadline responds by itself; this lets it
@@ -111,8 +111,9 @@
 bool request_dispatch::outlasts_process() const
 {
     return this->state.stopping &&
-           this->state.stop_ends - this->client->arrival < late_stop &&
-           this->urgency.deadline > this->state.stop_ends;
+           this->state.stop_ends -
+               this->client->arrival<late_stop && this->urgency.deadline> this
+                   ->state.stop_ends;
 }
 
 void request_dispatch::prepare_message()
@@ -133,7 +134,17 @@
         this->deadline_passed();
         return;
     }
-    auto const targets = this->open_targets();
+    auto targets = this->open_targets();
+    if (targets.empty() && !this->declined.empty())
+    {
+        // every target is slow now: one of them may become fast soonest
+        this->last_round = true;
+        for (auto const & slow : std::exchange(this->declined, {}))
+        {
+            this->tried.erase(slow);
+        }
+        targets = this->open_targets();
+    }
     if (targets.empty() || this->placements >= largest_placements)
     {
         if (this->fallback)
@@ -217,6 +228,7 @@
     request.caller = this->state.settings.service;
     request.urgency = this->urgency;
     request.idempotent = this->route->idempotent;
+    request.may_decline = !this->last_round;
     auto const one = std::make_shared<attempt>();
     one->target = entry.id;
     one->load = known.load;
@@ -290,6 +302,10 @@
 {
     this->note(*one, result, "refused");
     this->last_reason = result.reason;
+    if (result.reason == to_string(gate_refusal::slow))
+    {
+        this->declined.push_back(one->target);
+    }
     if (result.retry_after > duration(0))
     {
         this->shortest_wait =
--- a/src/policy/repeat_budget.cpp
+++ b/src/policy/repeat_budget.cpp
@@ -9,7 +9,7 @@
 
 // part of the budget that is spent; the rest covers repeats that are counted
 // elsewhere, such as the calls that a repeated request makes
-constexpr double usable_part = 0.5;
+constexpr double usable_part = 0.35;
 
 } // namespace
 
--- a/src/policy/target_gate_policy.cpp
+++ b/src/policy/target_gate_policy.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/policy/target_gate_policy.hpp>
 
 #include <algorithm> // find_if, max, min, min_element
+#include <iterator>  // make_move_iterator
 
 namespace endivehinge
 {
@@ -9,6 +10,10 @@
 
 // the span over which a cold target's bound is stated
 constexpr duration cold_span = std::chrono::seconds(1);
+// probes that may be sent at once after a quiet time
+constexpr double probe_burst = 10;
+// weight of the newest slow period in their mean
+constexpr double slow_period_weight = 0.2;
 // routes whose run times are kept; bounds memory
 constexpr std::size_t known_routes = 256;
 
@@ -36,6 +41,8 @@
         return "cold";
     case gate_refusal::busy:
         return "busy";
+    case gate_refusal::slow:
+        return "slow";
     case gate_refusal::too_late:
         return "too_late";
     case gate_refusal::other_run:
@@ -46,6 +53,8 @@
 
 target_gate_policy::target_gate_policy(gate_options chosen)
     : options(chosen)
+    , mean_slow_period(chosen.slow_period)
+    , probe_tokens(probe_burst)
 {
 }
 
@@ -60,9 +69,54 @@
     this->cold_rate = rate;
 }
 
-void target_gate_policy::set_slowdown(double factor)
+void target_gate_policy::set_slowdown(double factor, time_point now)
 {
+    bool const was_slow = this->slowdown > this->options.slow;
+    bool const is_slow = factor > this->options.slow;
+    if (is_slow && !was_slow)
+    {
+        this->slow_since = now;
+    }
+    if (was_slow && !is_slow)
+    {
+        this->mean_slow_period = moved(
+            this->mean_slow_period, now - this->slow_since, slow_period_weight);
+    }
     this->slowdown = factor;
+    this->slowdown_heard = now;
+    this->states_slowdown = true;
+    this->probe_sent.reset();
+}
+
+bool target_gate_policy::take_probe(time_point now)
+{
+    double const passed = to_milliseconds(now - this->tokens_counted) / 1000;
+    this->probe_tokens = std::min(
+        probe_burst, this->probe_tokens + passed * this->options.probe_rate);
+    this->tokens_counted = now;
+    bool const wanted =
+        this->states_slowdown && !this->waiting.empty() &&
+        this->running.size() < this->limit() && !this->is_slowdown_fresh(now) &&
+        !this->is_probe_pending(now) && now >= this->probe_pause_ends;
+    if (!wanted)
+    {
+        return false;
+    }
+    if (this->probe_tokens < 1)
+    {
+        // decides by what was heard last
+        this->probe_pause_ends = now + this->options.probe_interval;
+        return false;
+    }
+    this->probe_tokens -= 1;
+    this->probe_sent = now;
+    return true;
+}
+
+void target_gate_policy::probe_failed(time_point now)
+{
+    this->probe_sent.reset();
+    this->probe_pause_ends = now + this->options.probe_pause;
 }
 
 void target_gate_policy::set_open(bool value)
@@ -72,6 +126,7 @@
 
 gate_verdict target_gate_policy::offer(std::string const & route,
                                        request_urgency const & urgency,
+                                       bool may_decline,
                                        time_point now)
 {
     gate_ticket const ticket(++this->last_ticket);
@@ -87,11 +142,6 @@
     {
         return this->refuse(ticket, gate_refusal::cold, this->cold_wait(now));
     }
-    if (this->waiting.empty() && this->has_room(now))
-    {
-        this->start(ticket, route, now);
-        return {ticket, gate_verdict::action::start, gate_refusal::none, {}};
-    }
     auto const wait = this->expected_wait(urgency, now);
     auto const usable =
         scaled(urgency.deadline - now, this->options.usable_time);
@@ -100,7 +150,7 @@
     {
         return this->refuse(ticket, gate_refusal::busy, wait);
     }
-    this->waiting.push_back({ticket, route, urgency});
+    this->waiting.push_back({ticket, route, urgency, may_decline});
     return {ticket, gate_verdict::action::wait, gate_refusal::none, wait};
 }
 
@@ -143,9 +193,9 @@
     }
 }
 
-std::vector<gate_verdict> target_gate_policy::take_ready(time_point now)
+void target_gate_policy::refuse_late(std::vector<gate_verdict> & ready,
+                                     time_point now)
 {
-    std::vector<gate_verdict> ready;
     for (auto one = this->waiting.begin(); one != this->waiting.end();)
     {
         bool const late =
@@ -161,16 +211,39 @@
                                      duration(0)));
         one = this->waiting.erase(one);
     }
+}
+
+std::vector<gate_verdict> target_gate_policy::take_ready(time_point now)
+{
+    std::vector<gate_verdict> ready;
+    this->refuse_late(ready, now);
+    std::vector<queued> kept;
     while (!this->waiting.empty() && this->has_room(now))
     {
         auto const next = this->next_queued(now);
-        this->start(next->ticket, next->route, now);
-        ready.push_back({next->ticket,
-                         gate_verdict::action::start,
-                         gate_refusal::none,
-                         {}});
+        auto const what = this->readiness_of(*next, now);
+        if (what == readiness::wait)
+        {
+            kept.push_back(std::move(*next));
+        }
+        else if (what == readiness::decline)
+        {
+            ready.push_back(this->refuse(
+                next->ticket, gate_refusal::slow, this->mean_slow_period));
+        }
+        else
+        {
+            this->start(next->ticket, next->route, now);
+            ready.push_back({next->ticket,
+                             gate_verdict::action::start,
+                             gate_refusal::none,
+                             {}});
+        }
         this->waiting.erase(next);
     }
+    this->waiting.insert(this->waiting.end(),
+                         std::make_move_iterator(kept.begin()),
+                         std::make_move_iterator(kept.end()));
     return ready;
 }
 
@@ -200,6 +273,16 @@
         auto const at = one.urgency.deadline - this->run_time(one.route);
         next = next ? std::min(*next, at) : at;
     }
+    if (!this->waiting.empty() && this->states_slowdown &&
+        this->running.size() < this->limit())
+    {
+        // a slow period may have ended, or a probe has had no answer
+        auto const at =
+            this->probe_sent
+                ? *this->probe_sent + this->options.probe_patience
+                : this->slowdown_heard + this->options.probe_interval;
+        next = std::min(*next, at);
+    }
     if (!this->waiting.empty() && !this->cold_starts.empty() &&
         this->cold_rate > 0)
     {
@@ -243,6 +326,46 @@
     return this->running.size() < this->limit() && this->has_cold_room(now);
 }
 
+bool target_gate_policy::is_slowdown_fresh(time_point now) const
+{
+    return now - this->slowdown_heard <= this->options.fresh;
+}
+
+bool target_gate_policy::is_probe_pending(time_point now) const
+{
+    return this->probe_sent &&
+           now - *this->probe_sent < this->options.probe_patience;
+}
+
+target_gate_policy::readiness
+target_gate_policy::readiness_of(queued const & one, time_point now) const
+{
+    if (!this->states_slowdown)
+    {
+        return readiness::start;
+    }
+    bool const may_probe = now >= this->probe_pause_ends;
+    if (!this->is_slowdown_fresh(now) && may_probe)
+    {
+        return readiness::wait;
+    }
+    if (this->slowdown <= this->options.slow)
+    {
+        return readiness::start;
+    }
+    if (one.may_decline)
+    {
+        return readiness::decline;
+    }
+    // what a start now would lose against one after the slow period
+    auto const work = this->run_time(one.route);
+    auto const lost = scaled(work, this->slowdown - 1);
+    bool const still_on_time =
+        now + scaled(work, this->slowdown) <= one.urgency.target_time;
+    return still_on_time || lost <= this->mean_slow_period ? readiness::start
+                                                           : readiness::wait;
+}
+
 duration target_gate_policy::mean_run_time() const
 {
     return this->mean_time;
@@ -251,8 +374,8 @@
 duration target_gate_policy::expected_wait(request_urgency const & urgency,
                                            time_point now) const
 {
-    std::size_t ahead = 1;
-    queued const candidate{gate_ticket(0), "", urgency};
+    std::size_t ahead = this->running.size() < this->limit() ? 0 : 1;
+    queued const candidate{gate_ticket(0), "", urgency, false};
     for (auto const & one : this->waiting)
     {
         ahead += this->is_before(candidate, one, now) ? 0 : 1;
