Follow the store by a few nodes of each domain, the others follow them

Ruled out: longer pauses after a change (the calls still grow with the fleet); a push along a tree (needs its own repair when a node dies).

Change: the first node by hash of each group of 32 in a failure domain follows the store; the others ask it every 0.8 s, and every request and response between nodes tells the versions of both copies, so news spread with traffic. A node says whether it has contact to the store; where it has not, the next one takes over, and it asks any other node. Nodes that know nobody ask the seeds. A copy of a kind passes on what changed since a version.

--- a/include/endivehinge/detail/gateway/entry_publisher.hpp
+++ b/include/endivehinge/detail/gateway/entry_publisher.hpp
@@ -42,7 +42,7 @@
     [[nodiscard]] bool is_published() const;
     void write();
     void written(call_result result);
-    void take(store_object const & object);
+    void take(replicated_object const & object);
     void retry();
     void notify();
 
@@ -60,6 +60,8 @@
     std::optional<target_entry> in_progress;
     // nothing was wanted so far: an entry of an earlier process stays
     bool decided = false;
+    bool has_seen_store = false;
+    bool timer_armed = false;
     bool writing = false;
     std::uint32_t failures = 0;
     std::vector<std::function<void()>> waiting;
--- a/include/endivehinge/detail/gateway/fleet_view.hpp
+++ b/include/endivehinge/detail/gateway/fleet_view.hpp
@@ -31,6 +31,9 @@
     /// @brief the failure domains that take no work
     void set_evacuated(absl::flat_hash_set<failure_domain> domains);
 
+    [[nodiscard]] absl::flat_hash_set<failure_domain> const &
+    evacuated_domains() const;
+
     [[nodiscard]] bool is_evacuated(failure_domain const & domain) const;
 
     /// @brief replaces what is known of one node's target
@@ -39,13 +42,18 @@
     /// @brief removes what is known of one node's target
     void remove_target(node_name const & node);
 
-    /// @brief removes the targets of nodes that are not in the list
-    void retain_targets(absl::flat_hash_set<node_name> const & nodes);
-
     /// @brief the targets of a service that may take work
     [[nodiscard]] std::vector<target_entry const *>
     ready_targets(service_name const & service) const;
 
+    /// @brief the entries of all nodes of a failure domain
+    [[nodiscard]] std::vector<target_entry const *>
+    targets_of(failure_domain const & domain) const;
+
+    /// @brief the entries of all nodes but one
+    [[nodiscard]] std::vector<target_entry const *>
+    other_targets(node_name const & node) const;
+
     /// @brief nodes that are known, this one included
     [[nodiscard]] std::size_t node_count() const;
 
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -56,8 +56,10 @@
     split_chooser splits;
     target_selector selector;
     local_target target;
-    // a peer shows a configuration that is newer than the one in force here
-    std::function<void(std::uint64_t)> on_peer_version;
+    // another node tells the versions of its copies of the store
+    peer_node::versions_handler on_peer_versions;
+    // what requests to other nodes tell of this one
+    hop_sender self;
     bool stopping = false;
     // while it stops: when the process ends at the latest
     time_point stop_ends;
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -1,12 +1,13 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_PEER_NODE_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_PEER_NODE_HPP
 
-#include <cstdint>    // uint64_t
+#include <cstdint>    // uint32_t
 #include <functional> // function
 #include <optional>   // optional
 
 #include <boost/asio/io_context.hpp> // io_context
 
+#include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
 
@@ -20,14 +21,26 @@
 class peer_node final : public target_runner
 {
 public:
-    /// @param on_version is told the version of the configuration at the peer
+    using versions_handler =
+        std::function<void(endpoint const &, replica_versions const &)>;
+
+    /// @param self what each request tells of this node; outlives the peer
+    /// @param on_versions is told the versions of the peer's copies of the
+    /// store, with each response
     peer_node(boost::asio::io_context & loop,
               endpoint const & address,
-              std::function<void(std::uint64_t)> on_version);
+              hop_sender const & self,
+              versions_handler on_versions);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
                                     result_handler done) override;
 
+    /// @brief sends a request that is not to run on a target
+    /// @param done called once
+    void call(request_message message,
+              duration timeout,
+              client_connection::result_handler done);
+
     /// @brief whether the node could not be reached a moment ago
     [[nodiscard]] bool is_suspended(time_point now) const;
 
@@ -50,8 +63,9 @@
 
     boost::asio::io_context & io;
     endpoint peer;
+    hop_sender const & sender;
     upstream connections;
-    std::function<void(std::uint64_t)> version_action;
+    versions_handler versions_action;
     std::optional<target_load> last_load;
     time_point load_heard;
     time_point suspended_until;
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEHINGE_DETAIL_GATEWAY_PEER_SERVICE_HPP
 
 #include <endivehinge/detail/gateway/gateway_state.hpp>
+#include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/request_handler.hpp>
 
 namespace endivehinge::detail
@@ -12,7 +13,7 @@
 class peer_service final : public request_handler
 {
 public:
-    explicit peer_service(gateway_state & shared);
+    peer_service(gateway_state & shared, replica_sync & copies);
 
     void handle(std::shared_ptr<exchange> incoming) override;
 
@@ -20,6 +21,7 @@
     void respond(exchange & incoming, dispatch_result result);
 
     gateway_state & state;
+    replica_sync & replicas;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/report_service.hpp
+++ b/include/endivehinge/detail/gateway/report_service.hpp
@@ -1,9 +1,9 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPORT_SERVICE_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REPORT_SERVICE_HPP
 
+#include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/report_adapter.hpp>
 #include <endivehinge/detail/gateway/request_handler.hpp>
-#include <endivehinge/detail/gateway/store_view.hpp>
 
 namespace endivehinge::detail
 {
@@ -18,7 +18,7 @@
 public:
     report_service(gateway_state & shared,
                    report_adapter const & codec,
-                   store_view & entries);
+                   replica_sync & copies);
 
     void handle(std::shared_ptr<exchange> incoming) override;
 
@@ -27,7 +27,7 @@
 
     gateway_state & state;
     report_adapter const & adapter;
-    store_view & store;
+    replica_sync & replicas;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/store_adapter.hpp
+++ b/include/endivehinge/detail/gateway/store_adapter.hpp
@@ -6,6 +6,7 @@
 #include <string>   // string
 #include <vector>   // vector
 
+#include <endivehinge/coordination/replicated_object.hpp>
 #include <endivehinge/core/failure.hpp>
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
@@ -23,20 +24,20 @@
     targets,       // one object for each node's target; nodes write these
 };
 
-/// @brief one object of the store, its content not yet decoded
-struct store_object
+constexpr std::size_t object_kinds = 3;
+
+/// @brief the stable name of a kind, as logs and other nodes know it
+[[nodiscard]] constexpr char const * to_string(object_kind kind)
 {
-    std::string name;
-    object_version version;
-    // the content as the store's text
-    std::string content;
-    bool deleted = false;
-};
+    constexpr char const * names[object_kinds] = {
+        "configuration", "evacuations", "targets"};
+    return names[static_cast<std::size_t>(kind)];
+}
 
 /// @brief a page of a list, or what a watch saw
 struct store_page
 {
-    std::vector<store_object> objects;
+    std::vector<replicated_object> objects;
     // the store's version that the page shows
     object_version version;
     // the list continues after the last name
@@ -81,20 +82,21 @@
     read_page(std::string const & body, failure & reason) const = 0;
 
     /// @brief reads the response to a write, which shows the object
-    [[nodiscard]] virtual std::optional<store_object>
+    [[nodiscard]] virtual std::optional<replicated_object>
     read_object(std::string const & body, failure & reason) const = 0;
 
     /// @param reason invalid_configuration where the content does not hold
     [[nodiscard]] virtual std::optional<routing_configuration>
-    read_configuration(store_object const & object, failure & reason) const = 0;
+    read_configuration(replicated_object const & object,
+                       failure & reason) const = 0;
 
     /// @param reason invalid_message where the content does not hold
     [[nodiscard]] virtual std::optional<target_entry>
-    read_target(store_object const & object, failure & reason) const = 0;
+    read_target(replicated_object const & object, failure & reason) const = 0;
 
     /// @brief whether an object of kind configuration is the one in force
     [[nodiscard]] virtual bool
-    is_current_configuration(store_object const & object) const = 0;
+    is_current_configuration(replicated_object const & object) const = 0;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -18,6 +18,8 @@
 // after a failed write, doubled while writes fail
 constexpr duration first_retry = std::chrono::milliseconds(100);
 constexpr std::uint32_t largest_doubling = 3;
+// for the first view of the store, before a write without one
+constexpr duration first_view_wait = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -41,12 +43,28 @@
 {
     this->desired = std::move(wanted);
     this->decided = true;
+    if (!this->has_seen_store && !this->timer_armed)
+    {
+        // an entry of an earlier process is likely the same
+        this->timer_armed = true;
+        this->timer.expires_after(first_view_wait);
+        this->timer.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    this->has_seen_store = true;
+                    this->write();
+                }
+            });
+    }
     this->write();
 }
 
 void entry_publisher::observed(std::optional<target_entry> held,
                                object_version version)
 {
+    this->has_seen_store = true;
     if (version < this->stored_version)
     {
         return;
@@ -74,7 +92,8 @@
 
 void entry_publisher::write()
 {
-    if (this->writing || !this->decided || this->is_published())
+    if (this->writing || !this->decided || !this->has_seen_store ||
+        this->is_published())
     {
         return;
     }
@@ -149,7 +168,7 @@
     this->write();
 }
 
-void entry_publisher::take(store_object const & object)
+void entry_publisher::take(replicated_object const & object)
 {
     failure reason;
     this->stored = this->adapter.read_target(object, reason);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -26,6 +26,12 @@
     this->evacuated = std::move(domains);
 }
 
+absl::flat_hash_set<failure_domain> const &
+fleet_view::evacuated_domains() const
+{
+    return this->evacuated;
+}
+
 bool fleet_view::is_evacuated(failure_domain const & domain) const
 {
     return this->evacuated.contains(domain);
@@ -41,15 +47,6 @@
     this->targets.erase(node);
 }
 
-void fleet_view::retain_targets(absl::flat_hash_set<node_name> const & nodes)
-{
-    absl::erase_if(this->targets,
-                   [&nodes](auto const & one)
-                   {
-                       return !nodes.contains(one.first);
-                   });
-}
-
 std::vector<target_entry const *>
 fleet_view::ready_targets(service_name const & service) const
 {
@@ -65,6 +62,34 @@
     return found;
 }
 
+std::vector<target_entry const *>
+fleet_view::targets_of(failure_domain const & domain) const
+{
+    std::vector<target_entry const *> found;
+    for (auto const & [node, entry] : this->targets)
+    {
+        if (entry->domain == domain)
+        {
+            found.push_back(entry.get());
+        }
+    }
+    return found;
+}
+
+std::vector<target_entry const *>
+fleet_view::other_targets(node_name const & node) const
+{
+    std::vector<target_entry const *> found;
+    for (auto const & [name, entry] : this->targets)
+    {
+        if (name != node)
+        {
+            found.push_back(entry.get());
+        }
+    }
+    return found;
+}
+
 std::size_t fleet_view::node_count() const
 {
     return std::max<std::size_t>(this->targets.size(), 1);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,13 +91,9 @@
     p.state.target.on_entry_change(
         [&p]
         {
-            p.store.publish();
+            p.replicas.publish();
         });
-    p.state.on_peer_version = [&p](std::uint64_t version)
-    {
-        p.store.peer_has(version);
-    };
-    p.store.start(
+    p.replicas.start(
         [&p]
         {
             auto const & configuration = *p.state.fleet.configuration();
--- a/src/gateway/gateway_parts.hpp
+++ b/src/gateway/gateway_parts.hpp
@@ -12,8 +12,8 @@
 #include <endivehinge/detail/gateway/metrics_service.hpp>
 #include <endivehinge/detail/gateway/peer_service.hpp>
 #include <endivehinge/detail/gateway/readiness_service.hpp>
+#include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/report_service.hpp>
-#include <endivehinge/detail/gateway/store_view.hpp>
 
 namespace endivehinge::detail
 {
@@ -25,11 +25,11 @@
     gateway_parts(gateway_settings chosen, gateway_adapters means)
         : adapters(std::move(means))
         , state(io, std::move(chosen), *adapters.messages)
-        , store(state, *adapters.store)
+        , replicas(state, *adapters.store)
         , clients(state)
-        , peers(state)
+        , peers(state, replicas)
         , readiness(state)
-        , reports(state, *adapters.reports, store)
+        , reports(state, *adapters.reports, replicas)
         , metrics(state)
         , client_listener(io, clients)
         , peer_listener(io, peers)
@@ -44,7 +44,7 @@
     boost::asio::io_context io{1};
     gateway_adapters adapters;
     gateway_state state;
-    store_view store;
+    replica_sync replicas;
     client_service clients;
     peer_service peers;
     readiness_service readiness;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -28,6 +28,7 @@
     , target(loop, this->settings, codec, this->log)
     , generator(std::random_device{}())
 {
+    this->self.peer = this->settings.peer_listener;
 }
 
 peer_node & gateway_state::peer(endpoint const & address)
@@ -35,16 +36,17 @@
     auto & found = this->peers[address];
     if (!found)
     {
-        found =
-            std::make_unique<peer_node>(this->io,
-                                        address,
-                                        [this](std::uint64_t version)
-                                        {
-                                            if (this->on_peer_version)
-                                            {
-                                                this->on_peer_version(version);
-                                            }
-                                        });
+        found = std::make_unique<peer_node>(
+            this->io,
+            address,
+            this->self,
+            [this](endpoint const & from, replica_versions const & shown)
+            {
+                if (this->on_peer_versions)
+                {
+                    this->on_peer_versions(from, shown);
+                }
+            });
     }
     return *found;
 }
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>   // StrCat
 #include <absl/strings/str_split.h> // StrSplit
 
+#include <endivehinge/detail/gateway/store_adapter.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -19,11 +21,13 @@
 constexpr char const * route_field = "Endivehinge-Route";
 constexpr char const * caller_field = "Endivehinge-Caller";
 constexpr char const * id_field = "Endivehinge-Id";
+// where the sender takes requests, versions of its copies of the store
+constexpr char const * sender_field = "Endivehinge-Sender";
 // microseconds until the target time and the deadline, rank, idempotent, may
 // be declined
 constexpr char const * urgency_field = "Endivehinge-Urgency";
 // outcome, from the service, reached, waited, ran and retry after in
-// microseconds, version of the configuration
+// microseconds, versions of the copies of the store
 constexpr char const * outcome_field = "Endivehinge-Outcome";
 constexpr char const * reason_field = "Endivehinge-Reason";
 // running, waiting, limit, slowdown, failure share, closed
@@ -101,11 +105,38 @@
                         load.closed ? 1 : 0);
 }
 
+std::string write_versions(replica_versions const & versions)
+{
+    return absl::StrCat(versions.kinds[0].value(),
+                        " ",
+                        versions.kinds[1].value(),
+                        " ",
+                        versions.kinds[2].value());
+}
+
+replica_versions read_versions(std::vector<double> const & numbers,
+                               std::size_t first)
+{
+    replica_versions versions;
+    for (std::size_t i = 0; i < versions.kinds.size(); ++i)
+    {
+        versions.kinds[i] =
+            object_version(static_cast<std::uint64_t>(numbers[first + i]));
+    }
+    return versions;
+}
+
 } // namespace
 
-void write_hop_request(dispatch_request & request, time_point now)
+void write_hop_request(dispatch_request & request,
+                       hop_sender const & sender,
+                       time_point now)
 {
     auto & message = request.message;
+    message.set(sender_field,
+                absl::StrCat(sender.peer.to_string(),
+                             " ",
+                             write_versions(sender.versions)));
     message.set(target_field, request.target.value());
     message.set(route_field, request.route);
     message.set(caller_field, request.caller.value());
@@ -122,6 +153,24 @@
                              request.may_decline ? 1 : 0));
 }
 
+std::optional<hop_sender> read_hop_sender(request_message & message)
+{
+    auto const text = take(message, sender_field);
+    auto const space = text.find(' ');
+    if (space == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    failure reason;
+    auto const peer = endpoint::parse(text.substr(0, space), reason);
+    auto const numbers = read_numbers(text.substr(space));
+    if (!peer || numbers.size() != object_kinds)
+    {
+        return std::nullopt;
+    }
+    return hop_sender{*peer, read_versions(numbers, 0)};
+}
+
 std::optional<dispatch_request> read_hop_request(request_message message,
                                                  time_point now)
 {
@@ -144,7 +193,8 @@
     return request;
 }
 
-response_message write_hop_result(dispatch_result result, std::uint64_t version)
+response_message write_hop_result(dispatch_result result,
+                                  replica_versions const & versions)
 {
     response_message message = std::move(result.response);
     if (result.outcome != dispatch_outcome::answered)
@@ -169,7 +219,7 @@
                              " ",
                              microseconds(result.retry_after),
                              " ",
-                             version));
+                             write_versions(versions)));
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
@@ -178,10 +228,10 @@
 }
 
 std::optional<dispatch_result> read_hop_result(response_message message,
-                                               std::uint64_t & version)
+                                               replica_versions & versions)
 {
     auto const numbers = read_numbers(take(message, outcome_field));
-    if (numbers.size() != 7 || numbers[0] < 0 || numbers[0] > 2)
+    if (numbers.size() != 6 + object_kinds || numbers[0] < 0 || numbers[0] > 2)
     {
         return std::nullopt;
     }
@@ -193,7 +243,7 @@
     result.waited = from_microseconds(numbers[3]);
     result.ran = from_microseconds(numbers[4]);
     result.retry_after = from_microseconds(numbers[5]);
-    version = static_cast<std::uint64_t>(numbers[6]);
+    versions = read_versions(numbers, 6);
     result.reason = take(message, reason_field);
     result.load = read_load(take(message, load_field));
     result.response = std::move(message);
@@ -203,6 +253,7 @@
 void remove_hop_fields(header_fields & fields)
 {
     for (auto const * const name : {target_field,
+                                    sender_field,
                                     route_field,
                                     caller_field,
                                     id_field,
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -41,18 +41,20 @@
 
 peer_node::peer_node(boost::asio::io_context & loop,
                      endpoint const & address,
-                     std::function<void(std::uint64_t)> on_version)
+                     hop_sender const & self,
+                     versions_handler on_versions)
     : io(loop)
     , peer(address)
+    , sender(self)
     , connections(loop, address, options_of_peer())
-    , version_action(std::move(on_version))
+    , versions_action(std::move(on_versions))
 {
 }
 
 target_runner::cancel_action peer_node::run(dispatch_request request,
                                             result_handler done)
 {
-    write_hop_request(request, now());
+    write_hop_request(request, this->sender, now());
     request.message.version(11);
     request.message.keep_alive(true);
     request.message.prepare_payload();
@@ -97,15 +99,36 @@
     };
 }
 
+void peer_node::call(request_message message,
+                     duration timeout,
+                     client_connection::result_handler done)
+{
+    call_options options;
+    options.deadline = now() + timeout;
+    options.connect_timeout = connect_timeout;
+    auto const connection =
+        this->connections.send(std::move(message), options, false, done);
+    if (!connection)
+    {
+        boost::asio::post(this->io,
+                          [done = std::move(done)]
+                          {
+                              call_result result;
+                              result.detail = "no connection left";
+                              done(std::move(result));
+                          });
+    }
+}
+
 dispatch_result peer_node::read_result(call_result result)
 {
     dispatch_result read;
     if (result.status == call_status::answered)
     {
-        std::uint64_t version = 0;
-        if (auto found = read_hop_result(std::move(result.response), version))
+        replica_versions versions;
+        if (auto found = read_hop_result(std::move(result.response), versions))
         {
-            this->version_action(version);
+            this->versions_action(this->peer, versions);
             return std::move(*found);
         }
         read.outcome = dispatch_outcome::indeterminate;
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -1,19 +1,30 @@
 #include <endivehinge/detail/gateway/peer_service.hpp>
 
 #include <endivehinge/detail/gateway/hop_fields.hpp>
+#include <endivehinge/detail/gateway/replica_exchange.hpp>
 
 namespace endivehinge::detail
 {
 
 namespace http = boost::beast::http;
 
-peer_service::peer_service(gateway_state & shared)
+peer_service::peer_service(gateway_state & shared, replica_sync & copies)
     : state(shared)
+    , replicas(copies)
 {
 }
 
 void peer_service::handle(std::shared_ptr<exchange> incoming)
 {
+    if (replica_exchange::is_request(incoming->request))
+    {
+        this->replicas.serve(*incoming);
+        return;
+    }
+    if (auto const sender = read_hop_sender(incoming->request))
+    {
+        this->replicas.peer_shows(sender->peer, sender->versions);
+    }
     auto request =
         read_hop_request(std::move(incoming->request), incoming->arrival);
     if (!request)
@@ -55,9 +66,8 @@
 
 void peer_service::respond(exchange & incoming, dispatch_result result)
 {
-    auto const & configuration = this->state.fleet.configuration();
-    auto message = write_hop_result(std::move(result),
-                                    configuration ? configuration->version : 0);
+    auto message =
+        write_hop_result(std::move(result), this->state.self.versions);
     message.keep_alive(true);
     message.prepare_payload();
     incoming.respond(std::move(message));
--- a/src/gateway/report_service.cpp
+++ b/src/gateway/report_service.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
+#include <endivehinge/detail/gateway/replica_exchange.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -35,15 +37,21 @@
 
 report_service::report_service(gateway_state & shared,
                                report_adapter const & codec,
-                               store_view & entries)
+                               replica_sync & copies)
     : state(shared)
     , adapter(codec)
-    , store(entries)
+    , replicas(copies)
 {
 }
 
 void report_service::handle(std::shared_ptr<exchange> incoming)
 {
+    if (replica_exchange::is_request(incoming->request))
+    {
+        // nodes that know no other node ask here
+        this->replicas.serve(*incoming);
+        return;
+    }
     failure reason;
     auto const notice = this->adapter.read_notice(incoming->request, reason);
     if (!notice)
@@ -75,7 +83,7 @@
 void report_service::confirm_when_stored(
     std::shared_ptr<exchange> const & incoming)
 {
-    this->store.when_published(
+    this->replicas.when_published(
         [incoming]
         {
             confirm(*incoming);
