Queue at a cold target's rate, bound waits for a slow target, check lost nodes

Requests to a node behind a partition paid a connect timeout of 150 ms every two seconds.

Ruled out: a sliding window for the cold rate (a burst at its start leaves the rest of the second without room).

Change: the cold rate is a token bucket that the queue waits for; a request is given back after 60 ms of a slow period, and starts where the period has lasted as long as a slow run would lose; a node that cannot be reached gets no requests until a check succeeds, and one that is silent for 200 ms is checked, its idempotent requests are placed again.

--- a/include/endivehinge/detail/gateway/gateway.hpp
+++ b/include/endivehinge/detail/gateway/gateway.hpp
@@ -5,9 +5,8 @@
 #include <memory>     // unique_ptr
 #include <optional>   // optional
 
-#include <boost/asio/io_context.hpp>   // io_context
-#include <boost/asio/signal_set.hpp>   // signal_set
-#include <boost/asio/steady_timer.hpp> // steady_timer
+#include <boost/asio/io_context.hpp> // io_context
+#include <boost/asio/signal_set.hpp> // signal_set
 
 #include <endivehinge/core/failure.hpp>
 #include <endivehinge/detail/gateway/gateway_adapters.hpp>
@@ -42,10 +41,10 @@
 private:
     void handle_signal();
     void reload();
-    void stop();
-    void check_stopped();
 
+    boost::asio::io_context loop;
     std::unique_ptr<gateway_parts> parts;
+    boost::asio::signal_set signals;
     settings_source reread;
 };
 
--- a/src/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -1,8 +1,9 @@
-#ifndef ENDIVEHINGE_GATEWAY_GATEWAY_PARTS_HPP
-#define ENDIVEHINGE_GATEWAY_GATEWAY_PARTS_HPP
+#ifndef ENDIVEHINGE_DETAIL_GATEWAY_GATEWAY_PARTS_HPP
+#define ENDIVEHINGE_DETAIL_GATEWAY_GATEWAY_PARTS_HPP
+
+#include <functional> // function
 
 #include <boost/asio/io_context.hpp>   // io_context
-#include <boost/asio/signal_set.hpp>   // signal_set
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <endivehinge/detail/gateway/client_service.hpp>
@@ -19,11 +20,15 @@
 {
 
 /// @brief the parts of one gateway, in the order of their making
+/// @note thread safety: none; used on the event loop only
 class gateway_parts
 {
 public:
-    gateway_parts(gateway_settings chosen, gateway_adapters means)
-        : adapters(std::move(means))
+    gateway_parts(boost::asio::io_context & loop,
+                  gateway_settings chosen,
+                  gateway_adapters means)
+        : io(loop)
+        , adapters(std::move(means))
         , state(io, std::move(chosen), *adapters.messages)
         , replicas(state, *adapters.store)
         , clients(state)
@@ -36,12 +41,23 @@
         , readiness_listener(io, readiness)
         , report_listener(io, reports)
         , metrics_listener(io, metrics)
-        , signals(io)
         , stop_timer(io)
     {
     }
 
-    boost::asio::io_context io{1};
+    /// @brief opens the listeners and begins to serve
+    /// @param reason connect_failed with the address that could not be bound
+    /// @pre called once
+    [[nodiscard]] bool open(failure & reason);
+
+    /// @brief takes no clients from now on and ends what is in progress
+    /// @param stopped is called when nothing is in progress, or the time is up
+    void stop(std::function<void()> stopped);
+
+    /// @brief takes over the settings that may change while it serves
+    void reload(gateway_settings const & newer);
+
+    boost::asio::io_context & io;
     gateway_adapters adapters;
     gateway_state state;
     replica_sync replicas;
@@ -55,9 +71,13 @@
     http_listener readiness_listener;
     http_listener report_listener;
     http_listener metrics_listener;
-    boost::asio::signal_set signals;
     boost::asio::steady_timer stop_timer;
     time_point stop_began;
+    std::function<void()> stopped_action;
+
+private:
+    void configured();
+    void check_stopped();
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -5,8 +5,11 @@
 #include <functional> // function
 #include <optional>   // optional
 
-#include <boost/asio/io_context.hpp> // io_context
+#include <absl/container/btree_map.h>  // btree_map
+#include <boost/asio/io_context.hpp>   // io_context
+#include <boost/asio/steady_timer.hpp> // steady_timer
 
+#include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
@@ -30,7 +33,8 @@
     peer_node(boost::asio::io_context & loop,
               endpoint const & address,
               hop_sender const & self,
-              versions_handler on_versions);
+              versions_handler on_versions,
+              event_log & log);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
                                     result_handler done) override;
@@ -41,11 +45,9 @@
               duration timeout,
               client_connection::result_handler done);
 
-    /// @brief whether the node could not be reached a moment ago
-    [[nodiscard]] bool is_suspended(time_point now) const;
-
-    /// @brief requests sent there that have no result yet
-    [[nodiscard]] std::uint32_t in_flight() const;
+    /// @brief whether the node could not be reached; it is checked until it
+    /// can, and gets no requests meanwhile
+    [[nodiscard]] bool is_suspended() const;
 
     /// @brief the last load that was heard, and when
     [[nodiscard]] std::optional<target_load> const & load() const;
@@ -58,7 +60,22 @@
     [[nodiscard]] double failure_share() const;
 
 private:
+    // a request that is on its way
+    struct flight
+    {
+        std::shared_ptr<client_connection> connection;
+        std::function<void(call_result)> finish;
+        time_point sent;
+        bool idempotent = false;
+    };
+
     [[nodiscard]] dispatch_result read_result(call_result result);
+    void land(std::uint64_t number, call_result result);
+    void suspend(std::string const & why);
+    void check_later();
+    void check();
+    void arm_watchdog();
+    void watchdog();
     void note(dispatch_result const & result, call_status status);
 
     boost::asio::io_context & io;
@@ -66,11 +83,19 @@
     hop_sender const & sender;
     upstream connections;
     versions_handler versions_action;
+    event_log & events;
     std::optional<target_load> last_load;
     time_point load_heard;
-    time_point suspended_until;
-    std::uint32_t unreachable = 0;
-    std::uint32_t pending = 0;
+    bool suspended = false;
+    bool checking = false;
+    std::uint32_t failed_checks = 0;
+    boost::asio::steady_timer check_timer;
+    boost::asio::steady_timer watchdog_timer;
+    bool watching = false;
+    // when anything was received from the node
+    time_point heard;
+    std::uint64_t last_flight = 0;
+    absl::btree_map<std::uint64_t, flight> flights;
     std::uint32_t sent = 0;
     double failures = 0;
 };
--- a/include/endivehinge/policy/gate_options.hpp
+++ b/include/endivehinge/policy/gate_options.hpp
@@ -25,6 +25,13 @@
     double slow = 1.5;
     // how long a slow period lasts where none was seen yet
     duration slow_period = std::chrono::milliseconds(100);
+    // a request waits at most so long for the end of a slow period before it
+    // is given back to be placed again
+    duration slow_patience = std::chrono::milliseconds(60);
+    // rate of a cold target relative to the one that is stated, and requests
+    // beyond it at once; both stay below what it bears
+    double cold_rate_factor = 1.25;
+    double cold_burst = 4;
     // between probes while requests wait for the slow period to end
     duration probe_interval = std::chrono::milliseconds(12);
     // probes of the target in a second, for the slowdown
--- a/include/endivehinge/policy/target_gate_policy.hpp
+++ b/include/endivehinge/policy/target_gate_policy.hpp
@@ -1,7 +1,6 @@
 #ifndef ENDIVEHINGE_POLICY_TARGET_GATE_POLICY_HPP
 #define ENDIVEHINGE_POLICY_TARGET_GATE_POLICY_HPP
 
-#include <deque>    // deque
 #include <optional> // optional
 #include <string>   // string
 #include <vector>   // vector
@@ -90,6 +89,7 @@
         std::string route;
         request_urgency urgency;
         bool may_decline = false;
+        time_point offered;
     };
 
     enum class readiness
@@ -107,15 +107,14 @@
 
     [[nodiscard]] std::size_t limit() const;
     [[nodiscard]] bool is_cold(time_point now) const;
+    void refill_cold(time_point now);
     [[nodiscard]] bool has_cold_room(time_point now);
-    [[nodiscard]] duration cold_wait(time_point now) const;
     [[nodiscard]] bool has_room(time_point now);
     [[nodiscard]] bool is_slowdown_fresh(time_point now) const;
     [[nodiscard]] bool is_probe_pending(time_point now) const;
     [[nodiscard]] readiness readiness_of(queued const & one,
                                          time_point now) const;
     void refuse_late(std::vector<gate_verdict> & ready, time_point now);
-    [[nodiscard]] duration mean_run_time() const;
     [[nodiscard]] duration expected_wait(request_urgency const & urgency,
                                          time_point now) const;
     [[nodiscard]] bool
@@ -142,7 +141,8 @@
     double failure_share = 0;
     time_point cold_until;
     double cold_rate = 0;
-    std::deque<time_point> cold_starts;
+    double cold_tokens = 0;
+    time_point cold_refilled;
     std::uint64_t last_ticket = 0;
     std::vector<queued> waiting;
     absl::flat_hash_map<gate_ticket, started> running;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -46,7 +46,8 @@
                 {
                     this->on_peer_versions(from, shown);
                 }
-            });
+            },
+            this->log);
     }
     return *found;
 }
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -1,10 +1,12 @@
 #include <endivehinge/detail/gateway/peer_node.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // max, min
+#include <vector>    // vector
 
 #include <boost/asio/post.hpp> // post
 
 #include <endivehinge/detail/gateway/hop_fields.hpp>
+#include <endivehinge/detail/gateway/replica_exchange.hpp>
 
 namespace endivehinge::detail
 {
@@ -18,9 +20,14 @@
 constexpr duration deadline_grace = std::chrono::milliseconds(60);
 // nodes keep idle connections of other nodes open for longer than this
 constexpr duration idle_timeout = std::chrono::seconds(10);
-// an unreachable node is left out for this long, doubled while it stays so
-constexpr duration first_suspension = std::chrono::milliseconds(250);
+// an unreachable node is asked again after this time, doubled while it stays
+// so
+constexpr duration first_check = std::chrono::milliseconds(150);
 constexpr std::uint32_t largest_doubling = 3;
+// for a node to answer a check; several round trips between failure domains
+constexpr duration check_timeout = std::chrono::milliseconds(250);
+// a node from which nothing came for this long is checked
+constexpr duration silence = std::chrono::milliseconds(200);
 // weight of the newest outcome in the share of failures
 constexpr double failure_weight = 0.1;
 
@@ -42,12 +49,16 @@
 peer_node::peer_node(boost::asio::io_context & loop,
                      endpoint const & address,
                      hop_sender const & self,
-                     versions_handler on_versions)
+                     versions_handler on_versions,
+                     event_log & log)
     : io(loop)
     , peer(address)
     , sender(self)
     , connections(loop, address, options_of_peer())
     , versions_action(std::move(on_versions))
+    , events(log)
+    , check_timer(loop)
+    , watchdog_timer(loop)
 {
 }
 
@@ -62,43 +73,186 @@
     options.deadline = request.urgency.deadline + deadline_grace;
     options.connect_timeout = connect_timeout;
     this->sent += 1;
-    this->pending += 1;
-    auto const finished = [this, done = std::move(done)](call_result result)
+    auto const number = ++this->last_flight;
+    auto & one = this->flights[number];
+    one.sent = now();
+    one.idempotent = request.idempotent;
+    one.finish = [this, done = std::move(done)](call_result result)
     {
-        this->pending -= 1;
         auto const status = result.status;
         auto read = this->read_result(std::move(result));
         this->note(read, status);
         done(std::move(read));
     };
-    auto const connection = this->connections.send(
-        std::move(request.message), options, false, finished);
-    if (!connection)
+    one.connection =
+        this->connections.send(std::move(request.message),
+                               options,
+                               false,
+                               [this, number](call_result result)
+                               {
+                                   this->land(number, std::move(result));
+                               });
+    if (!one.connection)
     {
-        auto const cancelled = std::make_shared<bool>(false);
         boost::asio::post(this->io,
-                          [finished, cancelled]
+                          [this, number]
                           {
-                              if (!*cancelled)
-                              {
-                                  call_result result;
-                                  result.detail = "no connection left";
-                                  finished(std::move(result));
-                              }
+                              call_result result;
+                              result.detail = "no connection left";
+                              this->land(number, std::move(result));
                           });
-        return [this, cancelled]
-        {
-            *cancelled = true;
-            this->pending -= 1;
-        };
     }
-    return [this, connection]
+    this->arm_watchdog();
+    return [this, number]
     {
-        this->pending -= 1;
-        connection->cancel();
+        auto const found = this->flights.find(number);
+        if (found == this->flights.end())
+        {
+            return;
+        }
+        if (found->second.connection)
+        {
+            found->second.connection->cancel();
+        }
+        this->flights.erase(found);
     };
 }
 
+void peer_node::land(std::uint64_t number, call_result result)
+{
+    auto const found = this->flights.find(number);
+    if (found == this->flights.end())
+    {
+        return;
+    }
+    auto const finish = std::move(found->second.finish);
+    this->flights.erase(found);
+    finish(std::move(result));
+}
+
+// ---------------------------------------------------------------------------
+// whether the node can be reached
+// ---------------------------------------------------------------------------
+
+void peer_node::suspend(std::string const & why)
+{
+    if (!this->suspended)
+    {
+        this->suspended = true;
+        this->failed_checks = 0;
+        this->events.write("peer_lost",
+                           {{"peer", this->peer.to_string()}, {"reason", why}});
+        this->connections.close_idle();
+    }
+    this->check_later();
+}
+
+void peer_node::check_later()
+{
+    if (this->checking)
+    {
+        return;
+    }
+    this->checking = true;
+    auto const pause =
+        first_check * (1U << std::min(this->failed_checks, largest_doubling));
+    this->check_timer.expires_after(pause);
+    this->check_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->check();
+            }
+        });
+}
+
+void peer_node::check()
+{
+    this->call(replica_exchange::write_request(this->sender.versions),
+               check_timeout,
+               [this](call_result result)
+               {
+                   this->checking = false;
+                   if (result.status == call_status::answered)
+                   {
+                       this->suspended = false;
+                       this->heard = now();
+                       this->events.write("peer_regained",
+                                          {{"peer", this->peer.to_string()}});
+                       return;
+                   }
+                   this->failed_checks += 1;
+                   this->suspend(result.detail);
+               });
+}
+
+void peer_node::arm_watchdog()
+{
+    if (this->watching || this->flights.empty())
+    {
+        return;
+    }
+    this->watching = true;
+    this->watchdog_timer.expires_after(silence);
+    this->watchdog_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            this->watching = false;
+            if (!error)
+            {
+                this->watchdog();
+            }
+        });
+}
+
+void peer_node::watchdog()
+{
+    if (this->flights.empty() || this->suspended)
+    {
+        return;
+    }
+    auto const oldest = this->flights.begin()->second.sent;
+    if (now() - std::max(this->heard, oldest) < silence)
+    {
+        this->arm_watchdog();
+        return;
+    }
+    this->call(replica_exchange::write_request(this->sender.versions),
+               check_timeout,
+               [this](call_result result)
+               {
+                   if (result.status == call_status::answered)
+                   {
+                       this->heard = now();
+                       this->arm_watchdog();
+                       return;
+                   }
+                   this->suspend("silent: " + result.detail);
+                   std::vector<std::uint64_t> lost;
+                   for (auto const & [number, one] : this->flights)
+                   {
+                       if (one.idempotent && one.connection)
+                       {
+                           lost.push_back(number);
+                       }
+                   }
+                   for (auto const number : lost)
+                   {
+                       auto const found = this->flights.find(number);
+                       if (found == this->flights.end())
+                       {
+                           continue;
+                       }
+                       found->second.connection->cancel();
+                       call_result silent;
+                       silent.status = call_status::lost;
+                       silent.detail = "the node is silent";
+                       this->land(number, std::move(silent));
+                   }
+               });
+}
+
 void peer_node::call(request_message message,
                      duration timeout,
                      client_connection::result_handler done)
@@ -147,15 +301,13 @@
 {
     if (status == call_status::not_sent)
     {
-        this->suspended_until =
-            now() + first_suspension *
-                        (1U << std::min(this->unreachable, largest_doubling));
-        this->unreachable += 1;
+        this->suspend(result.reason);
         return;
     }
     if (status == call_status::answered)
     {
-        this->unreachable = 0;
+        this->heard = now();
+        this->suspended = false;
     }
     if (result.load)
     {
@@ -169,14 +321,9 @@
     this->failures += failure_weight * ((failed ? 1.0 : 0.0) - this->failures);
 }
 
-bool peer_node::is_suspended(time_point at) const
-{
-    return at < this->suspended_until;
-}
-
-std::uint32_t peer_node::in_flight() const
+bool peer_node::is_suspended() const
 {
-    return this->pending;
+    return this->suspended;
 }
 
 std::optional<target_load> const & peer_node::load() const
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -17,7 +17,7 @@
 
 // placements of one request, refused ones included; bounds the work that one
 // request may cause
-constexpr std::uint32_t largest_placements = 8;
+constexpr std::uint32_t largest_placements = 24;
 // a client that states no time to wait is served within this one
 constexpr duration longest_wait = std::chrono::seconds(30);
 // a target that reaches the deadline responds by itself; this lets it
@@ -182,13 +182,12 @@
 std::vector<target_entry const *> request_dispatch::open_targets() const
 {
     std::vector<target_entry const *> open;
-    auto const at = now();
     for (auto const * const entry :
          this->state.fleet.ready_targets(this->service))
     {
         bool const local = entry->node == this->state.settings.node;
         if (this->tried.contains(entry->id) ||
-            (!local && this->state.peer(entry->peer).is_suspended(at)))
+            (!local && this->state.peer(entry->peer).is_suspended()))
         {
             continue;
         }
--- a/src/policy/target_gate_policy.cpp
+++ b/src/policy/target_gate_policy.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-// the span over which a cold target's bound is stated
-constexpr duration cold_span = std::chrono::seconds(1);
 // probes that may be sent at once after a quiet time
 constexpr double probe_burst = 10;
 // weight of the newest slow period in their mean
@@ -138,19 +136,18 @@
     {
         return this->refuse(ticket, gate_refusal::too_late, duration(0));
     }
-    if (!this->has_cold_room(now))
-    {
-        return this->refuse(ticket, gate_refusal::cold, this->cold_wait(now));
-    }
     auto const wait = this->expected_wait(urgency, now);
     auto const usable =
         scaled(urgency.deadline - now, this->options.usable_time);
     if (wait + this->run_time(route) > usable ||
         this->waiting.size() >= this->options.waiting)
     {
-        return this->refuse(ticket, gate_refusal::busy, wait);
+        return this->refuse(ticket,
+                            this->is_cold(now) ? gate_refusal::cold
+                                               : gate_refusal::busy,
+                            wait);
     }
-    this->waiting.push_back({ticket, route, urgency, may_decline});
+    this->waiting.push_back({ticket, route, urgency, may_decline, now});
     return {ticket, gate_verdict::action::wait, gate_refusal::none, wait};
 }
 
@@ -283,10 +280,13 @@
                 : this->slowdown_heard + this->options.probe_interval;
         next = std::min(*next, at);
     }
-    if (!this->waiting.empty() && !this->cold_starts.empty() &&
-        this->cold_rate > 0)
+    if (!this->waiting.empty() && this->cold_rate > 0 && this->cold_tokens < 1)
     {
-        next = std::min(*next, this->cold_starts.front() + cold_span);
+        auto const until_token =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                (1 - this->cold_tokens) /
+                (this->cold_rate * this->options.cold_rate_factor)));
+        next = std::min(*next, this->cold_refilled + until_token);
     }
     return next;
 }
@@ -303,22 +303,20 @@
     return this->cold_rate > 0 && now < this->cold_until;
 }
 
-bool target_gate_policy::has_cold_room(time_point now)
+void target_gate_policy::refill_cold(time_point now)
 {
-    while (!this->cold_starts.empty() &&
-           now - this->cold_starts.front() >= cold_span)
-    {
-        this->cold_starts.pop_front();
-    }
-    return !this->is_cold(now) ||
-           static_cast<double>(this->cold_starts.size()) < this->cold_rate;
+    double const passed = to_milliseconds(now - this->cold_refilled) / 1000;
+    this->cold_refilled = now;
+    this->cold_tokens =
+        std::min(this->options.cold_burst,
+                 this->cold_tokens +
+                     passed * this->cold_rate * this->options.cold_rate_factor);
 }
 
-duration target_gate_policy::cold_wait(time_point now) const
+bool target_gate_policy::has_cold_room(time_point now)
 {
-    return this->cold_starts.empty()
-               ? duration(0)
-               : this->cold_starts.front() + cold_span - now;
+    this->refill_cold(now);
+    return !this->is_cold(now) || this->cold_tokens >= 1;
 }
 
 bool target_gate_policy::has_room(time_point now)
@@ -357,32 +355,45 @@
     {
         return readiness::decline;
     }
-    // what a start now would lose against one after the slow period
+    // what a start now would lose against one after the slow period, which
+    // may last as long again as it has lasted
     auto const work = this->run_time(one.route);
     auto const lost = scaled(work, this->slowdown - 1);
+    auto const remaining =
+        std::max(this->mean_slow_period / 2, now - this->slow_since);
     bool const still_on_time =
         now + scaled(work, this->slowdown) <= one.urgency.target_time;
-    return still_on_time || lost <= this->mean_slow_period ? readiness::start
-                                                           : readiness::wait;
-}
-
-duration target_gate_policy::mean_run_time() const
-{
-    return this->mean_time;
+    if (still_on_time || lost <= remaining)
+    {
+        return readiness::start;
+    }
+    return now - one.offered < this->options.slow_patience ? readiness::wait
+                                                           : readiness::decline;
 }
 
 duration target_gate_policy::expected_wait(request_urgency const & urgency,
                                            time_point now) const
 {
     std::size_t ahead = this->running.size() < this->limit() ? 0 : 1;
-    queued const candidate{gate_ticket(0), "", urgency, false};
+    queued const candidate{gate_ticket(0), "", urgency, false, now};
     for (auto const & one : this->waiting)
     {
         ahead += this->is_before(candidate, one, now) ? 0 : 1;
     }
-    return scaled(this->mean_run_time(),
-                  static_cast<double>(ahead) /
-                      static_cast<double>(this->limit()));
+    auto const by_slots =
+        scaled(this->mean_time,
+               static_cast<double>(ahead) / static_cast<double>(this->limit()));
+    if (!this->is_cold(now))
+    {
+        return by_slots;
+    }
+    double const lacking =
+        static_cast<double>(this->waiting.size()) + 1 - this->cold_tokens;
+    auto const by_rate =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            std::max(lacking, 0.0) /
+            (this->cold_rate * this->options.cold_rate_factor)));
+    return std::max(by_slots, by_rate);
 }
 
 bool target_gate_policy::can_be_on_time(queued const & one,
@@ -424,12 +435,8 @@
                                time_point now)
 {
     this->running[ticket] = {route, now};
-    // kept at all times: a target may turn out to be cold a moment later
-    this->cold_starts.push_back(now);
-    while (now - this->cold_starts.front() >= cold_span)
-    {
-        this->cold_starts.pop_front();
-    }
+    // taken at all times: a target may turn out to be cold a moment later
+    this->cold_tokens = std::max(0.0, this->cold_tokens - 1);
 }
 
 gate_verdict target_gate_policy::refuse(gate_ticket ticket,
--- /dev/null
+++ b/tests/src/unit-hop-fields.cpp
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+
+#include <endivehinge/detail/gateway/hop_fields.hpp>
+#include <endivehinge/detail/gateway/replica_exchange.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+time_point const now_time{std::chrono::seconds(50)};
+
+dispatch_request sample_request()
+{
+    dispatch_request request;
+    request.message = request_message{http::verb::put, "/a/b?c=d", 11};
+    request.message.set("X-Client", "kept");
+    request.message.body() = "body";
+    request.id = "id-1";
+    request.target = target_id("i-1");
+    request.route = "r-1";
+    request.caller = service_name("web");
+    request.urgency = {
+        2, now_time + milliseconds(300), now_time + milliseconds(900)};
+    request.idempotent = true;
+    request.may_decline = true;
+    return request;
+}
+
+hop_sender sample_sender()
+{
+    hop_sender sender;
+    sender.peer = {"10.0.0.1", 8000};
+    sender.versions.kinds = {
+        object_version(4), object_version(5), object_version(6)};
+    return sender;
+}
+
+TEST(hop_fields, a_request_survives_the_hop_and_its_fields_do_not)
+{
+    auto sent = sample_request();
+    write_hop_request(sent, sample_sender(), now_time);
+    auto message = sent.message;
+    auto const sender = read_hop_sender(message);
+    ASSERT_TRUE(sender.has_value());
+    EXPECT_EQ(sender->peer, sample_sender().peer);
+    EXPECT_EQ(sender->versions.kinds, sample_sender().versions.kinds);
+    auto const read = read_hop_request(std::move(message), now_time);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->id, "id-1");
+    EXPECT_EQ(read->target, target_id("i-1"));
+    EXPECT_EQ(read->route, "r-1");
+    EXPECT_EQ(read->caller, service_name("web"));
+    EXPECT_EQ(read->urgency.rank, 2U);
+    EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
+    EXPECT_TRUE(read->idempotent);
+    EXPECT_TRUE(read->may_decline);
+    std::size_t fields = 0;
+    for (auto const & field : read->message)
+    {
+        fields += 1;
+        EXPECT_EQ(field.name_string(), "X-Client");
+    }
+    EXPECT_EQ(fields, 1U);
+}
+
+TEST(hop_fields, a_request_without_the_fields_is_not_read)
+{
+    EXPECT_FALSE(
+        read_hop_request(request_message{http::verb::get, "/", 11}, now_time)
+            .has_value());
+    auto sent = sample_request();
+    write_hop_request(sent, sample_sender(), now_time);
+    sent.message.set("Endivehinge-Urgency", "1 2 x 4 5");
+    EXPECT_FALSE(
+        read_hop_request(std::move(sent.message), now_time).has_value());
+}
+
+TEST(hop_fields, a_client_cannot_set_the_fields)
+{
+    auto sent = sample_request();
+    write_hop_request(sent, sample_sender(), now_time);
+    remove_hop_fields(sent.message);
+    EXPECT_FALSE(read_hop_sender(sent.message).has_value());
+    EXPECT_FALSE(
+        read_hop_request(std::move(sent.message), now_time).has_value());
+}
+
+TEST(hop_fields, a_result_survives_the_hop)
+{
+    for (auto const outcome : {dispatch_outcome::answered,
+                               dispatch_outcome::refused,
+                               dispatch_outcome::indeterminate})
+    {
+        dispatch_result sent;
+        sent.outcome = outcome;
+        sent.response = response_message{http::status::created, 11};
+        sent.response.set("Kept", "yes");
+        sent.response.body() = "answer";
+        sent.from_service = true;
+        sent.reached_target = true;
+        sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
+        sent.retry_after = milliseconds(70);
+        sent.ran = milliseconds(12);
+        target_load load;
+        load.running = 3;
+        load.limit = 14;
+        load.slowdown = 4.5;
+        load.closed = true;
+        sent.load = load;
+        replica_versions versions;
+        auto const read = read_hop_result(
+            write_hop_result(sent, sample_sender().versions), versions);
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read->outcome, outcome);
+        EXPECT_EQ(read->reason, sent.reason);
+        EXPECT_EQ(read->retry_after, sent.retry_after);
+        EXPECT_TRUE(read->from_service);
+        EXPECT_TRUE(read->reached_target);
+        EXPECT_EQ(versions.kinds, sample_sender().versions.kinds);
+        ASSERT_TRUE(read->load.has_value());
+        EXPECT_EQ(read->load->running, 3U);
+        EXPECT_DOUBLE_EQ(read->load->slowdown, 4.5);
+        EXPECT_TRUE(read->load->closed);
+        if (outcome == dispatch_outcome::answered)
+        {
+            EXPECT_EQ(read->response.result(), http::status::created);
+            EXPECT_EQ(read->response.body(), "answer");
+            EXPECT_EQ(read->response["Kept"], "yes");
+        }
+    }
+}
+
+TEST(replica_exchange, survives_the_wire)
+{
+    replica_exchange sent;
+    sent.age = milliseconds(7);
+    sent.in_contact = true;
+    sent.kinds[1] = {object_version(9),
+                     true,
+                     {{"zone \"x\"", object_version(8), "{\"a\":1}", false},
+                      {"gone", object_version(9), "", true}}};
+    failure reason;
+    auto const read = replica_exchange::read(sent.write(), reason);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->age, sent.age);
+    EXPECT_TRUE(read->in_contact);
+    EXPECT_EQ(read->kinds[1].version, object_version(9));
+    EXPECT_TRUE(read->kinds[1].complete);
+    ASSERT_EQ(read->kinds[1].objects.size(), 2U);
+    EXPECT_EQ(read->kinds[1].objects[0].content, "{\"a\":1}");
+    EXPECT_TRUE(read->kinds[1].objects[1].deleted);
+    for (auto const * const bad :
+         {"", "{}", "[]", "{\"age_us\":1}", "{\"age_us\":\"x\",\"kinds\":[]}"})
+    {
+        EXPECT_FALSE(replica_exchange::read(bad, reason).has_value()) << bad;
+        EXPECT_EQ(reason.id, failure_id::invalid_message);
+    }
+}
+
+TEST(replica_exchange, its_request_names_the_versions_that_are_known)
+{
+    auto const request =
+        replica_exchange::write_request(sample_sender().versions);
+    EXPECT_TRUE(replica_exchange::is_request(request));
+    EXPECT_EQ(replica_exchange::read_request(request).kinds,
+              sample_sender().versions.kinds);
+    EXPECT_FALSE(replica_exchange::is_request(
+        request_message{http::verb::get, "/other", 11}));
+}
+
+} // namespace
+} // namespace endivehinge::detail
