--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -84,6 +84,8 @@
     absl::flat_hash_set<target_id> tried;
     // targets that would take it were they not slow
     std::vector<target_id> declined;
+    // the outcome at some target is not known
+    bool may_have_run = false;
     // no target may decline it any more
     bool last_round = false;
     std::uint32_t arrivals = 0;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -324,6 +324,7 @@
                                      dispatch_result const & result)
 {
     this->note(*one, result, "indeterminate");
+    this->may_have_run = true;
     this->last_reason = result.reason;
     if (this->route->idempotent && this->may_repeat())
     {
@@ -382,7 +383,7 @@
         running = running || !one->finished;
     }
     this->last_reason = "deadline";
-    if (running || this->arrivals > 0)
+    if (running || this->may_have_run)
     {
         this->fail(http::status::gateway_timeout, "deadline");
     }
@@ -437,6 +438,12 @@
 
 void request_dispatch::reject(std::string const & reason, duration wait)
 {
+    if (this->may_have_run)
+    {
+        // a refusal would say that it has not run
+        this->fail(http::status::bad_gateway, reason);
+        return;
+    }
     response_message message{http::status::service_unavailable, 11};
     auto const bounded = std::clamp(wait, shortest_retry, longest_retry);
     auto const spread = std::chrono::duration_cast<duration>(
--- /dev/null
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -0,0 +1,240 @@
+#include "gateway_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <platform/platform.hpp>
+
+namespace endivehinge::tests
+{
+
+using detail::call_status;
+using nlohmann::json;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+// above any wait of the code under test
+constexpr duration patience = std::chrono::seconds(20);
+
+endpoint free_address()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor const acceptor(
+        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+gateway_fleet::gateway_fleet()
+    : store(this->io)
+{
+}
+
+fleet_member & gateway_fleet::add(std::string const & service,
+                                  std::string const & domain)
+{
+    auto const number = std::to_string(this->members.size());
+    auto member = std::make_unique<fleet_member>();
+    member->target = std::make_unique<target_stand_in>(this->io, "i-" + number);
+    detail::gateway_settings settings;
+    settings.node = node_name("node-" + number);
+    settings.domain = failure_domain(domain);
+    settings.service = service_name(service);
+    settings.target_address = member->target->address();
+    settings.client_listener = free_address();
+    settings.peer_listener = free_address();
+    settings.readiness_listener = free_address();
+    settings.report_listener = free_address();
+    settings.store = this->store.address();
+    settings.bounds.repeat_burst = 100;
+    auto adapters = platform::make_adapters(settings);
+    member->node = std::make_unique<detail::gateway_parts>(
+        this->io, std::move(settings), std::move(adapters));
+    failure reason;
+    EXPECT_TRUE(member->node->open(reason)) << reason.describe();
+    this->members.push_back(std::move(member));
+    return *this->members.back();
+}
+
+void gateway_fleet::configure(int version, std::string const & service)
+{
+    auto const route = [this, &service](char const * prefix, char const * type)
+    {
+        return json{{"hostname", "h.example"},
+                    {"pathPrefix", prefix},
+                    {"routeType", type},
+                    {"timeoutS", 2.0},
+                    {"targetLatencyS", 0.5},
+                    {"priority", 1},
+                    {"maxAttempts", this->route_attempts},
+                    {"service", service}};
+    };
+    this->store.put("config",
+                    "main",
+                    {{"version", "r" + std::to_string(version)},
+                     {"routes",
+                      {{"safe", route("/safe/", "safe")},
+                       {"unsafe", route("/unsafe/", "unsafe")}}},
+                     {"services",
+                      {{service,
+                        {{"healthCheckPath", "/health"},
+                         {"coldStartS", 3.0},
+                         {"coldPerS", 50.0}}}}}});
+}
+
+unsigned gateway_fleet::report(fleet_member & member,
+                               std::string const & state,
+                               int sequence)
+{
+    auto const & settings = member.node->state.settings;
+    bool const leaves = state == "leave";
+    detail::request_message message{http::verb::post,
+                                    "/api/instances/" + member.target->id +
+                                        (leaves ? "/leave" : "/heartbeat"),
+                                    11};
+    message.body() =
+        json{
+            {"address", settings.target_address.to_string()},
+            {"born", 1000},
+            {"info",
+             {{"service", settings.service.value()},
+              {"zone", settings.domain.value()},
+              {"version", "v1"},
+              {"slots", 10}}},
+            {"status",
+             {{"state", state}, {"sequence", sequence}, {"coldRemainingS", 0}}}}
+            .dump();
+    message.prepare_payload();
+    detail::upstream client(
+        this->io, settings.report_listener, detail::upstream_options{});
+    detail::call_options options;
+    options.deadline = now() + patience;
+    std::optional<detail::call_result> result;
+    auto const call = client.send(std::move(message),
+                                  options,
+                                  true,
+                                  [&result](detail::call_result got)
+                                  {
+                                      result = std::move(got);
+                                  });
+    EXPECT_TRUE(this->run_until(
+        [&result]
+        {
+            return result.has_value();
+        }));
+    return result->response.result_int();
+}
+
+void gateway_fleet::settle(std::size_t count, std::string const & service)
+{
+    this->configure(1, service);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        this->add(service);
+    }
+    for (auto const & member : this->members)
+    {
+        EXPECT_EQ(this->report(*member, "ready", 1), 200U);
+    }
+    EXPECT_TRUE(this->run_until(
+        [this, count, &service]
+        {
+            for (auto const & member : this->members)
+            {
+                auto const & fleet = member->node->state.fleet;
+                if (!fleet.configuration() ||
+                    fleet.ready_targets(service_name(service)).size() < count)
+                {
+                    return false;
+                }
+            }
+            return true;
+        }));
+}
+
+std::shared_ptr<gateway_fleet::client_call>
+gateway_fleet::send(fleet_member & member,
+                    std::string const & path,
+                    std::string const & id,
+                    int time_left_ms)
+{
+    detail::request_message message{
+        path.rfind("/unsafe/", 0) == 0 ? http::verb::post : http::verb::get,
+        path,
+        11};
+    message.set(http::field::host, "h.example");
+    message.set("Request-Id", id);
+    message.set("Deadline-Ms", std::to_string(time_left_ms));
+    if (message.method() == http::verb::post)
+    {
+        message.body() = "booking";
+    }
+    message.prepare_payload();
+    auto const & address = member.node->state.settings.client_listener;
+    this->clients.push_back(std::make_unique<detail::upstream>(
+        this->io, address, detail::upstream_options{}));
+    detail::call_options options;
+    options.deadline = now() + patience;
+    auto call = std::make_shared<client_call>();
+    call->connection =
+        this->clients.back()->send(std::move(message),
+                                   options,
+                                   true,
+                                   [call](detail::call_result got)
+                                   {
+                                       call->result = std::move(got);
+                                   });
+    return call;
+}
+
+detail::call_result gateway_fleet::ask(fleet_member & member,
+                                       std::string const & path,
+                                       std::string const & id,
+                                       int time_left_ms)
+{
+    auto const call = this->send(member, path, id, time_left_ms);
+    EXPECT_TRUE(this->run_until(
+        [&call]
+        {
+            return call->result.has_value();
+        }));
+    return call->result.value_or(detail::call_result{});
+}
+
+bool gateway_fleet::run_until(std::function<bool()> const & condition)
+{
+    auto const end = now() + patience;
+    while (!condition())
+    {
+        if (now() > end)
+        {
+            return false;
+        }
+        this->io.run_one_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+void gateway_fleet::run_for(duration span)
+{
+    this->io.run_for(span);
+}
+
+std::size_t gateway_fleet::runs_of(std::string const & request) const
+{
+    std::size_t sum = 0;
+    for (auto const & member : this->members)
+    {
+        sum += member->target->runs_of(request);
+    }
+    return sum;
+}
+
+} // namespace endivehinge::tests
--- /dev/null
+++ b/tests/src/gateway/target_stand_in.cpp
@@ -0,0 +1,91 @@
+#include "target_stand_in.hpp"
+
+#include <algorithm> // count
+
+#include <gtest/gtest.h>
+
+namespace endivehinge::tests
+{
+
+namespace http = boost::beast::http;
+
+target_stand_in::target_stand_in(boost::asio::io_context & loop,
+                                 std::string name)
+    : id(std::move(name))
+    , listener(loop, *this)
+{
+    failure reason;
+    EXPECT_TRUE(this->listener.open({"127.0.0.1", 0}, reason))
+        << reason.describe();
+}
+
+endpoint target_stand_in::address() const
+{
+    return {"127.0.0.1", this->listener.port()};
+}
+
+void target_stand_in::close()
+{
+    this->listener.close();
+}
+
+void target_stand_in::handle(std::shared_ptr<detail::exchange> incoming)
+{
+    if (incoming->request.target() == "/health")
+    {
+        this->probes += 1;
+        detail::response_message message{http::status::ok, 11};
+        this->add_fields(message);
+        message.keep_alive(true);
+        message.prepare_payload();
+        incoming->respond(std::move(message));
+        return;
+    }
+    if (incoming->request["Expect-Instance"] != this->id)
+    {
+        detail::response_message message{http::status::misdirected_request, 11};
+        message.keep_alive(true);
+        message.prepare_payload();
+        incoming->respond(std::move(message));
+        return;
+    }
+    this->ran.emplace_back(incoming->request["Request-Id"]);
+    this->last = incoming->request;
+    incoming->on_cancel(
+        [this]
+        {
+            this->cancelled += 1;
+        });
+    if (this->habit)
+    {
+        this->habit(incoming);
+        return;
+    }
+    this->respond(*incoming, 200);
+}
+
+void target_stand_in::respond(detail::exchange & client, unsigned status)
+{
+    detail::response_message message{static_cast<http::status>(status), 11};
+    this->add_fields(message);
+    message.set("Request-Id", client.request["Request-Id"]);
+    message.set("Server-Stamp", this->id);
+    message.body() = "from " + this->id;
+    message.keep_alive(true);
+    message.prepare_payload();
+    client.respond(std::move(message));
+}
+
+std::size_t target_stand_in::runs_of(std::string const & request) const
+{
+    return static_cast<std::size_t>(
+        std::count(this->ran.begin(), this->ran.end(), request));
+}
+
+void target_stand_in::add_fields(detail::response_message & message) const
+{
+    message.set("Instance-Id", this->id);
+    message.set("Server-Load", "0,0,10," + std::to_string(this->slowdown));
+}
+
+} // namespace endivehinge::tests
