Ask what became of requests on a silent connection, remove vanished entries

Cause: an open connection between nodes may go silent while new ones work; a request on it waited until its deadline, and one that must not be repeated could not be placed elsewhere. Entries of nodes that are gone for good stayed.

Ruled out: repeating after a timeout (may run twice), an acknowledgement for each request (bytes and a wake-up each).

Change: a node that hears nothing for 200 ms asks on a new connection; the other one tells what runs, what has ended and what never came, and refuses the latter if it still comes. The node that follows the store removes the entry of one that could not be reached for 60 s, under the condition of its version.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -16,6 +16,8 @@
     request_message message;
     // as the client sent it
     std::string id;
+    // this one way to a target, unique over all nodes; set for a hop
+    std::string flight;
     // the run of the target that was chosen
     target_id target;
     // requests of one route take about the same time
--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -46,6 +46,10 @@
     /// @brief the versions of the copies
     [[nodiscard]] replica_versions versions() const;
 
+    /// @brief the object of a node's target, or null
+    [[nodiscard]] replicated_object const *
+    find_target(node_name const & name) const;
+
     /// @brief what a copy of an older version lacks
     [[nodiscard]] object_changes changes_since(object_kind kind,
                                                object_version older) const;
--- a/include/endivehinge/detail/gateway/hop_fields.hpp
+++ b/include/endivehinge/detail/gateway/hop_fields.hpp
@@ -17,6 +17,8 @@
     // where it takes requests of other nodes
     endpoint peer;
     replica_versions versions;
+    // unique to this process; its requests are named by it and a number
+    std::string process;
 };
 
 /// @brief adds the fields that carry a request to another node
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>    // uint32_t
 #include <functional> // function
 #include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
 
 #include <absl/container/btree_map.h>  // btree_map
 #include <boost/asio/io_context.hpp>   // io_context
@@ -45,10 +47,18 @@
               duration timeout,
               client_connection::result_handler done);
 
+    /// @brief does the same on a new connection, for an open one may be silent
+    void call_fresh(request_message message,
+                    duration timeout,
+                    client_connection::result_handler done);
+
     /// @brief whether the node could not be reached; it is checked until it
     /// can, and gets no requests meanwhile
     [[nodiscard]] bool is_suspended() const;
 
+    /// @brief for how long it could not be reached; 0 while it can
+    [[nodiscard]] duration lost_for() const;
+
     /// @brief the last load that was heard, and when
     [[nodiscard]] std::optional<target_load> const & load() const;
     [[nodiscard]] time_point load_time() const;
@@ -69,13 +79,21 @@
         bool idempotent = false;
     };
 
+    void send(request_message message,
+              duration timeout,
+              bool fresh,
+              client_connection::result_handler done);
     [[nodiscard]] dispatch_result read_result(call_result result);
+    [[nodiscard]] std::string name_of(std::uint64_t number) const;
     void land(std::uint64_t number, call_result result);
     void suspend(std::string const & why);
     void check_later();
     void check();
     void arm_watchdog();
     void watchdog();
+    void query_flights();
+    void queried(std::vector<std::uint64_t> const & asked, call_result result);
+    void lose_flight(std::uint64_t number);
     void note(dispatch_result const & result, call_status status);
 
     boost::asio::io_context & io;
@@ -87,6 +105,7 @@
     std::optional<target_load> last_load;
     time_point load_heard;
     bool suspended = false;
+    time_point suspended_since;
     bool checking = false;
     std::uint32_t failed_checks = 0;
     boost::asio::steady_timer check_timer;
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_PEER_SERVICE_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_PEER_SERVICE_HPP
 
+#include <endivehinge/coordination/flight_table.hpp>
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/request_handler.hpp>
@@ -18,10 +19,15 @@
     void handle(std::shared_ptr<exchange> incoming) override;
 
 private:
+    void run(std::shared_ptr<exchange> const & incoming,
+             dispatch_request request);
+    [[nodiscard]] bool handle_question(exchange & incoming);
+    void refuse(exchange & incoming, char const * reason, bool closed);
     void respond(exchange & incoming, dispatch_result result);
 
     gateway_state & state;
     replica_sync & replicas;
+    flight_table flights;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -55,11 +55,13 @@
     void pull(endpoint const & peer, bool from_source);
     void pulled(endpoint const & peer, bool from_source, call_result result);
     void ask_any_node();
+    void remove_vanished();
     [[nodiscard]] bool in_contact() const;
     [[nodiscard]] bool is_near(endpoint const & peer) const;
     [[nodiscard]] duration age() const;
 
     gateway_state & state;
+    store_adapter const & adapter;
     upstream store;
     fleet_replica replica;
     store_session session;
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -68,6 +68,13 @@
     return this->copies[static_cast<std::size_t>(kind)].changes_since(older);
 }
 
+replicated_object const *
+fleet_replica::find_target(node_name const & name) const
+{
+    return this->copies[static_cast<std::size_t>(object_kind::targets)].find(
+        name.value());
+}
+
 object_copy & fleet_replica::copy_of(object_kind kind)
 {
     return this->copies[static_cast<std::size_t>(kind)];
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -4,6 +4,8 @@
 
 #include <utility> // move
 
+#include <absl/strings/str_cat.h> // Hex, StrCat
+
 namespace endivehinge::detail
 {
 namespace
@@ -29,6 +31,8 @@
     , generator(std::random_device{}())
 {
     this->self.peer = this->settings.peer_listener;
+    this->self.process = absl::StrCat(absl::Hex(this->generator()),
+                                      absl::Hex(this->generator()));
 }
 
 peer_node & gateway_state::peer(endpoint const & address)
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -21,6 +21,7 @@
 constexpr char const * route_field = "Endivehinge-Route";
 constexpr char const * caller_field = "Endivehinge-Caller";
 constexpr char const * id_field = "Endivehinge-Id";
+constexpr char const * flight_field = "Endivehinge-Flight";
 // where the sender takes requests, versions of its copies of the store
 constexpr char const * sender_field = "Endivehinge-Sender";
 // microseconds until the target time and the deadline, rank, idempotent, may
@@ -141,6 +142,7 @@
     message.set(route_field, request.route);
     message.set(caller_field, request.caller.value());
     message.set(id_field, request.id);
+    message.set(flight_field, request.flight);
     message.set(urgency_field,
                 absl::StrCat(microseconds(request.urgency.target_time - now),
                              " ",
@@ -168,7 +170,7 @@
     {
         return std::nullopt;
     }
-    return hop_sender{*peer, read_versions(numbers, 0)};
+    return hop_sender{*peer, read_versions(numbers, 0), {}};
 }
 
 std::optional<dispatch_request> read_hop_request(request_message message,
@@ -180,6 +182,7 @@
     request.route = take(message, route_field);
     request.caller = service_name(take(message, caller_field));
     request.id = take(message, id_field);
+    request.flight = take(message, flight_field);
     if (numbers.size() != 5 || request.target.value().empty())
     {
         return std::nullopt;
@@ -253,6 +256,7 @@
 void remove_hop_fields(header_fields & fields)
 {
     for (auto const * const name : {target_field,
+                                    flight_field,
                                     sender_field,
                                     route_field,
                                     caller_field,
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -1,12 +1,12 @@
 #include <endivehinge/detail/gateway/peer_node.hpp>
 
 #include <algorithm> // max, min
-#include <vector>    // vector
 
-#include <boost/asio/post.hpp> // post
+#include <absl/strings/str_cat.h> // StrCat
+#include <boost/asio/post.hpp>    // post
 
+#include <endivehinge/detail/gateway/flight_query.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
-#include <endivehinge/detail/gateway/replica_exchange.hpp>
 
 namespace endivehinge::detail
 {
@@ -26,6 +26,8 @@
 constexpr std::uint32_t largest_doubling = 3;
 // for a node to answer a check; several round trips between failure domains
 constexpr duration check_timeout = std::chrono::milliseconds(250);
+// requests asked for at once; bounds the length of the question
+constexpr std::size_t largest_query = 64;
 // a node from which nothing came for this long is checked
 constexpr duration silence = std::chrono::milliseconds(200);
 // weight of the newest outcome in the share of failures
@@ -65,6 +67,8 @@
 target_runner::cancel_action peer_node::run(dispatch_request request,
                                             result_handler done)
 {
+    auto const number = ++this->last_flight;
+    request.flight = this->name_of(number);
     write_hop_request(request, this->sender, now());
     request.message.version(11);
     request.message.keep_alive(true);
@@ -73,7 +77,6 @@
     options.deadline = request.urgency.deadline + deadline_grace;
     options.connect_timeout = connect_timeout;
     this->sent += 1;
-    auto const number = ++this->last_flight;
     auto & one = this->flights[number];
     one.sent = now();
     one.idempotent = request.idempotent;
@@ -139,6 +142,7 @@
     if (!this->suspended)
     {
         this->suspended = true;
+        this->suspended_since = now();
         this->failed_checks = 0;
         this->events.write("peer_lost",
                            {{"peer", this->peer.to_string()}, {"reason", why}});
@@ -169,22 +173,23 @@
 
 void peer_node::check()
 {
-    this->call(replica_exchange::write_request(this->sender.versions),
-               check_timeout,
-               [this](call_result result)
-               {
-                   this->checking = false;
-                   if (result.status == call_status::answered)
-                   {
-                       this->suspended = false;
-                       this->heard = now();
-                       this->events.write("peer_regained",
-                                          {{"peer", this->peer.to_string()}});
-                       return;
-                   }
-                   this->failed_checks += 1;
-                   this->suspend(result.detail);
-               });
+    this->call_fresh(flight_query::write_request({}),
+                     check_timeout,
+                     [this](call_result result)
+                     {
+                         this->checking = false;
+                         if (result.status == call_status::answered)
+                         {
+                             this->suspended = false;
+                             this->heard = now();
+                             this->events.write(
+                                 "peer_regained",
+                                 {{"peer", this->peer.to_string()}});
+                             return;
+                         }
+                         this->failed_checks += 1;
+                         this->suspend(result.detail);
+                     });
 }
 
 void peer_node::arm_watchdog()
@@ -218,60 +223,135 @@
         this->arm_watchdog();
         return;
     }
-    this->call(replica_exchange::write_request(this->sender.versions),
-               check_timeout,
-               [this](call_result result)
-               {
-                   if (result.status == call_status::answered)
-                   {
-                       this->heard = now();
-                       this->arm_watchdog();
-                       return;
-                   }
-                   this->suspend("silent: " + result.detail);
-                   std::vector<std::uint64_t> lost;
-                   for (auto const & [number, one] : this->flights)
-                   {
-                       if (one.idempotent && one.connection)
-                       {
-                           lost.push_back(number);
-                       }
-                   }
-                   for (auto const number : lost)
-                   {
-                       auto const found = this->flights.find(number);
-                       if (found == this->flights.end())
-                       {
-                           continue;
-                       }
-                       found->second.connection->cancel();
-                       call_result silent;
-                       silent.status = call_status::lost;
-                       silent.detail = "the node is silent";
-                       this->land(number, std::move(silent));
-                   }
-               });
+    this->query_flights();
+}
+
+void peer_node::query_flights()
+{
+    std::vector<std::uint64_t> asked;
+    std::vector<std::string> names;
+    for (auto const & [number, one] : this->flights)
+    {
+        if (now() - one.sent >= silence && asked.size() < largest_query)
+        {
+            asked.push_back(number);
+            names.push_back(this->name_of(number));
+        }
+    }
+    this->call_fresh(flight_query::write_request(names),
+                     check_timeout,
+                     [this, asked](call_result result)
+                     {
+                         this->queried(asked, std::move(result));
+                     });
+}
+
+void peer_node::queried(std::vector<std::uint64_t> const & asked,
+                        call_result result)
+{
+    auto const states = result.status == call_status::answered
+                            ? flight_query::read(result.response, asked.size())
+                            : std::nullopt;
+    if (!states)
+    {
+        this->suspend("silent: " + result.detail);
+        for (auto const number : asked)
+        {
+            auto const found = this->flights.find(number);
+            if (found != this->flights.end() && found->second.idempotent)
+            {
+                this->lose_flight(number);
+            }
+        }
+        return;
+    }
+    this->heard = now();
+    for (std::size_t i = 0; i < asked.size(); ++i)
+    {
+        auto const found = this->flights.find(asked[i]);
+        if (found == this->flights.end() ||
+            states->at(i) == flight_state::in_progress)
+        {
+            continue;
+        }
+        bool const never_came = states->at(i) == flight_state::fenced;
+        this->events.write(
+            "connection_silent",
+            {{"peer", this->peer.to_string()},
+             {"flight", this->name_of(asked[i])},
+             {"request", never_came ? "never came" : "was answered"}});
+        if (never_came)
+        {
+            // the node refuses it if it still comes
+            dispatch_result refused;
+            refused.reason = "never_came";
+            call_result known;
+            known.status = call_status::answered;
+            known.response = write_hop_result(refused, this->sender.versions);
+            found->second.connection->cancel();
+            this->land(asked[i], std::move(known));
+        }
+        else if (now() - found->second.sent > 2 * silence)
+        {
+            // the response had time to arrive
+            this->lose_flight(asked[i]);
+        }
+    }
+    this->arm_watchdog();
+}
+
+void peer_node::lose_flight(std::uint64_t number)
+{
+    auto const found = this->flights.find(number);
+    if (found == this->flights.end() || !found->second.connection)
+    {
+        return;
+    }
+    found->second.connection->cancel();
+    call_result silent;
+    silent.status = call_status::lost;
+    silent.detail = "the connection is silent";
+    this->land(number, std::move(silent));
+}
+
+std::string peer_node::name_of(std::uint64_t number) const
+{
+    return absl::StrCat(this->sender.process, "-", number);
 }
 
 void peer_node::call(request_message message,
                      duration timeout,
                      client_connection::result_handler done)
+{
+    this->send(std::move(message), timeout, false, std::move(done));
+}
+
+void peer_node::call_fresh(request_message message,
+                           duration timeout,
+                           client_connection::result_handler done)
+{
+    this->send(std::move(message), timeout, true, std::move(done));
+}
+
+void peer_node::send(request_message message,
+                     duration timeout,
+                     bool fresh,
+                     client_connection::result_handler done)
 {
     call_options options;
     options.deadline = now() + timeout;
     options.connect_timeout = connect_timeout;
-    auto const connection =
-        this->connections.send(std::move(message), options, false, done);
-    if (!connection)
+    if (this->connections.send(std::move(message), options, fresh, done))
     {
-        boost::asio::post(this->io,
-                          [done = std::move(done)]
-                          {
-                              call_result result;
-                              result.detail = "no connection left";
-                              done(std::move(result));
-                          });
+        return;
     }
+    boost::asio::post(this->io,
+                      [done = std::move(done)]
+                      {
+                          call_result result;
+                          result.detail = "no connection left";
+                          done(std::move(result));
+                      });
 }
 
 dispatch_result peer_node::read_result(call_result result)
@@ -326,6 +406,11 @@
     return this->suspended;
 }
 
+duration peer_node::lost_for() const
+{
+    return this->suspended ? now() - this->suspended_since : duration(0);
+}
+
 std::optional<target_load> const & peer_node::load() const
 {
     return this->last_load;
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -1,5 +1,6 @@
 #include <endivehinge/detail/gateway/peer_service.hpp>
 
+#include <endivehinge/detail/gateway/flight_query.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
@@ -16,9 +17,8 @@
 
 void peer_service::handle(std::shared_ptr<exchange> incoming)
 {
-    if (replica_exchange::is_request(incoming->request))
+    if (this->handle_question(*incoming))
     {
-        this->replicas.serve(*incoming);
         return;
     }
     if (auto const sender = read_hop_sender(incoming->request))
@@ -35,33 +35,73 @@
         incoming->respond(std::move(answer));
         return;
     }
+    if (!this->flights.begin(request->flight))
+    {
+        this->state.log.write("flight_fenced", {{"id", request->id}});
+        this->refuse(*incoming, "fenced", false);
+        return;
+    }
     if (this->state.stopping)
     {
-        dispatch_result result;
-        result.outcome = dispatch_outcome::refused;
-        result.reason = "node_stops";
-        target_load load = this->state.target.load();
-        load.closed = true;
-        result.load = load;
-        this->respond(*incoming, std::move(result));
+        this->flights.end(request->flight);
+        this->refuse(*incoming, "node_stops", true);
         return;
     }
     remove_connection_fields(request->message);
+    this->run(incoming, std::move(*request));
+}
+
+bool peer_service::handle_question(exchange & incoming)
+{
+    if (replica_exchange::is_request(incoming.request))
+    {
+        this->replicas.serve(incoming);
+        return true;
+    }
+    if (flight_query::is_request(incoming.request))
+    {
+        incoming.respond(flight_query::answer(incoming.request, this->flights));
+        return true;
+    }
+    return false;
+}
+
+void peer_service::run(std::shared_ptr<exchange> const & incoming,
+                       dispatch_request request)
+{
+    auto const flight = request.flight;
     auto const cancel = this->state.target.run(
-        std::move(*request),
-        [this, incoming](dispatch_result result)
+        std::move(request),
+        [this, incoming, flight](dispatch_result result)
         {
+            this->flights.end(flight);
             if (result.outcome == dispatch_outcome::refused)
             {
+                bool const stable =
+                    result.reason.find(' ') == std::string::npos;
                 this->state.metrics.count(
                     "gate_refused_" +
-                    (result.reason.find(' ') == std::string::npos
-                         ? result.reason
-                         : std::string("unreachable")));
+                    (stable ? result.reason : std::string("unreachable")));
             }
             this->respond(*incoming, std::move(result));
         });
-    incoming->on_cancel(cancel);
+    incoming->on_cancel(
+        [this, cancel, flight]
+        {
+            this->flights.end(flight);
+            cancel();
+        });
+}
+
+void peer_service::refuse(exchange & incoming, char const * reason, bool closed)
+{
+    dispatch_result result;
+    result.outcome = dispatch_outcome::refused;
+    result.reason = reason;
+    target_load load = this->state.target.load();
+    load.closed = load.closed || closed;
+    result.load = load;
+    this->respond(incoming, std::move(result));
 }
 
 void peer_service::respond(exchange & incoming, dispatch_result result)
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -26,6 +26,8 @@
 constexpr duration oldest_contact = std::chrono::milliseconds(6000);
 // what a followed node says of its contact holds for so long
 constexpr duration contact_time = std::chrono::milliseconds(2000);
+// the entry of a node that could not be reached for so long is removed
+constexpr duration vanished_time = std::chrono::seconds(60);
 // news from another failure domain are taken after this time, unless a near
 // node has shown them; bytes between domains have a price
 constexpr duration far_pause = std::chrono::milliseconds(150);
@@ -39,6 +41,7 @@
 
 replica_sync::replica_sync(gateway_state & shared, store_adapter const & codec)
     : state(shared)
+    , adapter(codec)
     , store(shared.io, shared.settings.store, upstream_options{})
     , replica(shared.fleet, codec, shared.log, shared.settings.node)
     , session(shared.io,
@@ -151,7 +154,11 @@
     else
     {
         this->session.start();
-        if (!this->session.is_connected() && !this->pulling)
+        if (this->session.is_connected())
+        {
+            this->remove_vanished();
+        }
+        else if (!this->pulling)
         {
             this->ask_any_node();
         }
@@ -316,6 +323,36 @@
     this->pull(nodes[chosen]->peer, false);
 }
 
+void replica_sync::remove_vanished()
+{
+    for (auto const * const entry :
+         this->state.fleet.targets_of(this->state.settings.domain))
+    {
+        auto const * const held = this->replica.find_target(entry->node);
+        if (entry->node == this->state.settings.node || held == nullptr ||
+            this->state.peer(entry->peer).lost_for() < vanished_time)
+        {
+            continue;
+        }
+        this->state.log.write("entry_removed",
+                              {{"node", entry->node.value()},
+                               {"target", entry->id.value()},
+                               {"peer", entry->peer.to_string()}});
+        call_options options;
+        options.deadline = now() + pull_timeout;
+        // a node that lives writes its entry again
+        static_cast<void>(this->store.send(
+            this->adapter.remove_request(entry->node, held->version),
+            options,
+            false,
+            [](call_result const &)
+            {
+                // the watch shows whether it is gone
+            }));
+        return;
+    }
+}
+
 bool replica_sync::in_contact() const
 {
     return this->session.is_active() ? this->session.is_connected()
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <endivehinge/detail/gateway/flight_query.hpp>
+#include <endivehinge/detail/gateway/hop_fields.hpp>
+
 #include "gateway/gateway_fleet.hpp"
 
 namespace endivehinge::tests
@@ -506,5 +509,59 @@
     }
 }
 
+/// @brief sends a request of another node as bytes and never reads the answer
+TEST(gateway, a_request_on_a_silent_connection_runs_once_or_not_at_all)
+{
+    gateway_fleet fleet;
+    fleet.settle(1, "web");
+    auto & member = *fleet.members[0];
+    detail::dispatch_request request;
+    request.message =
+        detail::request_message{http::verb::post, "/unsafe/a", 11};
+    request.message.set("Request-Id", "id-1");
+    request.id = "id-1";
+    request.flight = "process-7";
+    request.target = target_id(member.target->id);
+    request.route = "unsafe";
+    auto const now = std::chrono::steady_clock::now();
+    request.urgency = {
+        1, now + std::chrono::seconds(1), now + std::chrono::seconds(2)};
+    detail::write_hop_request(request, {}, now);
+    request.message.prepare_payload();
+    detail::upstream peer(fleet.io,
+                          member.node->state.settings.peer_listener,
+                          detail::upstream_options{});
+    auto const ask = [&fleet, &peer](detail::request_message message)
+    {
+        detail::call_options options;
+        options.deadline =
+            std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        std::optional<detail::call_result> got;
+        auto const call = peer.send(std::move(message),
+                                    options,
+                                    true,
+                                    [&got](detail::call_result result)
+                                    {
+                                        got = std::move(result);
+                                    });
+        EXPECT_TRUE(fleet.run_until(
+            [&got]
+            {
+                return got.has_value();
+            }));
+        return got->response;
+    };
+    auto const question = detail::flight_query::write_request({"process-7"});
+    EXPECT_EQ(detail::flight_query::read(ask(question), 1),
+              std::vector<flight_state>{flight_state::fenced});
+    // it was held up on its way and comes now
+    detail::replica_versions versions;
+    auto const late = detail::read_hop_result(ask(request.message), versions);
+    ASSERT_TRUE(late.has_value());
+    EXPECT_EQ(late->outcome, detail::dispatch_outcome::refused);
+    EXPECT_EQ(late->reason, "fenced");
+    EXPECT_EQ(fleet.runs_of("id-1"), 0U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
