--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 SOURCES = $(shell git ls-files '*.hpp' '*.cpp')
 
 .PHONY: all dependencies build test known-red format format-check lint \
+	boundary-check \
 	generate demo measure clean
 
 all: build
@@ -37,6 +38,9 @@
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
+boundary-check:
+	@bash tools/boundary_check
+
 lint: $(BUILD)/build.ninja
 	@bash tools/lint $(BUILD) $(JOBS)
 
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -75,7 +75,6 @@
     void finish(call_result result);
     void close();
 
-    boost::asio::io_context & io;
     boost::asio::ip::tcp::endpoint peer;
     upstream_options bounds;
     boost::asio::ip::tcp::socket socket;
--- a/include/endivehinge/detail/gateway/entry_publisher.hpp
+++ b/include/endivehinge/detail/gateway/entry_publisher.hpp
@@ -46,7 +46,6 @@
     void retry();
     void notify();
 
-    boost::asio::io_context & io;
     upstream & store;
     store_adapter const & adapter;
     event_log & log;
--- a/include/endivehinge/detail/gateway/gateway_settings.hpp
+++ b/include/endivehinge/detail/gateway/gateway_settings.hpp
@@ -16,8 +16,6 @@
 {
     // after a signal to stop the process is killed at the end of this time
     duration stop_grace = std::chrono::seconds(6);
-    // new work may reach a target for this long after it reported a drain
-    duration drain_time = std::chrono::seconds(2);
     // repeated requests, as a share of requests, that a service may receive
     double repeat_share = 0.2;
     // repeated requests beyond the share in one window, all nodes together
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -103,7 +103,7 @@
     [[nodiscard]] bool send_probe(duration timeout,
                                   client_connection::result_handler done);
     void probe_slowdown();
-    void probed(call_result result);
+    void probed(call_result const & result);
     void schedule_probe();
 
     boost::asio::io_context & io;
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -92,7 +92,8 @@
     void arm_watchdog();
     void watchdog();
     void query_flights();
-    void queried(std::vector<std::uint64_t> const & asked, call_result result);
+    void queried(std::vector<std::uint64_t> const & asked,
+                 call_result const & result);
     void lose_flight(std::uint64_t number);
     void note(dispatch_result const & result, call_status status);
 
--- a/include/endivehinge/detail/gateway/store_session.hpp
+++ b/include/endivehinge/detail/gateway/store_session.hpp
@@ -57,13 +57,13 @@
     [[nodiscard]] kind_state & state_of(object_kind kind);
     void follow(object_kind kind);
     void list(object_kind kind, std::string const & after);
-    void listed(object_kind kind, call_result result);
+    void listed(object_kind kind, call_result const & result);
     void watch(object_kind kind);
-    void watched(object_kind kind, call_result result);
+    void watched(object_kind kind, call_result const & result);
     void send(object_kind kind,
               request_message message,
               duration timeout,
-              void (store_session::*done)(object_kind, call_result));
+              void (store_session::*done)(object_kind, call_result const &));
     [[nodiscard]] std::optional<store_page>
     read_page(call_result const & result);
     void succeeded();
--- a/include/endivehinge/policy/routing_configuration.hpp
+++ b/include/endivehinge/policy/routing_configuration.hpp
@@ -5,21 +5,13 @@
 #include <string_view> // string_view
 #include <vector>      // vector
 
+#include <endivehinge/policy/client_limits.hpp>
 #include <endivehinge/policy/service_properties.hpp>
 #include <endivehinge/policy/service_route.hpp>
 
 namespace endivehinge
 {
 
-/// @brief bounds on what a client may send
-struct client_limits
-{
-    std::uint32_t header_bytes = 0;
-    std::uint64_t body_bytes = 0;
-    duration header_timeout{0};
-    duration idle_timeout{0};
-};
-
 /// @brief one version of the operators' routes and services
 /// @note pure; thread safety: const members from any thread
 class routing_configuration
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -45,8 +45,7 @@
 client_connection::client_connection(asio::io_context & loop,
                                      tcp::endpoint remote,
                                      upstream_options const & chosen)
-    : io(loop)
-    , peer(std::move(remote))
+    : peer(std::move(remote))
     , bounds(chosen)
     , socket(loop)
     , timer(loop)
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -29,8 +29,7 @@
                                  event_log & events,
                                  node_name own,
                                  std::function<double()> chance)
-    : io(loop)
-    , store(connections)
+    : store(connections)
     , adapter(codec)
     , log(events)
     , node(std::move(own))
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,56 @@
+#include <endivehinge/detail/gateway/exchange.hpp>
+
+#include <utility> // move
+
+#include <endivehinge/detail/gateway/server_connection.hpp>
+
+namespace endivehinge::detail
+{
+
+exchange::exchange(std::weak_ptr<server_connection> owner,
+                   request_message received,
+                   time_point arrived)
+    : request(std::move(received))
+    , arrival(arrived)
+    , connection(std::move(owner))
+{
+}
+
+void exchange::respond(response_message answer)
+{
+    if (this->is_finished())
+    {
+        return;
+    }
+    this->response = std::move(answer);
+    this->cancel_action = nullptr;
+    if (auto const owner = this->connection.lock())
+    {
+        owner->write();
+    }
+}
+
+void exchange::on_cancel(std::function<void()> action)
+{
+    this->cancel_action = std::move(action);
+}
+
+void exchange::cancel()
+{
+    if (this->is_finished())
+    {
+        return;
+    }
+    this->cancelled = true;
+    if (auto const action = std::move(this->cancel_action))
+    {
+        action();
+    }
+}
+
+bool exchange::is_finished() const
+{
+    return this->cancelled || this->response.has_value();
+}
+
+} // namespace endivehinge::detail
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -496,9 +496,9 @@
         return;
     }
     static_cast<void>(this->send_probe(probe_timeout,
-                                       [this](call_result result)
+                                       [this](call_result const & result)
                                        {
-                                           this->probed(std::move(result));
+                                           this->probed(result);
                                        }));
 }
 
@@ -520,11 +520,11 @@
 
 void local_target::probe_slowdown()
 {
-    auto const done = [this](call_result result)
+    auto const done = [this](call_result const & result)
     {
         bool const answered = result.status == call_status::answered;
         auto const before = this->last_response;
-        this->probed(std::move(result));
+        this->probed(result);
         if (!answered || this->last_response == before)
         {
             this->gate.probe_failed(now());
@@ -537,7 +537,7 @@
     }
 }
 
-void local_target::probed(call_result result)
+void local_target::probed(call_result const & result)
 {
     if (result.status != call_status::answered)
     {
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -175,7 +175,7 @@
 {
     this->call_fresh(flight_query::write_request({}),
                      check_timeout,
-                     [this](call_result result)
+                     [this](call_result const & result)
                      {
                          this->checking = false;
                          if (result.status == call_status::answered)
@@ -240,14 +240,14 @@
     }
     this->call_fresh(flight_query::write_request(names),
                      check_timeout,
-                     [this, asked](call_result result)
+                     [this, asked](call_result const & result)
                      {
-                         this->queried(asked, std::move(result));
+                         this->queried(asked, result);
                      });
 }
 
 void peer_node::queried(std::vector<std::uint64_t> const & asked,
-                        call_result result)
+                        call_result const & result)
 {
     auto const states = result.status == call_status::answered
                             ? flight_query::read(result.response, asked.size())
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -111,7 +111,8 @@
 void store_session::send(object_kind kind,
                          request_message message,
                          duration timeout,
-                         void (store_session::*done)(object_kind, call_result))
+                         void (store_session::*done)(object_kind,
+                                                     call_result const &))
 {
     call_options options;
     options.deadline = now() + timeout;
@@ -121,14 +122,14 @@
         this->store.send(std::move(message),
                          options,
                          false,
-                         [this, kind, done, current](call_result result)
+                         [this, kind, done, current](call_result const & result)
                          {
                              if (current == this->generation)
                              {
                                  // the connection may carry another call from
                                  // now on
                                  this->state_of(kind).call = nullptr;
-                                 (this->*done)(kind, std::move(result));
+                                 (this->*done)(kind, result);
                              }
                          });
     if (!state.call)
@@ -149,7 +150,7 @@
                &store_session::listed);
 }
 
-void store_session::listed(object_kind kind, call_result result)
+void store_session::listed(object_kind kind, call_result const & result)
 {
     auto const page = this->read_page(result);
     if (!page)
@@ -187,7 +188,7 @@
         &store_session::watched);
 }
 
-void store_session::watched(object_kind kind, call_result result)
+void store_session::watched(object_kind kind, call_result const & result)
 {
     if (result.status == call_status::answered &&
         result.response.result() == http::status::gone)
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -22,7 +22,7 @@
                bool fresh,
                client_connection::result_handler done)
 {
-    auto const connection = this->take(fresh);
+    auto connection = this->take(fresh);
     if (connection)
     {
         connection->send(std::move(message), options, std::move(done));
--- a/src/policy/target_gate_policy.cpp
+++ b/src/policy/target_gate_policy.cpp
@@ -199,17 +199,19 @@
         bool const hopeless = one->urgency.deadline <= now ||
                               (is_full && one->urgency.deadline - now <
                                               this->run_time(one->route, now));
-        bool const late = hopeless || (this->is_overloaded(now) &&
-                                       !this->can_be_on_time(*one, now));
-        if (this->open && !late)
+        bool const late =
+            this->is_overloaded(now) && !this->can_be_on_time(*one, now);
+        if (this->open && !hopeless && !late)
         {
             ++one;
             continue;
         }
-        ready.push_back(this->refuse(one->ticket,
-                                     this->open ? gate_refusal::too_late
-                                                : gate_refusal::closed,
-                                     duration(0)));
+        auto reason = hopeless ? gate_refusal::too_late : gate_refusal::busy;
+        if (!this->open)
+        {
+            reason = gate_refusal::closed;
+        }
+        ready.push_back(this->refuse(one->ticket, reason, this->mean_time));
         one = this->waiting.erase(one);
     }
 }
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -7,7 +7,6 @@
 namespace endivehinge::tests
 {
 
-using detail::call_status;
 using nlohmann::json;
 namespace http = boost::beast::http;
 
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -284,7 +284,8 @@
     asio::io_context io;
     byte_server server(io, {{response("1", "early")}, {response("2", "two")}});
     client caller(io, server.address());
-    auto const early = caller.ask("1", std::string(32 * 1024 * 1024, 'x'));
+    auto const early =
+        caller.ask("1", std::string(std::size_t(32) << 20U, 'x'));
     EXPECT_EQ(early.status, call_status::answered);
     EXPECT_EQ(early.response.body(), "early");
     EXPECT_EQ(caller.ask("2").response.body(), "two");
--- a/tests/src/unit-target-gate-policy.cpp
+++ b/tests/src/unit-target-gate-policy.cpp
@@ -88,6 +88,7 @@
     auto gate = open_gate();
     auto now = start_time;
     std::vector<gate_ticket> running;
+    running.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         running.push_back(gate.offer("route", urgent(now), false, now).ticket);
