--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -51,9 +51,6 @@
     /// @brief whether it has been idle for longer than the server allows
     [[nodiscard]] bool is_expired(time_point now) const;
 
-    /// @brief whether it has carried a request before
-    [[nodiscard]] bool was_used() const;
-
 private:
     using response_parser =
         boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -91,7 +88,6 @@
     bool sent_some = false;
     bool sent_all = false;
     bool received_some = false;
-    bool used = false;
     duration idle_limit;
     time_point idle_since;
 };
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -63,9 +63,6 @@
     /// @brief the load now
     [[nodiscard]] target_load load() const;
 
-    /// @brief requests that run or wait
-    [[nodiscard]] std::size_t request_count() const;
-
     /// @brief connections opened to the target so far
     [[nodiscard]] std::uint64_t opened_connections() const;
 
@@ -77,7 +74,6 @@
         std::shared_ptr<client_connection> connection;
         time_point offered;
         time_point started;
-        bool running = false;
         // sent again on a new connection, because an idle one was closed
         bool resent = false;
     };
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -40,7 +40,6 @@
         // the load that was known when it was chosen, and its age
         std::optional<target_load> load;
         duration load_age{0};
-        time_point began;
         bool finished = false;
     };
 
--- a/include/endivehinge/detail/gateway/upstream.hpp
+++ b/include/endivehinge/detail/gateway/upstream.hpp
@@ -35,9 +35,6 @@
     /// @brief closes the connections that are idle
     void close_idle();
 
-    /// @brief open connections, in use and idle
-    [[nodiscard]] std::size_t connection_count() const;
-
     /// @brief connections opened so far
     [[nodiscard]] std::uint64_t opened_count() const;
 
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/http/error.hpp> // error
 #include <boost/beast/http/write.hpp> // async_write
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -35,11 +37,6 @@
 // leaves time for a request to arrive before the server closes
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1000);
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 client_connection::client_connection(asio::io_context & loop,
@@ -50,7 +47,7 @@
     , socket(loop)
     , timer(loop)
     , idle_limit(chosen.idle_timeout)
-    , idle_since(now())
+    , idle_since(loop_now())
 {
 }
 
@@ -72,7 +69,7 @@
         return;
     }
     this->arm_timer(
-        std::min(options.deadline, now() + options.connect_timeout));
+        std::min(options.deadline, loop_now() + options.connect_timeout));
     this->connect();
 }
 
@@ -98,11 +95,6 @@
     return at - this->idle_since > this->idle_limit;
 }
 
-bool client_connection::was_used() const
-{
-    return this->used;
-}
-
 void client_connection::connect()
 {
     this->socket.async_connect(
@@ -151,7 +143,6 @@
 
 void client_connection::write()
 {
-    this->used = true;
     this->sent_some = true;
     this->parser->skip(this->request.method() == http::verb::head);
     http::async_write(this->socket,
@@ -363,7 +354,7 @@
 void client_connection::finish(call_result result)
 {
     this->in_use = false;
-    this->idle_since = now();
+    this->idle_since = loop_now();
     if (!this->closed)
     {
         this->timer.cancel();
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -114,7 +116,7 @@
             this->adapter.replace_request(*this->desired, this->stored_version);
     }
     call_options options;
-    options.deadline = std::chrono::steady_clock::now() + write_timeout;
+    options.deadline = loop_now() + write_timeout;
     auto const sent = this->store.send(std::move(message),
                                        options,
                                        false,
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -11,6 +11,8 @@
 #include <absl/time/clock.h>         // Now
 #include <absl/time/time.h>          // FormatTime
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 namespace
@@ -91,7 +93,7 @@
 {
     std::string const key(event);
     auto found = this->budgets.find(key);
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = loop_now();
     if (found == this->budgets.end())
     {
         if (this->budgets.size() >= known_events)
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -1,5 +1,7 @@
 #include <endivehinge/detail/gateway/gateway_parts.hpp>
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 namespace
@@ -10,13 +12,12 @@
 constexpr duration clients_leave = std::chrono::milliseconds(2300);
 // before the process is killed, for the last responses to leave
 constexpr duration kill_margin = std::chrono::milliseconds(300);
+// a client's header and the fields of a hop
+constexpr std::uint32_t peer_header_bytes = 65536;
+// longer than other nodes keep an idle connection, so that they close first
+constexpr duration peer_idle_timeout = std::chrono::seconds(30);
 constexpr duration stop_check = std::chrono::milliseconds(50);
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 server_limits limits_of(client_limits const & stated)
 {
     server_limits limits;
@@ -43,8 +44,8 @@
 server_limits limits_of_peers()
 {
     server_limits limits;
-    limits.header_bytes = 65536;
-    limits.idle_timeout = std::chrono::seconds(30);
+    limits.header_bytes = peer_header_bytes;
+    limits.idle_timeout = peer_idle_timeout;
     return limits;
 }
 
@@ -112,7 +113,7 @@
     }
     this->stopped_action = std::move(stopped);
     this->state.stopping = true;
-    this->stop_began = now();
+    this->stop_began = loop_now();
     this->state.stop_ends =
         this->stop_began + this->state.settings.bounds.stop_grace - kill_margin;
     this->state.log.write(
@@ -123,14 +124,14 @@
 
 void gateway_parts::check_stopped()
 {
-    auto const passed = now() - this->stop_began;
+    auto const passed = loop_now() - this->stop_began;
     auto const pending = this->client_listener.pending_count() +
                          this->peer_listener.pending_count();
     if (passed >= clients_leave)
     {
         this->client_listener.drain();
     }
-    bool const out_of_time = now() >= this->state.stop_ends;
+    bool const out_of_time = loop_now() >= this->state.stop_ends;
     if ((passed >= clients_leave && pending == 0) || out_of_time)
     {
         this->state.log.write("stop", {{"requests", std::to_string(pending)}});
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/address.hpp> // make_address
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -139,7 +141,7 @@
 
 void http_listener::sweep()
 {
-    auto const at = std::chrono::steady_clock::now();
+    auto const at = loop_now();
     for (auto const & weak : this->connections)
     {
         if (auto const one = weak.lock(); one && one->is_open())
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h> // StrCat
 #include <boost/asio/post.hpp>    // post
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -24,27 +26,23 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // lets the target's own response at the deadline arrive first
 constexpr duration deadline_grace = std::chrono::milliseconds(30);
+// a connection that ends so soon after a send was closed while it was idle; a
+// few round trips on one instance
+constexpr duration idle_close_time = std::chrono::milliseconds(20);
+// a review that is due is never due at once again
+constexpr duration shortest_review = std::chrono::milliseconds(1);
+// below the least number of connections that the brief names for a target
+constexpr std::size_t largest_connections = 200;
 // the wait that a refusal states where nothing better is known
 constexpr duration unknown_wait = std::chrono::milliseconds(100);
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 upstream_options options_of_target()
 {
     upstream_options options;
-    options.connections = 200;
+    options.connections = largest_connections;
     return options;
 }
 
-std::string milliseconds(duration span)
-{
-    return absl::StrCat(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 } // namespace
 
 local_target::local_target(asio::io_context & loop,
@@ -71,7 +69,7 @@
     auto const state = std::make_shared<request_state>();
     state->request = std::move(request);
     state->done = std::move(done);
-    state->offered = now();
+    state->offered = loop_now();
     gate_verdict verdict;
     if (auto const & known = this->identity.current();
         known && known->id != state->request.target)
@@ -132,8 +130,7 @@
 void local_target::start(gate_ticket ticket)
 {
     auto const state = this->requests.at(ticket);
-    state->running = true;
-    state->started = now();
+    state->started = loop_now();
     this->send(ticket, state, false);
 }
 
@@ -146,9 +143,10 @@
     message.version(11);
     message.keep_alive(true);
     message.prepare_payload();
-    this->adapter.write_dispatch(
-        message,
-        {request.target, request.caller, request.urgency.deadline - now()});
+    this->adapter.write_dispatch(message,
+                                 {request.target,
+                                  request.caller,
+                                  request.urgency.deadline - loop_now()});
     call_options options;
     options.deadline = request.urgency.deadline + deadline_grace;
     options.connect_timeout = connect_timeout;
@@ -195,10 +193,9 @@
                                   call_result const & result) const
 {
     bool const never_sent = result.status == call_status::not_sent;
-    bool const idle_closed =
-        result.status == call_status::lost && !result.began &&
-        state.request.idempotent &&
-        now() - state.started < std::chrono::milliseconds(20);
+    bool const idle_closed = result.status == call_status::lost &&
+                             !result.began && state.request.idempotent &&
+                             loop_now() - state.started < idle_close_time;
     return !state.resent && state.connection && (never_sent || idle_closed);
 }
 
@@ -208,7 +205,7 @@
 {
     dispatch_result outcome;
     outcome.waited = state->started - state->offered;
-    outcome.ran = now() - state->started;
+    outcome.ran = loop_now() - state->started;
     outcome.reason = result.detail;
     outcome.reached_target = result.status != call_status::not_sent;
     if (result.status == call_status::not_sent)
@@ -258,7 +255,7 @@
     auto const found = this->requests.find(ticket);
     auto const state = found->second;
     this->requests.erase(found);
-    this->gate.finish(ticket, failed, now());
+    this->gate.finish(ticket, failed, loop_now());
     result.load = this->gate.load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
@@ -280,7 +277,7 @@
     result.outcome = dispatch_outcome::refused;
     result.reason = to_string(verdict.reason);
     result.retry_after = verdict.retry_after;
-    result.waited = now() - state->offered;
+    result.waited = loop_now() - state->offered;
     result.load = this->gate.load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
@@ -290,7 +287,7 @@
 
 void local_target::review()
 {
-    for (auto const & verdict : this->gate.take_ready(now()))
+    for (auto const & verdict : this->gate.take_ready(loop_now()))
     {
         if (verdict.what == gate_verdict::action::start)
         {
@@ -301,7 +298,7 @@
             this->refuse(verdict.ticket, verdict);
         }
     }
-    if (this->gate.take_probe(now()))
+    if (this->gate.take_probe(loop_now()))
     {
         this->probe_slowdown();
     }
@@ -310,13 +307,13 @@
 
 void local_target::arm_review()
 {
-    auto const next = this->gate.next_review(now());
+    auto const next = this->gate.next_review(loop_now());
     if (!next)
     {
         return;
     }
     this->review_timer.expires_at(std::chrono::steady_clock::time_point(
-        std::max(*next, now() + std::chrono::milliseconds(1))));
+        std::max(*next, loop_now() + shortest_review)));
     this->review_timer.async_wait(
         [this](boost::system::error_code error)
         {
@@ -358,7 +355,8 @@
         this->server.close_idle();
         this->cold_until = time_point();
     }
-    this->cold_until = std::max(this->cold_until, now() + said.cold_remaining);
+    this->cold_until =
+        std::max(this->cold_until, loop_now() + said.cold_remaining);
     if (change != target_identity::change::refresh)
     {
         this->log_identity("report");
@@ -407,11 +405,6 @@
     return this->gate.load();
 }
 
-std::size_t local_target::request_count() const
-{
-    return this->requests.size();
-}
-
 std::uint64_t local_target::opened_connections() const
 {
     return this->server.opened_count();
@@ -438,14 +431,14 @@
 
 void local_target::note_head(target_response_head const & head)
 {
-    this->last_response = now();
+    this->last_response = loop_now();
     if (head.slowdown)
     {
         this->gate.set_slowdown(*head.slowdown, this->last_response);
     }
     if (head.cold_remaining)
     {
-        this->cold_until = now() + *head.cold_remaining;
+        this->cold_until = loop_now() + *head.cold_remaining;
         this->gate.set_cold(this->cold_until,
                             this->properties ? this->properties->cold_rate : 0);
     }
@@ -462,7 +455,8 @@
          {"sequence", absl::StrCat(known->sequence)},
          {"slots", absl::StrCat(known->slots)},
          {"cold_ms",
-          milliseconds(std::max(this->cold_until - now(), duration(0)))}});
+          whole_milliseconds(
+              std::max(this->cold_until - loop_now(), duration(0)))}});
 }
 
 // ---------------------------------------------------------------------------
@@ -491,7 +485,7 @@
 {
     this->schedule_probe();
     // responses to requests state the same, and whether the target is cold
-    if (now() - this->last_response < probe_interval)
+    if (loop_now() - this->last_response < probe_interval)
     {
         return;
     }
@@ -512,7 +506,7 @@
     request_message message{http::verb::get, this->properties->health_path, 11};
     message.set(http::field::host, this->settings.target_address.to_string());
     call_options options;
-    options.deadline = now() + timeout;
+    options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
     return this->server.send(
                std::move(message), options, false, std::move(done)) != nullptr;
@@ -527,13 +521,13 @@
         this->probed(result);
         if (!answered || this->last_response == before)
         {
-            this->gate.probe_failed(now());
+            this->gate.probe_failed(loop_now());
         }
         this->review();
     };
     if (!this->send_probe(slowdown_probe_timeout, done))
     {
-        this->gate.probe_failed(now());
+        this->gate.probe_failed(loop_now());
     }
 }
 
@@ -557,7 +551,7 @@
         if (!head.cold_remaining && this->properties)
         {
             // a run that was not announced may have just started
-            this->cold_until = now() + this->properties->cold_period;
+            this->cold_until = loop_now() + this->properties->cold_period;
         }
         this->server.close_idle();
         this->log_identity("probe");
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -7,6 +7,7 @@
 
 #include <endivehinge/detail/gateway/flight_query.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
+#include <endivehinge/detail/gateway/loop_time.hpp>
 
 namespace endivehinge::detail
 {
@@ -30,6 +31,11 @@
 constexpr std::size_t largest_query = 64;
 // a node from which nothing came for this long is checked
 constexpr duration silence = std::chrono::milliseconds(200);
+// a response that left the other node arrives within this time, or its
+// connection is silent: two checks
+constexpr duration answer_time = 2 * silence;
+// requests to one node at once; bounds descriptors
+constexpr std::size_t largest_connections = 256;
 // weight of the newest outcome in the share of failures
 constexpr double failure_weight = 0.1;
 
@@ -37,15 +43,10 @@
 {
     upstream_options options;
     options.idle_timeout = idle_timeout;
-    options.connections = 256;
+    options.connections = largest_connections;
     return options;
 }
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 peer_node::peer_node(boost::asio::io_context & loop,
@@ -69,7 +70,7 @@
 {
     auto const number = ++this->last_flight;
     request.flight = this->name_of(number);
-    write_hop_request(request, this->sender, now());
+    write_hop_request(request, this->sender, loop_now());
     request.message.version(11);
     request.message.keep_alive(true);
     request.message.prepare_payload();
@@ -78,7 +79,7 @@
     options.connect_timeout = connect_timeout;
     this->sent += 1;
     auto & one = this->flights[number];
-    one.sent = now();
+    one.sent = loop_now();
     one.idempotent = request.idempotent;
     one.finish = [this, done = std::move(done)](call_result result)
     {
@@ -142,7 +143,7 @@
     if (!this->suspended)
     {
         this->suspended = true;
-        this->suspended_since = now();
+        this->suspended_since = loop_now();
         this->failed_checks = 0;
         this->events.write("peer_lost",
                            {{"peer", this->peer.to_string()}, {"reason", why}});
@@ -181,7 +182,7 @@
                          if (result.status == call_status::answered)
                          {
                              this->suspended = false;
-                             this->heard = now();
+                             this->heard = loop_now();
                              this->events.write(
                                  "peer_regained",
                                  {{"peer", this->peer.to_string()}});
@@ -218,7 +219,7 @@
         return;
     }
     auto const oldest = this->flights.begin()->second.sent;
-    if (now() - std::max(this->heard, oldest) < silence)
+    if (loop_now() - std::max(this->heard, oldest) < silence)
     {
         this->arm_watchdog();
         return;
@@ -232,7 +233,7 @@
     std::vector<std::string> names;
     for (auto const & [number, one] : this->flights)
     {
-        if (now() - one.sent >= silence && asked.size() < largest_query)
+        if (loop_now() - one.sent >= silence && asked.size() < largest_query)
         {
             asked.push_back(number);
             names.push_back(this->name_of(number));
@@ -265,7 +266,7 @@
         }
         return;
     }
-    this->heard = now();
+    this->heard = loop_now();
     for (std::size_t i = 0; i < asked.size(); ++i)
     {
         auto const found = this->flights.find(asked[i]);
@@ -291,7 +292,7 @@
             found->second.connection->cancel();
             this->land(asked[i], std::move(known));
         }
-        else if (now() - found->second.sent > 2 * silence)
+        else if (loop_now() - found->second.sent > answer_time)
         {
             // the response had time to arrive
             this->lose_flight(asked[i]);
@@ -339,7 +340,7 @@
                      client_connection::result_handler done)
 {
     call_options options;
-    options.deadline = now() + timeout;
+    options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
     if (this->connections.send(std::move(message), options, fresh, done))
     {
@@ -386,13 +387,13 @@
     }
     if (status == call_status::answered)
     {
-        this->heard = now();
+        this->heard = loop_now();
         this->suspended = false;
     }
     if (result.load)
     {
         this->last_load = result.load;
-        this->load_heard = now();
+        this->load_heard = loop_now();
         this->sent = 0;
     }
     bool const failed =
@@ -408,7 +409,7 @@
 
 duration peer_node::lost_for() const
 {
-    return this->suspended ? now() - this->suspended_since : duration(0);
+    return this->suspended ? loop_now() - this->suspended_since : duration(0);
 }
 
 std::optional<target_load> const & peer_node::load() const
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
 namespace endivehinge::detail
@@ -32,11 +33,6 @@
 // node has shown them; bytes between domains have a price
 constexpr duration far_pause = std::chrono::milliseconds(150);
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 replica_sync::replica_sync(gateway_state & shared, store_adapter const & codec)
@@ -91,7 +87,7 @@
     {
         this->peer_shows(peer, versions);
     };
-    this->confirmed = now();
+    this->confirmed = loop_now();
     this->review();
 }
 
@@ -208,12 +204,12 @@
 bool replica_sync::has_failed(endpoint const & peer) const
 {
     auto const found = this->failed_until.find(peer);
-    return found != this->failed_until.end() && now() < found->second;
+    return found != this->failed_until.end() && loop_now() < found->second;
 }
 
 void replica_sync::mark_failed(endpoint const & peer, std::string const & why)
 {
-    auto const at = now();
+    auto const at = loop_now();
     absl::erase_if(this->failed_until,
                    [at](auto const & one)
                    {
@@ -257,7 +253,7 @@
         }
         return;
     }
-    this->confirmed = std::max(this->confirmed, now() - told->age);
+    this->confirmed = std::max(this->confirmed, loop_now() - told->age);
     for (std::size_t i = 0; i < object_kinds; ++i)
     {
         if (told->kinds[i].version > object_version())
@@ -276,7 +272,7 @@
         this->review();
         return;
     }
-    this->contact_until = now() + contact_time;
+    this->contact_until = loop_now() + contact_time;
     this->session.stop();
 }
 
@@ -339,15 +335,20 @@
                                {"target", entry->id.value()},
                                {"peer", entry->peer.to_string()}});
         call_options options;
-        options.deadline = now() + pull_timeout;
+        options.deadline = loop_now() + pull_timeout;
         // a node that lives writes its entry again
         static_cast<void>(this->store.send(
             this->adapter.remove_request(entry->node, held->version),
             options,
             false,
-            [](call_result const &)
+            [this](call_result const & result)
             {
-                // the watch shows whether it is gone
+                // the watch shows it where it is gone
+                if (result.status != call_status::answered)
+                {
+                    this->state.log.write("entry_not_removed",
+                                          {{"reason", result.detail}});
+                }
             }));
         return;
     }
@@ -356,7 +357,7 @@
 bool replica_sync::in_contact() const
 {
     return this->session.is_active() ? this->session.is_connected()
-                                     : now() < this->contact_until;
+                                     : loop_now() < this->contact_until;
 }
 
 bool replica_sync::is_near(endpoint const & peer) const
@@ -372,7 +373,7 @@
 
 duration replica_sync::age() const
 {
-    return now() - std::max(this->confirmed, this->session.confirmed());
+    return loop_now() - std::max(this->confirmed, this->session.confirmed());
 }
 
 } // namespace endivehinge::detail
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_format.h> // StrAppendFormat
 
 #include <endivehinge/detail/gateway/hop_fields.hpp>
+#include <endivehinge/detail/gateway/loop_time.hpp>
 
 namespace endivehinge::detail
 {
@@ -33,23 +34,12 @@
 // spread over which refused clients come back, relative to the wait
 constexpr double retry_spread = 0.5;
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string_view host_of(request_message const & message)
 {
     auto const host = view_of(message[http::field::host]);
     return host.substr(0, host.find(':'));
 }
 
-std::string milliseconds(duration span)
-{
-    return absl::StrCat(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 } // namespace
 
 request_dispatch::request_dispatch(gateway_state & shared,
@@ -89,7 +79,7 @@
     this->urgency.deadline = arrival + left;
     this->service =
         this->state.splits.choose(*this->route, this->state.random());
-    this->state.budget(this->service).arrived(now());
+    this->state.budget(this->service).arrived(loop_now());
     if (this->outlasts_process())
     {
         this->reject("node_stops", usual_retry);
@@ -110,10 +100,14 @@
 
 bool request_dispatch::outlasts_process() const
 {
-    return this->state.stopping &&
-           this->state.stop_ends -
-               this->client->arrival<late_stop && this->urgency.deadline> this
-                   ->state.stop_ends;
+    if (!this->state.stopping)
+    {
+        return false;
+    }
+    auto const end = this->state.stop_ends;
+    bool const arrived_late = end - this->client->arrival < late_stop;
+    bool const may_run_longer = this->urgency.deadline > end;
+    return arrived_late && may_run_longer;
 }
 
 void request_dispatch::prepare_message()
@@ -129,7 +123,7 @@
 
 void request_dispatch::place()
 {
-    if (now() >= this->urgency.deadline)
+    if (loop_now() >= this->urgency.deadline)
     {
         this->deadline_passed();
         return;
@@ -157,7 +151,7 @@
                      this->shortest_wait.value_or(usual_retry));
         return;
     }
-    auto const at = now();
+    auto const at = loop_now();
     std::vector<target_candidate> candidates;
     candidates.reserve(targets.size());
     for (auto const * const entry : targets)
@@ -232,7 +226,6 @@
     one->target = entry.id;
     one->load = known.load;
     one->load_age = known.load_age;
-    one->began = now();
     this->placements += 1;
     this->tried.insert(entry.id);
     this->attempts.push_back(one);
@@ -342,9 +335,10 @@
 bool request_dispatch::may_repeat()
 {
     return this->arrivals < this->route->attempts &&
-           now() + this->state.work_of(*this->route) < this->urgency.deadline &&
+           loop_now() + this->state.work_of(*this->route) <
+               this->urgency.deadline &&
            this->state.budget(this->service)
-               .try_spend(now(), this->state.fleet.node_count());
+               .try_spend(loop_now(), this->state.fleet.node_count());
 }
 
 // ---------------------------------------------------------------------------
@@ -476,9 +470,9 @@
     }
     absl::StrAppend(&this->story,
                     ":waited=",
-                    milliseconds(result.waited),
+                    whole_milliseconds(result.waited),
                     ":ran=",
-                    milliseconds(result.ran));
+                    whole_milliseconds(result.ran));
     if (one.load)
     {
         absl::StrAppendFormat(&this->story,
@@ -487,13 +481,13 @@
                               one.load->waiting,
                               one.load->limit,
                               one.load->slowdown,
-                              milliseconds(one.load_age));
+                              whole_milliseconds(one.load_age));
     }
 }
 
 void request_dispatch::log_end(char const * outcome, unsigned status)
 {
-    auto const took = now() - this->client->arrival;
+    auto const took = loop_now() - this->client->arrival;
     std::string const name =
         this->route == nullptr ? "none" : this->route->name;
     this->state.metrics.ended(name, outcome, took);
@@ -505,7 +499,7 @@
          {"service", this->service.value()},
          {"outcome", outcome},
          {"status", absl::StrCat(status)},
-         {"took_ms", milliseconds(took)},
+         {"took_ms", whole_milliseconds(took)},
          {"version",
           absl::StrCat(this->configuration ? this->configuration->version : 0)},
          {"reason", this->last_reason},
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/error.hpp> // error
 #include <boost/beast/http/write.hpp> // async_write
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -23,11 +25,6 @@
 // from a reset by unread bytes
 constexpr duration linger_time = std::chrono::seconds(1);
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 response_message plain_response(http::status status)
 {
     response_message answer{status, 11};
@@ -46,7 +43,7 @@
     , handler(receiver)
     , bounds(limits)
     , stopping(closing)
-    , last_activity(now())
+    , last_activity(loop_now())
 {
 }
 
@@ -146,7 +143,7 @@
         this->close();
         return;
     }
-    this->last_activity = now();
+    this->last_activity = loop_now();
     if (!this->accepting)
     {
         // discards what follows the last request of this connection
@@ -168,7 +165,7 @@
         if (!this->parsing)
         {
             this->parsing = true;
-            this->request_began = now();
+            this->request_began = loop_now();
         }
         boost::system::error_code error;
         std::size_t const used = this->parser->put(this->buffer.data(), error);
@@ -199,7 +196,7 @@
 {
     bool const keep = this->parser->keep_alive();
     auto const incoming = std::make_shared<exchange>(
-        this->weak_from_this(), this->parser->release(), now());
+        this->weak_from_this(), this->parser->release(), loop_now());
     incoming->keep_alive = keep;
     this->accepting = keep;
     this->start_parser();
@@ -246,7 +243,7 @@
     }
     this->accepting = false;
     auto const refused = std::make_shared<exchange>(
-        this->weak_from_this(), request_message{}, now());
+        this->weak_from_this(), request_message{}, loop_now());
     refused->keep_alive = false;
     this->pending.push_back(refused);
     refused->respond(plain_response(status));
@@ -283,7 +280,7 @@
 void server_connection::written(boost::system::error_code error)
 {
     this->writing = false;
-    this->last_activity = now();
+    this->last_activity = loop_now();
     if (error || this->pending.empty())
     {
         this->close();
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -31,11 +33,6 @@
 constexpr object_kind other_kinds[] = {object_kind::evacuations,
                                        object_kind::targets};
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 store_session::store_session(asio::io_context & loop,
@@ -115,7 +112,7 @@
                                                      call_result const &))
 {
     call_options options;
-    options.deadline = now() + timeout;
+    options.deadline = loop_now() + timeout;
     auto const current = this->generation;
     auto & state = this->state_of(kind);
     state.call =
@@ -248,7 +245,7 @@
 
 void store_session::succeeded()
 {
-    this->last_answer = now();
+    this->last_answer = loop_now();
     this->failures = 0;
     if (!this->connected)
     {
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/address.hpp> // make_address
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -42,11 +44,6 @@
     this->remove_closed();
 }
 
-std::size_t upstream::connection_count() const
-{
-    return this->connections.size();
-}
-
 std::uint64_t upstream::opened_count() const
 {
     return this->opened;
@@ -54,7 +51,7 @@
 
 std::shared_ptr<client_connection> upstream::take(bool fresh)
 {
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = loop_now();
     for (auto const & one : this->connections)
     {
         if (one->is_idle() && one->is_expired(now))
