Split target_gate_policy into four types, use call_budget for token buckets

Cause: one type of 501 lines held the cold rate, slow periods with their probes, run times and the queue; its two token buckets and that of the log were call_budget of the project, written again.

Ruled out: files by duty of one class (the parts share no state, so they are types); byte_budget as well (it holds bytes that were already sent, below zero).

Tests of the gate are unchanged. Decisions are meant to be the same.

--- a/include/endivehinge/detail/gateway/event_log.hpp
+++ b/include/endivehinge/detail/gateway/event_log.hpp
@@ -8,7 +8,7 @@
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 
-#include <endivehinge/core/clock.hpp>
+#include <endivehinge/core/call_budget.hpp>
 
 namespace endivehinge::detail
 {
@@ -42,8 +42,7 @@
 private:
     struct line_budget
     {
-        time_point refilled;
-        double tokens = 0;
+        call_budget lines;
         std::uint64_t dropped = 0;
     };
 
--- a/include/endivehinge/detail/node/configuration_service.hpp
+++ b/include/endivehinge/detail/node/configuration_service.hpp
@@ -10,10 +10,10 @@
 #include <absl/synchronization/mutex.h> // Mutex
 
 #include <endivehinge/coordination/backoff.hpp>
-#include <endivehinge/coordination/call_budget.hpp>
 #include <endivehinge/coordination/member.hpp>
 #include <endivehinge/coordination/object_store.hpp>
 #include <endivehinge/core/bounded_ring.hpp>
+#include <endivehinge/core/call_budget.hpp>
 #include <endivehinge/detail/control/configuration_handler.hpp>
 #include <endivehinge/detail/control/control_client.hpp>
 #include <endivehinge/detail/node/configuration_holder.hpp>
--- a/include/endivehinge/policy/target_gate_policy.hpp
+++ b/include/endivehinge/policy/target_gate_policy.hpp
@@ -7,9 +7,12 @@
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 
+#include <endivehinge/policy/cold_rate_limiter.hpp>
 #include <endivehinge/policy/gate_options.hpp>
 #include <endivehinge/policy/gate_verdict.hpp>
 #include <endivehinge/policy/request_urgency.hpp>
+#include <endivehinge/policy/run_time_estimates.hpp>
+#include <endivehinge/policy/slowdown_tracker.hpp>
 #include <endivehinge/policy/target_load.hpp>
 
 namespace endivehinge
@@ -78,11 +81,6 @@
     /// @brief the load as other nodes should see it
     [[nodiscard]] target_load load() const;
 
-    /// @brief the mean time that requests of a route run; 0: not known, or not
-    /// seen of late
-    [[nodiscard]] duration run_time(std::string const & route,
-                                    time_point now) const;
-
     /// @brief when a request in the queue has to be looked at again
     [[nodiscard]] std::optional<time_point> next_review(time_point now) const;
 
@@ -96,12 +94,6 @@
         time_point offered;
     };
 
-    struct run_time_mean
-    {
-        duration mean{0};
-        time_point noted;
-    };
-
     enum class readiness
     {
         start,
@@ -116,19 +108,12 @@
     };
 
     [[nodiscard]] std::size_t limit() const;
-    [[nodiscard]] bool is_cold(time_point now) const;
-    void refill_cold(time_point now);
-    [[nodiscard]] bool has_cold_room(time_point now);
     [[nodiscard]] bool has_room(time_point now);
-    [[nodiscard]] bool is_slowdown_fresh(time_point now) const;
-    [[nodiscard]] bool is_probe_pending(time_point now) const;
     [[nodiscard]] readiness readiness_of(queued const & one,
                                          time_point now) const;
     [[nodiscard]] bool is_overloaded(time_point now) const;
     [[nodiscard]] duration planned_run_time(std::string const & route,
                                             time_point now) const;
-    void
-    note_run_time(std::string const & route, duration took, time_point now);
     void note_queue(time_point now);
     void refuse_late(std::vector<gate_verdict> & ready, time_point now);
     [[nodiscard]] duration expected_wait(request_urgency const & urgency,
@@ -144,28 +129,15 @@
     gate_options options;
     std::uint32_t slots = 1;
     bool open = false;
-    double slowdown = 1;
-    // whether the target states its slowdown at all
-    bool states_slowdown = false;
-    time_point slowdown_heard;
-    time_point slow_since;
-    duration mean_slow_period;
-    std::optional<time_point> probe_sent;
-    time_point probe_pause_ends;
-    double probe_tokens = 0;
-    time_point tokens_counted;
     double failure_share = 0;
-    time_point cold_until;
-    double cold_rate = 0;
-    double cold_tokens = 0;
-    time_point cold_refilled;
+    cold_rate_limiter cold;
+    slowdown_tracker slow;
+    run_time_estimates run_times;
     // since when requests have waited without a pause
     std::optional<time_point> queue_since;
     std::uint64_t last_ticket = 0;
     std::vector<queued> waiting;
     absl::flat_hash_map<gate_ticket, started> running;
-    absl::flat_hash_map<std::string, run_time_mean> run_times;
-    duration mean_time{0};
 };
 
 } // namespace endivehinge
--- a/src/coordination/call_budget.cpp
+++ b/src/core/call_budget.cpp
@@ -1,4 +1,4 @@
-#include <endivehinge/coordination/call_budget.hpp>
+#include <endivehinge/core/call_budget.hpp>
 
 #include <algorithm> // min, max
 #include <chrono>    // duration
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -3,8 +3,7 @@
 #include <poll.h>   // poll
 #include <unistd.h> // write
 
-#include <algorithm> // min
-#include <utility>   // move
+#include <utility> // move
 
 #include <absl/strings/str_cat.h>    // StrAppend
 #include <absl/strings/str_format.h> // StrFormat
@@ -93,27 +92,25 @@
 {
     std::string const key(event);
     auto found = this->budgets.find(key);
-    auto const now = loop_now();
     if (found == this->budgets.end())
     {
         if (this->budgets.size() >= known_events)
         {
             return false;
         }
-        found = this->budgets.emplace(key, line_budget{now, burst_of_lines, 0})
-                    .first;
+        found =
+            this->budgets
+                .emplace(key,
+                         line_budget{
+                             call_budget(lines_per_second, burst_of_lines), 0})
+                .first;
     }
     auto & budget = found->second;
-    double const passed = to_milliseconds(now - budget.refilled) / 1000;
-    budget.tokens =
-        std::min(burst_of_lines, budget.tokens + passed * lines_per_second);
-    budget.refilled = now;
-    if (budget.tokens < 1)
+    if (!budget.lines.try_take(loop_now()))
     {
         budget.dropped += 1;
         return false;
     }
-    budget.tokens -= 1;
     left_out = std::exchange(budget.dropped, 0);
     return true;
 }
--- a/src/policy/target_gate_policy.cpp
+++ b/src/policy/target_gate_policy.cpp
@@ -8,23 +8,11 @@
 namespace
 {
 
-// probes that may be sent at once after a quiet time
-constexpr double probe_burst = 10;
-// weight of the newest slow period in their mean
-constexpr double slow_period_weight = 0.2;
-// routes whose run times are kept; bounds memory
-constexpr std::size_t known_routes = 256;
-
 duration scaled(duration value, double factor)
 {
     return std::chrono::duration_cast<duration>(value * factor);
 }
 
-duration moved(duration mean, duration newest, double weight)
-{
-    return mean.count() == 0 ? newest : mean + scaled(newest - mean, weight);
-}
-
 } // namespace
 
 char const * to_string(gate_refusal reason)
@@ -51,8 +39,9 @@
 
 target_gate_policy::target_gate_policy(gate_options chosen)
     : options(chosen)
-    , mean_slow_period(chosen.slow_period)
-    , probe_tokens(probe_burst)
+    , cold(chosen.cold_rate_factor, chosen.cold_burst)
+    , slow(chosen)
+    , run_times(chosen.run_time_weight, chosen.run_time_memory)
 {
 }
 
@@ -63,58 +52,23 @@
 
 void target_gate_policy::set_cold(time_point until, double rate)
 {
-    this->cold_until = until;
-    this->cold_rate = rate;
+    this->cold.set(until, rate);
 }
 
 void target_gate_policy::set_slowdown(double factor, time_point now)
 {
-    bool const was_slow = this->slowdown > this->options.slow;
-    bool const is_slow = factor > this->options.slow;
-    if (is_slow && !was_slow)
-    {
-        this->slow_since = now;
-    }
-    if (was_slow && !is_slow)
-    {
-        this->mean_slow_period = moved(
-            this->mean_slow_period, now - this->slow_since, slow_period_weight);
-    }
-    this->slowdown = factor;
-    this->slowdown_heard = now;
-    this->states_slowdown = true;
-    this->probe_sent.reset();
+    this->slow.heard(factor, now);
 }
 
 bool target_gate_policy::take_probe(time_point now)
 {
-    double const passed = to_milliseconds(now - this->tokens_counted) / 1000;
-    this->probe_tokens = std::min(
-        probe_burst, this->probe_tokens + passed * this->options.probe_rate);
-    this->tokens_counted = now;
-    bool const wanted =
-        this->states_slowdown && !this->waiting.empty() &&
-        this->running.size() < this->limit() && !this->is_slowdown_fresh(now) &&
-        !this->is_probe_pending(now) && now >= this->probe_pause_ends;
-    if (!wanted)
-    {
-        return false;
-    }
-    if (this->probe_tokens < 1)
-    {
-        // decides by what was heard last
-        this->probe_pause_ends = now + this->options.probe_interval;
-        return false;
-    }
-    this->probe_tokens -= 1;
-    this->probe_sent = now;
-    return true;
+    return !this->waiting.empty() && this->running.size() < this->limit() &&
+           this->slow.take_probe(now);
 }
 
 void target_gate_policy::probe_failed(time_point now)
 {
-    this->probe_sent.reset();
-    this->probe_pause_ends = now + this->options.probe_pause;
+    this->slow.probe_failed(now);
 }
 
 void target_gate_policy::set_open(bool value)
@@ -142,13 +96,13 @@
     bool const late =
         now + wait + this->planned_run_time(route, now) > urgency.target_time;
     bool const in_vain =
-        wait > duration(0) && wait + this->run_time(route, now) > usable;
+        wait > duration(0) && wait + this->run_times.of(route, now) > usable;
     if (in_vain || (late && this->is_overloaded(now)) ||
         this->waiting.size() >= this->options.waiting)
     {
         return this->refuse(ticket,
-                            this->is_cold(now) ? gate_refusal::cold
-                                               : gate_refusal::busy,
+                            this->cold.is_cold(now) ? gate_refusal::cold
+                                                    : gate_refusal::busy,
                             wait);
     }
     this->waiting.push_back({ticket, route, urgency, may_decline, now});
@@ -163,11 +117,9 @@
         return;
     }
     auto const took = now - found->second.at;
-    auto const weight = this->options.run_time_weight;
     if (!failed)
     {
-        this->mean_time = moved(this->mean_time, took, weight);
-        this->note_run_time(found->second.route, took, now);
+        this->run_times.add(found->second.route, took, now);
     }
     this->failure_share += this->options.failure_weight *
                            ((failed ? 1.0 : 0.0) - this->failure_share);
@@ -196,9 +148,10 @@
     for (auto one = this->waiting.begin(); one != this->waiting.end();)
     {
         // a target with room runs it: the mean may be that of a slow time
-        bool const hopeless = one->urgency.deadline <= now ||
-                              (is_full && one->urgency.deadline - now <
-                                              this->run_time(one->route, now));
+        bool const hopeless =
+            one->urgency.deadline <= now ||
+            (is_full &&
+             one->urgency.deadline - now < this->run_times.of(one->route, now));
         bool const late =
             this->is_overloaded(now) && !this->can_be_on_time(*one, now);
         if (this->open && !hopeless && !late)
@@ -211,7 +164,8 @@
         {
             reason = gate_refusal::closed;
         }
-        ready.push_back(this->refuse(one->ticket, reason, this->mean_time));
+        ready.push_back(
+            this->refuse(one->ticket, reason, this->run_times.overall()));
         one = this->waiting.erase(one);
     }
 }
@@ -232,7 +186,7 @@
         else if (what == readiness::decline)
         {
             ready.push_back(this->refuse(
-                next->ticket, gate_refusal::slow, this->mean_slow_period));
+                next->ticket, gate_refusal::slow, this->slow.mean_period()));
         }
         else
         {
@@ -265,14 +219,14 @@
 
 bool target_gate_policy::is_overloaded(time_point now) const
 {
-    return this->queue_since && !this->is_cold(now) &&
+    return this->queue_since && !this->cold.is_cold(now) &&
            now - *this->queue_since >= this->options.standing_queue;
 }
 
 duration target_gate_policy::planned_run_time(std::string const & route,
                                               time_point now) const
 {
-    return scaled(this->run_time(route, now), this->options.planned_run);
+    return scaled(this->run_times.of(route, now), this->options.planned_run);
 }
 
 target_load target_gate_policy::load() const
@@ -281,63 +235,29 @@
     seen.running = static_cast<std::uint32_t>(this->running.size());
     seen.waiting = static_cast<std::uint32_t>(this->waiting.size());
     seen.limit = static_cast<std::uint32_t>(this->limit());
-    seen.slowdown = this->slowdown;
+    seen.slowdown = this->slow.factor();
     seen.failure_share = this->failure_share;
     seen.closed = !this->open;
     return seen;
 }
 
-duration target_gate_policy::run_time(std::string const & route,
-                                      time_point now) const
-{
-    auto const found = this->run_times.find(route);
-    if (found == this->run_times.end() ||
-        now - found->second.noted > this->options.run_time_memory)
-    {
-        return duration(0);
-    }
-    return found->second.mean;
-}
-
-void target_gate_policy::note_run_time(std::string const & route,
-                                       duration took,
-                                       time_point now)
-{
-    if (this->run_times.size() >= known_routes &&
-        !this->run_times.contains(route))
-    {
-        return;
-    }
-    auto const known = this->run_time(route, now);
-    this->run_times[route] = {moved(known, took, this->options.run_time_weight),
-                              now};
-}
-
 std::optional<time_point> target_gate_policy::next_review(time_point now) const
 {
     std::optional<time_point> next;
     for (auto const & one : this->waiting)
     {
-        auto const at = one.urgency.deadline - this->run_time(one.route, now);
+        auto const at =
+            one.urgency.deadline - this->run_times.of(one.route, now);
         next = next ? std::min(*next, at) : at;
     }
-    if (!this->waiting.empty() && this->states_slowdown &&
+    if (!this->waiting.empty() && this->slow.is_stated() &&
         this->running.size() < this->limit())
     {
-        // a slow period may have ended, or a probe has had no answer
-        auto const at =
-            this->probe_sent
-                ? *this->probe_sent + this->options.probe_patience
-                : this->slowdown_heard + this->options.probe_interval;
-        next = std::min(*next, at);
+        next = std::min(*next, this->slow.next_review());
     }
-    if (!this->waiting.empty() && this->cold_rate > 0 && this->cold_tokens < 1)
+    if (auto const at = this->cold.next_room(); next && at > time_point())
     {
-        auto const until_token =
-            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-                (1 - this->cold_tokens) /
-                (this->cold_rate * this->options.cold_rate_factor)));
-        next = std::min(*next, this->cold_refilled + until_token);
+        next = std::min(*next, at);
     }
     return next;
 }
@@ -349,56 +269,19 @@
     return std::max<std::size_t>(usable, 1);
 }
 
-bool target_gate_policy::is_cold(time_point now) const
-{
-    return this->cold_rate > 0 && now < this->cold_until;
-}
-
-void target_gate_policy::refill_cold(time_point now)
-{
-    double const passed = to_milliseconds(now - this->cold_refilled) / 1000;
-    this->cold_refilled = now;
-    this->cold_tokens =
-        std::min(this->options.cold_burst,
-                 this->cold_tokens +
-                     passed * this->cold_rate * this->options.cold_rate_factor);
-}
-
-bool target_gate_policy::has_cold_room(time_point now)
-{
-    this->refill_cold(now);
-    return !this->is_cold(now) || this->cold_tokens >= 1;
-}
-
 bool target_gate_policy::has_room(time_point now)
 {
-    return this->running.size() < this->limit() && this->has_cold_room(now);
-}
-
-bool target_gate_policy::is_slowdown_fresh(time_point now) const
-{
-    return now - this->slowdown_heard <= this->options.fresh;
-}
-
-bool target_gate_policy::is_probe_pending(time_point now) const
-{
-    return this->probe_sent &&
-           now - *this->probe_sent < this->options.probe_patience;
+    return this->running.size() < this->limit() && this->cold.has_room(now);
 }
 
 target_gate_policy::readiness
 target_gate_policy::readiness_of(queued const & one, time_point now) const
 {
-    if (!this->states_slowdown)
-    {
-        return readiness::start;
-    }
-    bool const may_probe = now >= this->probe_pause_ends;
-    if (!this->is_slowdown_fresh(now) && may_probe)
+    if (!this->slow.is_decided(now))
     {
         return readiness::wait;
     }
-    if (this->slowdown <= this->options.slow)
+    if (!this->slow.is_slow())
     {
         return readiness::start;
     }
@@ -406,15 +289,12 @@
     {
         return readiness::decline;
     }
-    // what a start now would lose against one after the slow period, which
-    // may last as long again as it has lasted
-    auto const work = this->run_time(one.route, now);
-    auto const lost = scaled(work, this->slowdown - 1);
-    auto const remaining =
-        std::max(this->mean_slow_period / 2, now - this->slow_since);
+    // what a start now would lose against one after the slow period
+    auto const work = this->run_times.of(one.route, now);
+    auto const lost = scaled(work, this->slow.factor() - 1);
     bool const still_on_time =
-        now + scaled(work, this->slowdown) <= one.urgency.target_time;
-    if (still_on_time || lost <= remaining)
+        now + scaled(work, this->slow.factor()) <= one.urgency.target_time;
+    if (still_on_time || lost <= this->slow.expected_remaining(now))
     {
         return readiness::start;
     }
@@ -432,19 +312,10 @@
         ahead += this->is_before(candidate, one, now) ? 0 : 1;
     }
     auto const by_slots =
-        scaled(this->mean_time,
+        scaled(this->run_times.overall(),
                static_cast<double>(ahead) / static_cast<double>(this->limit()));
-    if (!this->is_cold(now))
-    {
-        return by_slots;
-    }
-    double const lacking =
-        static_cast<double>(this->waiting.size()) + 1 - this->cold_tokens;
-    auto const by_rate =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-            std::max(lacking, 0.0) /
-            (this->cold_rate * this->options.cold_rate_factor)));
-    return std::max(by_slots, by_rate);
+    return std::max(by_slots,
+                    this->cold.wait_for(this->waiting.size() + 1, now));
 }
 
 bool target_gate_policy::can_be_on_time(queued const & one,
@@ -487,8 +358,7 @@
                                time_point now)
 {
     this->running[ticket] = {route, now};
-    // taken at all times: a target may turn out to be cold a moment later
-    this->cold_tokens = std::max(0.0, this->cold_tokens - 1);
+    this->cold.spend();
 }
 
 gate_verdict target_gate_policy::refuse(gate_ticket ticket,
--- a/tests/src/unit-conditional-writer.cpp
+++ b/tests/src/unit-conditional-writer.cpp
@@ -6,9 +6,9 @@
 
 #include <common/object_table.hpp>
 #include <endivehinge/coordination/backoff.hpp>
-#include <endivehinge/coordination/call_budget.hpp>
 #include <endivehinge/coordination/conditional_writer.hpp>
 #include <endivehinge/coordination/configuration_entry.hpp>
+#include <endivehinge/core/call_budget.hpp>
 
 namespace endivehinge
 {
