Take probing, choosing and the log text out of two large types

Cause: local_target and request_dispatch each did several things at once.

Ruled out: a type for the search of runs in local_target (it would need most of its members); a split of peer_node by duty now (its checks and its flights share state; listed).

Change: health_prober (asks in turn and on demand), target_chooser (targets of one request, each once), placement_story (the log's text). Behaviour is meant to be the same; the tests are unchanged.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -11,6 +11,7 @@
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/gateway_settings.hpp>
+#include <endivehinge/detail/gateway/health_prober.hpp>
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/report_adapter.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
@@ -95,18 +96,15 @@
     void update_gate();
     void note_head(target_response_head const & head);
     void log_identity(char const * how);
-    void probe();
-    [[nodiscard]] bool send_probe(duration timeout,
-                                  client_connection::result_handler done);
     void probe_slowdown();
     void probed(call_result const & result);
-    void schedule_probe();
 
     boost::asio::io_context & io;
     gateway_settings const & settings;
     message_adapter const & adapter;
     event_log & log;
     upstream server;
+    health_prober prober;
     target_gate_policy gate;
     target_identity identity;
     std::optional<service_properties> properties;
@@ -115,7 +113,6 @@
     std::function<void()> entry_action;
     absl::flat_hash_map<gate_ticket, state_pointer> requests;
     boost::asio::steady_timer review_timer;
-    boost::asio::steady_timer probe_timer;
     time_point last_response;
 };
 
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -6,11 +6,12 @@
 #include <string>   // string
 #include <vector>   // vector
 
-#include <absl/container/flat_hash_set.h> // flat_hash_set
-#include <boost/asio/steady_timer.hpp>    // steady_timer
+#include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <endivehinge/detail/gateway/exchange.hpp>
 #include <endivehinge/detail/gateway/gateway_state.hpp>
+#include <endivehinge/detail/gateway/placement_story.hpp>
+#include <endivehinge/detail/gateway/target_chooser.hpp>
 
 namespace endivehinge::detail
 {
@@ -35,11 +36,9 @@
     // one placement on one target
     struct attempt
     {
-        target_id target;
+        // the target, and what its choice was based on
+        target_candidate known;
         target_runner::cancel_action cancel;
-        // the load that was known when it was chosen, and its age
-        std::optional<target_load> load;
-        duration load_age{0};
         bool finished = false;
     };
 
@@ -48,10 +47,7 @@
     [[nodiscard]] bool outlasts_process() const;
     void prepare_message();
     void place();
-    [[nodiscard]] std::vector<target_entry const *> open_targets() const;
-    [[nodiscard]] target_candidate candidate_of(target_entry const & entry,
-                                                time_point now);
-    void run_on(target_entry const & entry, target_candidate const & known);
+    void run_on(chosen_target const & chosen);
     void ended(attempt_pointer const & one, dispatch_result result);
     void answered(attempt_pointer const & one, dispatch_result result);
     void refused(attempt_pointer const & one, dispatch_result const & result);
@@ -65,13 +61,11 @@
     void respond(response_message message, char const * outcome);
     void reject(std::string const & reason, duration wait);
     void fail(boost::beast::http::status status, std::string const & reason);
-    void note(attempt const & one,
-              dispatch_result const & result,
-              char const * what);
     void log_end(char const * outcome, unsigned status);
 
     gateway_state & state;
     std::shared_ptr<exchange> client;
+    target_chooser chooser;
     fleet_view::configuration_pointer configuration;
     service_route const * route = nullptr;
     service_name service;
@@ -79,8 +73,6 @@
     request_urgency urgency;
     boost::asio::steady_timer deadline_timer;
     std::vector<attempt_pointer> attempts;
-    // targets that refused, or to which it was sent
-    absl::flat_hash_set<target_id> tried;
     // targets that would take it were they not slow
     std::vector<target_id> declined;
     // the outcome at some target is not known
@@ -93,7 +85,7 @@
     std::string last_reason;
     // a target's failure response, kept while another target is tried
     std::optional<response_message> fallback;
-    std::string story;
+    placement_story story;
     bool done = false;
 };
 
--- /dev/null
+++ b/src/gateway/health_prober.cpp
@@ -0,0 +1,94 @@
+#include <endivehinge/detail/gateway/health_prober.hpp>
+
+#include <utility> // move
+
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
+namespace endivehinge::detail
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+// between probes in turn, which state the load and whether the target is cold;
+// far below the users' bound of 60 a second
+constexpr duration probe_interval = std::chrono::milliseconds(250);
+constexpr duration probe_timeout = std::chrono::milliseconds(1000);
+// a target answers a probe at once, whatever runs; a request waits for it
+constexpr duration demand_timeout = std::chrono::milliseconds(30);
+// to connect to a target on the same instance
+constexpr duration connect_timeout = std::chrono::milliseconds(250);
+
+} // namespace
+
+health_prober::health_prober(boost::asio::io_context & loop,
+                             upstream & connections,
+                             endpoint const & target)
+    : server(connections)
+    , address(target)
+    , timer(loop)
+{
+}
+
+void health_prober::set_path(std::string const & health_path)
+{
+    this->path = health_path;
+}
+
+void health_prober::start(response_handler responded)
+{
+    this->handler = std::move(responded);
+    this->schedule();
+}
+
+bool health_prober::ask_now(response_handler done)
+{
+    return this->send(demand_timeout, std::move(done));
+}
+
+void health_prober::note_response(time_point now)
+{
+    this->last_response = now;
+}
+
+void health_prober::schedule()
+{
+    this->timer.expires_after(probe_interval);
+    this->timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->probe();
+            }
+        });
+}
+
+void health_prober::probe()
+{
+    this->schedule();
+    if (loop_now() - this->last_response >= probe_interval)
+    {
+        // where nothing can be asked, the next turn may
+        static_cast<void>(this->send(probe_timeout, this->handler));
+    }
+}
+
+bool health_prober::send(duration timeout, response_handler done)
+{
+    if (this->path.empty())
+    {
+        return false;
+    }
+    request_message message{http::verb::get, this->path, 11};
+    message.set(http::field::host, this->address.to_string());
+    call_options options;
+    options.deadline = loop_now() + timeout;
+    options.connect_timeout = connect_timeout;
+    return this->server.send(
+               std::move(message), options, false, std::move(done)) != nullptr;
+}
+
+} // namespace endivehinge::detail
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -16,12 +16,6 @@
 namespace
 {
 
-// between probes of the target's health, which state its load and whether it
-// is cold; far below the budget of probes
-constexpr duration probe_interval = std::chrono::milliseconds(250);
-constexpr duration probe_timeout = std::chrono::milliseconds(1000);
-// a target answers a probe at once, whatever runs; a request waits for it
-constexpr duration slowdown_probe_timeout = std::chrono::milliseconds(30);
 // to connect to a target on the same instance
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // lets the target's own response at the deadline arrive first
@@ -54,8 +48,8 @@
     , adapter(codec)
     , log(events)
     , server(loop, chosen.target_address, options_of_target())
+    , prober(loop, this->server, chosen.target_address)
     , review_timer(loop)
-    , probe_timer(loop)
 {
 }
 
@@ -368,6 +362,7 @@
 void local_target::set_properties(service_properties const & stated)
 {
     this->properties = stated;
+    this->prober.set_path(stated.health_path);
     this->update_gate();
 }
 
@@ -432,6 +427,7 @@
 void local_target::note_head(target_response_head const & head)
 {
     this->last_response = loop_now();
+    this->prober.note_response(this->last_response);
     if (head.slowdown)
     {
         this->gate.set_slowdown(*head.slowdown, this->last_response);
@@ -465,53 +461,13 @@
 
 void local_target::start_probing()
 {
-    this->schedule_probe();
-}
-
-void local_target::schedule_probe()
-{
-    this->probe_timer.expires_after(probe_interval);
-    this->probe_timer.async_wait(
-        [this](boost::system::error_code error)
+    this->prober.start(
+        [this](call_result const & result)
         {
-            if (!error)
-            {
-                this->probe();
-            }
+            this->probed(result);
         });
 }
 
-void local_target::probe()
-{
-    this->schedule_probe();
-    // responses to requests state the same, and whether the target is cold
-    if (loop_now() - this->last_response < probe_interval)
-    {
-        return;
-    }
-    static_cast<void>(this->send_probe(probe_timeout,
-                                       [this](call_result const & result)
-                                       {
-                                           this->probed(result);
-                                       }));
-}
-
-bool local_target::send_probe(duration timeout,
-                              client_connection::result_handler done)
-{
-    if (!this->properties || this->properties->health_path.empty())
-    {
-        return false;
-    }
-    request_message message{http::verb::get, this->properties->health_path, 11};
-    message.set(http::field::host, this->settings.target_address.to_string());
-    call_options options;
-    options.deadline = loop_now() + timeout;
-    options.connect_timeout = connect_timeout;
-    return this->server.send(
-               std::move(message), options, false, std::move(done)) != nullptr;
-}
-
 void local_target::probe_slowdown()
 {
     auto const done = [this](call_result const & result)
@@ -525,7 +481,7 @@
         }
         this->review();
     };
-    if (!this->send_probe(slowdown_probe_timeout, done))
+    if (!this->prober.ask_now(done))
     {
         this->gate.probe_failed(loop_now());
     }
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm> // clamp, min
 
-#include <absl/strings/str_cat.h>    // StrAppend, StrCat
-#include <absl/strings/str_format.h> // StrAppendFormat
+#include <absl/strings/str_cat.h> // StrCat
 
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
@@ -46,6 +45,7 @@
                                    std::shared_ptr<exchange> incoming)
     : state(shared)
     , client(std::move(incoming))
+    , chooser(shared)
     , deadline_timer(shared.io)
 {
 }
@@ -128,91 +128,36 @@
         this->deadline_passed();
         return;
     }
-    auto targets = this->open_targets();
-    if (targets.empty() && !this->declined.empty())
+    bool const may_place = this->placements < largest_placements;
+    auto chosen = may_place ? this->chooser.choose(this->service, *this->route)
+                            : std::nullopt;
+    if (may_place && !chosen && !this->declined.empty())
     {
         // every target is slow now: one of them may become fast soonest
         this->last_round = true;
         for (auto const & slow : std::exchange(this->declined, {}))
         {
-            this->tried.erase(slow);
+            this->chooser.offer_again(slow);
         }
-        targets = this->open_targets();
+        chosen = this->chooser.choose(this->service, *this->route);
     }
-    if (targets.empty() || this->placements >= largest_placements)
+    if (chosen)
     {
-        if (this->fallback)
-        {
-            this->respond(std::move(*this->fallback), "failed_by_target");
-            return;
-        }
-        this->reject(this->last_reason.empty() ? "no target"
-                                               : this->last_reason,
-                     this->shortest_wait.value_or(usual_retry));
+        this->run_on(*chosen);
         return;
     }
-    auto const at = loop_now();
-    std::vector<target_candidate> candidates;
-    candidates.reserve(targets.size());
-    for (auto const * const entry : targets)
-    {
-        candidates.push_back(this->candidate_of(*entry, at));
-    }
-    placement_request const wanted{this->state.work_of(*this->route),
-                                   this->route->latency_target};
-    auto const best =
-        this->state.selector.choose(candidates,
-                                    wanted,
-                                    [this]
-                                    {
-                                        return this->state.random();
-                                    });
-    // a closed target may have opened since its load was heard
-    auto const chosen = best.value_or(static_cast<std::size_t>(
-        this->state.random() * static_cast<double>(targets.size())));
-    this->run_on(*targets[chosen], candidates[chosen]);
-}
-
-std::vector<target_entry const *> request_dispatch::open_targets() const
-{
-    std::vector<target_entry const *> open;
-    for (auto const * const entry :
-         this->state.fleet.ready_targets(this->service))
-    {
-        bool const local = entry->node == this->state.settings.node;
-        if (this->tried.contains(entry->id) ||
-            (!local && this->state.peer(entry->peer).is_suspended()))
-        {
-            continue;
-        }
-        open.push_back(entry);
-    }
-    return open;
-}
-
-target_candidate request_dispatch::candidate_of(target_entry const & entry,
-                                                time_point at)
-{
-    target_candidate candidate;
-    candidate.id = entry.id;
-    candidate.local = entry.node == this->state.settings.node;
-    candidate.same_domain = entry.domain == this->state.settings.domain;
-    if (candidate.local)
+    if (this->fallback)
     {
-        candidate.load = this->state.target.load();
-        return candidate;
+        this->respond(std::move(*this->fallback), "failed_by_target");
+        return;
     }
-    auto const & peer = this->state.peer(entry.peer);
-    candidate.load = peer.load();
-    candidate.load_age = at - peer.load_time();
-    candidate.sent_since = peer.sent_since();
-    candidate.failure_share = peer.failure_share();
-    return candidate;
+    this->reject(this->last_reason.empty() ? "no target" : this->last_reason,
+                 this->shortest_wait.value_or(usual_retry));
 }
 
-void request_dispatch::run_on(target_entry const & entry,
-                              target_candidate const & known)
+void request_dispatch::run_on(chosen_target const & chosen)
 {
+    auto const & entry = chosen.entry;
     dispatch_request request;
     request.message = this->client->request;
     request.id = this->id;
@@ -223,15 +168,12 @@
     request.idempotent = this->route->idempotent;
     request.may_decline = !this->last_round;
     auto const one = std::make_shared<attempt>();
-    one->target = entry.id;
-    one->load = known.load;
-    one->load_age = known.load_age;
+    one->known = chosen.known;
     this->placements += 1;
-    this->tried.insert(entry.id);
     this->attempts.push_back(one);
     target_runner & runner =
-        known.local ? static_cast<target_runner &>(this->state.target)
-                    : this->state.peer(entry.peer);
+        chosen.known.local ? static_cast<target_runner &>(this->state.target)
+                           : this->state.peer(entry.peer);
     one->cancel = runner.run(
         std::move(request),
         [self = this->shared_from_this(), one](dispatch_result result)
@@ -273,7 +215,7 @@
     bool const failed =
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
-    this->note(*one, result, failed ? "failed" : "answered");
+    this->story.add(one->known, result, failed ? "failed" : "answered");
     if (failed && this->route->idempotent && this->may_repeat())
     {
         this->fallback = std::move(result.response);
@@ -292,11 +234,11 @@
 void request_dispatch::refused(attempt_pointer const & one,
                                dispatch_result const & result)
 {
-    this->note(*one, result, "refused");
+    this->story.add(one->known, result, "refused");
     this->last_reason = result.reason;
     if (result.reason == to_string(gate_refusal::slow))
     {
-        this->declined.push_back(one->target);
+        this->declined.push_back(one->known.id);
     }
     if (result.retry_after > duration(0))
     {
@@ -316,7 +258,7 @@
 void request_dispatch::indeterminate(attempt_pointer const & one,
                                      dispatch_result const & result)
 {
-    this->note(*one, result, "indeterminate");
+    this->story.add(one->known, result, "indeterminate");
     this->may_have_run = true;
     this->last_reason = result.reason;
     if (this->route->idempotent && this->may_repeat())
@@ -455,36 +397,6 @@
                                                     : "indeterminate");
 }
 
-void request_dispatch::note(attempt const & one,
-                            dispatch_result const & result,
-                            char const * what)
-{
-    absl::StrAppend(&this->story,
-                    this->story.empty() ? "" : ",",
-                    one.target.value(),
-                    ":",
-                    what);
-    if (!result.reason.empty())
-    {
-        absl::StrAppend(&this->story, ":", result.reason);
-    }
-    absl::StrAppend(&this->story,
-                    ":waited=",
-                    whole_milliseconds(result.waited),
-                    ":ran=",
-                    whole_milliseconds(result.ran));
-    if (one.load)
-    {
-        absl::StrAppendFormat(&this->story,
-                              ":known=%d+%d/%d*%.2f@%s",
-                              one.load->running,
-                              one.load->waiting,
-                              one.load->limit,
-                              one.load->slowdown,
-                              whole_milliseconds(one.load_age));
-    }
-}
-
 void request_dispatch::log_end(char const * outcome, unsigned status)
 {
     auto const took = loop_now() - this->client->arrival;
@@ -503,7 +415,7 @@
          {"version",
           absl::StrCat(this->configuration ? this->configuration->version : 0)},
          {"reason", this->last_reason},
-         {"targets", this->story}});
+         {"targets", this->story.text()}});
 }
 
 } // namespace endivehinge::detail
