Decide requests among slow targets within a bound

Two causes: the gate weighed a start by run times that contain the slowdown, so it counted it twice; and nothing bounded how often a request was passed on.

The gate keeps run times without the slowdown and refuses for good what cannot end before its deadline.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -6,6 +6,7 @@
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
 #include <endivehinge/policy/request_urgency.hpp>
+#include <endivehinge/policy/when_slow.hpp>
 
 namespace endivehinge::detail
 {
@@ -27,8 +28,7 @@
     request_urgency urgency;
     // may run more than once
     bool idempotent = false;
-    // another target may take it if this one is slow now
-    bool may_decline = false;
+    when_slow slow_target = when_slow::decide;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -12,6 +12,7 @@
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/placement_story.hpp>
 #include <endivehinge/detail/gateway/target_chooser.hpp>
+#include <endivehinge/policy/slow_rounds.hpp>
 
 namespace endivehinge::detail
 {
@@ -38,6 +39,7 @@
     {
         // the target, and what its choice was based on
         target_candidate known;
+        when_slow slow_target = when_slow::decline;
         target_runner::cancel_action cancel;
         bool finished = false;
     };
@@ -73,12 +75,9 @@
     request_urgency urgency;
     boost::asio::steady_timer deadline_timer;
     std::vector<attempt_pointer> attempts;
-    // targets that would take it were they not slow
-    std::vector<target_id> declined;
+    slow_rounds rounds;
     // the outcome at some target is not known
     bool may_have_run = false;
-    // no target may decline it any more
-    bool last_round = false;
     std::uint32_t arrivals = 0;
     std::uint32_t placements = 0;
     std::optional<duration> shortest_wait;
--- a/include/endivehinge/policy/gate_options.hpp
+++ b/include/endivehinge/policy/gate_options.hpp
@@ -20,6 +20,8 @@
     // a mean run time to which nothing was added for so long is forgotten: a
     // target that was slow may refuse for it what it could run now
     duration run_time_memory = std::chrono::milliseconds(1000);
+    // the same for run times without the slowdown, which do not follow it
+    duration usual_run_time_memory = std::chrono::seconds(10);
     // weight of the newest outcome in the share of failures
     double failure_weight = 0.1;
     // a slowdown that was heard this long ago still holds
--- a/include/endivehinge/policy/target_gate_policy.hpp
+++ b/include/endivehinge/policy/target_gate_policy.hpp
@@ -14,6 +14,7 @@
 #include <endivehinge/policy/run_time_estimates.hpp>
 #include <endivehinge/policy/slowdown_tracker.hpp>
 #include <endivehinge/policy/target_load.hpp>
+#include <endivehinge/policy/when_slow.hpp>
 
 namespace endivehinge
 {
@@ -59,11 +60,11 @@
 
     /// @brief asks to run a request
     /// @param route requests of one route take about the same time
-    /// @param may_decline another target may take it if this one is slow
+    /// @param slow_target what to do while the target is slow
     /// @note a verdict to wait may change at once: call take_ready after it
     [[nodiscard]] gate_verdict offer(std::string const & route,
                                      request_urgency const & urgency,
-                                     bool may_decline,
+                                     when_slow slow_target,
                                      time_point now);
 
     /// @brief a request that was started has ended
@@ -90,7 +91,7 @@
         gate_ticket ticket;
         std::string route;
         request_urgency urgency;
-        bool may_decline = false;
+        when_slow slow_target = when_slow::decide;
         time_point offered;
     };
 
@@ -99,18 +100,23 @@
         start,
         wait,
         decline,
+        hopeless,
     };
 
     struct started
     {
         std::string route;
         time_point at;
+        // the slowdown that it runs under
+        double slowdown = 1;
     };
 
     [[nodiscard]] std::size_t limit() const;
     [[nodiscard]] bool has_room(time_point now);
     [[nodiscard]] readiness readiness_of(queued const & one,
                                          time_point now) const;
+    [[nodiscard]] readiness readiness_while_slow(queued const & one,
+                                                 time_point now) const;
     [[nodiscard]] bool is_overloaded(time_point now) const;
     [[nodiscard]] duration planned_run_time(std::string const & route,
                                             time_point now) const;
@@ -133,6 +139,8 @@
     cold_rate_limiter cold;
     slowdown_tracker slow;
     run_time_estimates run_times;
+    // what they would be without the slowdown
+    run_time_estimates usual_run_times;
     // since when requests have waited without a pause
     std::optional<time_point> queue_since;
     std::uint64_t last_ticket = 0;
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -24,8 +24,8 @@
 constexpr char const * flight_field = "Endivehinge-Flight";
 // where the sender takes requests, versions of its copies of the store
 constexpr char const * sender_field = "Endivehinge-Sender";
-// microseconds until the target time and the deadline, rank, idempotent, may
-// be declined
+// microseconds until the target time and the deadline, rank, idempotent, what
+// to do while the target is slow
 constexpr char const * urgency_field = "Endivehinge-Urgency";
 // outcome, from the service, reached, waited, ran and retry after in
 // microseconds, versions of the copies of the store
@@ -152,7 +152,7 @@
                              " ",
                              request.idempotent ? 1 : 0,
                              " ",
-                             request.may_decline ? 1 : 0));
+                             static_cast<int>(request.slow_target)));
 }
 
 std::optional<hop_sender> read_hop_sender(request_message & message)
@@ -183,7 +183,8 @@
     request.caller = service_name(take(message, caller_field));
     request.id = take(message, id_field);
     request.flight = take(message, flight_field);
-    if (numbers.size() != 5 || request.target.value().empty())
+    if (numbers.size() != 5 || request.target.value().empty() ||
+        numbers[4] < 0 || numbers[4] > static_cast<int>(when_slow::decide))
     {
         return std::nullopt;
     }
@@ -191,7 +192,7 @@
     request.urgency.deadline = now + from_microseconds(numbers[1]);
     request.urgency.rank = static_cast<std::uint32_t>(numbers[2]);
     request.idempotent = numbers[3] != 0;
-    request.may_decline = numbers[4] != 0;
+    request.slow_target = static_cast<when_slow>(static_cast<int>(numbers[4]));
     request.message = std::move(message);
     return request;
 }
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -74,7 +74,7 @@
     {
         verdict = this->gate.offer(state->request.route,
                                    state->request.urgency,
-                                   state->request.may_decline,
+                                   state->request.slow_target,
                                    state->offered);
     }
     auto const ticket = verdict.ticket;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -131,11 +131,9 @@
     bool const may_place = this->placements < largest_placements;
     auto chosen = may_place ? this->chooser.choose(this->service, *this->route)
                             : std::nullopt;
-    if (may_place && !chosen && !this->declined.empty())
+    if (may_place && !chosen)
     {
-        // every target is slow now: one of them may become fast soonest
-        this->last_round = true;
-        for (auto const & slow : std::exchange(this->declined, {}))
+        for (auto const & slow : this->rounds.next(loop_now()))
         {
             this->chooser.offer_again(slow);
         }
@@ -166,9 +164,10 @@
     request.caller = this->state.settings.service;
     request.urgency = this->urgency;
     request.idempotent = this->route->idempotent;
-    request.may_decline = !this->last_round;
     auto const one = std::make_shared<attempt>();
     one->known = chosen.known;
+    one->slow_target = this->rounds.choice(loop_now());
+    request.slow_target = one->slow_target;
     this->placements += 1;
     this->attempts.push_back(one);
     target_runner & runner =
@@ -238,7 +237,7 @@
     this->last_reason = result.reason;
     if (result.reason == to_string(gate_refusal::slow))
     {
-        this->declined.push_back(one->known.id);
+        this->rounds.declined(one->known.id, one->slow_target);
     }
     if (result.retry_after > duration(0))
     {
--- a/src/policy/target_gate_policy.cpp
+++ b/src/policy/target_gate_policy.cpp
@@ -42,6 +42,7 @@
     , cold(chosen.cold_rate_factor, chosen.cold_burst)
     , slow(chosen)
     , run_times(chosen.run_time_weight, chosen.run_time_memory)
+    , usual_run_times(chosen.run_time_weight, chosen.usual_run_time_memory)
 {
 }
 
@@ -78,7 +79,7 @@
 
 gate_verdict target_gate_policy::offer(std::string const & route,
                                        request_urgency const & urgency,
-                                       bool may_decline,
+                                       when_slow slow_target,
                                        time_point now)
 {
     gate_ticket const ticket(++this->last_ticket);
@@ -105,7 +106,7 @@
                                                     : gate_refusal::busy,
                             wait);
     }
-    this->waiting.push_back({ticket, route, urgency, may_decline, now});
+    this->waiting.push_back({ticket, route, urgency, slow_target, now});
     return {ticket, gate_verdict::action::wait, gate_refusal::none, wait};
 }
 
@@ -120,6 +121,8 @@
     if (!failed)
     {
         this->run_times.add(found->second.route, took, now);
+        this->usual_run_times.add(
+            found->second.route, scaled(took, 1 / found->second.slowdown), now);
     }
     this->failure_share += this->options.failure_weight *
                            ((failed ? 1.0 : 0.0) - this->failure_share);
@@ -183,10 +186,13 @@
         {
             kept.push_back(std::move(*next));
         }
-        else if (what == readiness::decline)
+        else if (what != readiness::start)
         {
-            ready.push_back(this->refuse(
-                next->ticket, gate_refusal::slow, this->slow.mean_period()));
+            auto const reason = what == readiness::decline
+                                    ? gate_refusal::slow
+                                    : gate_refusal::too_late;
+            ready.push_back(
+                this->refuse(next->ticket, reason, this->slow.mean_period()));
         }
         else
         {
@@ -285,18 +291,33 @@
     {
         return readiness::start;
     }
-    if (one.may_decline)
+    return one.slow_target == when_slow::decline
+               ? readiness::decline
+               : this->readiness_while_slow(one, now);
+}
+
+target_gate_policy::readiness
+target_gate_policy::readiness_while_slow(queued const & one,
+                                         time_point now) const
+{
+    auto const work = this->usual_run_times.of(one.route, now);
+    auto const slow_work = scaled(work, this->slow.factor());
+    auto const remaining = this->slow.expected_remaining(now);
+    bool const can_end = now + slow_work <= one.urgency.deadline;
+    bool const still_on_time = now + slow_work <= one.urgency.target_time;
+    // a start now ends before one after the slow period would
+    bool const start_is_best = slow_work - work <= remaining;
+    // after a wait in vain it could not end in time any more
+    bool const last_chance =
+        now + this->options.slow_patience + slow_work > one.urgency.deadline;
+    bool const decides = one.slow_target == when_slow::decide;
+    if (can_end && (decides || still_on_time || start_is_best || last_chance))
     {
-        return readiness::decline;
+        return readiness::start;
     }
-    // what a start now would lose against one after the slow period
-    auto const work = this->run_times.of(one.route, now);
-    auto const lost = scaled(work, this->slow.factor() - 1);
-    bool const still_on_time =
-        now + scaled(work, this->slow.factor()) <= one.urgency.target_time;
-    if (still_on_time || lost <= this->slow.expected_remaining(now))
+    if (decides || now + remaining + work > one.urgency.deadline)
     {
-        return readiness::start;
+        return readiness::hopeless;
     }
     return now - one.offered < this->options.slow_patience ? readiness::wait
                                                            : readiness::decline;
@@ -306,7 +327,7 @@
                                            time_point now) const
 {
     std::size_t ahead = this->running.size() < this->limit() ? 0 : 1;
-    queued const candidate{gate_ticket(0), "", urgency, false, now};
+    queued const candidate{gate_ticket(0), "", urgency, when_slow::decide, now};
     for (auto const & one : this->waiting)
     {
         ahead += this->is_before(candidate, one, now) ? 0 : 1;
@@ -357,7 +378,7 @@
                                std::string const & route,
                                time_point now)
 {
-    this->running[ticket] = {route, now};
+    this->running[ticket] = {route, now, std::max(this->slow.factor(), 1.0)};
     this->cold.spend();
 }
 
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -26,7 +26,7 @@
     request.urgency = {
         2, now_time + milliseconds(300), now_time + milliseconds(900)};
     request.idempotent = true;
-    request.may_decline = true;
+    request.slow_target = when_slow::decide;
     return request;
 }
 
@@ -57,7 +57,7 @@
     EXPECT_EQ(read->urgency.rank, 2U);
     EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
     EXPECT_TRUE(read->idempotent);
-    EXPECT_TRUE(read->may_decline);
+    EXPECT_EQ(read->slow_target, when_slow::decide);
     std::size_t fields = 0;
     for (auto const & field : read->message)
     {
--- a/tests/src/unit-target-gate-policy.cpp
+++ b/tests/src/unit-target-gate-policy.cpp
@@ -47,7 +47,8 @@
 {
     for (int i = 0; i < 40; ++i)
     {
-        auto const ticket = gate.offer("route", urgent(now), false, now).ticket;
+        auto const ticket =
+            gate.offer("route", urgent(now), when_slow::wait, now).ticket;
         static_cast<void>(gate.take_ready(now));
         now += took;
         gate.finish(ticket, false, now);
@@ -59,8 +60,8 @@
     auto gate = open_gate();
     for (int i = 0; i < 20; ++i)
     {
-        static_cast<void>(
-            gate.offer("route", urgent(start_time), false, start_time));
+        static_cast<void>(gate.offer(
+            "route", urgent(start_time), when_slow::wait, start_time));
     }
     EXPECT_EQ(started(gate.take_ready(start_time)), 8U);
     EXPECT_EQ(gate.load().waiting, 12U);
@@ -71,16 +72,18 @@
     auto gate = open_gate();
     for (int i = 0; i < 9; ++i)
     {
-        static_cast<void>(
-            gate.offer("route", urgent(start_time), false, start_time));
+        static_cast<void>(gate.offer(
+            "route", urgent(start_time), when_slow::wait, start_time));
     }
     static_cast<void>(gate.take_ready(start_time));
     gate.set_open(false);
     auto const ready = gate.take_ready(start_time);
     ASSERT_EQ(ready.size(), 1U);
     EXPECT_EQ(ready[0].reason, gate_refusal::closed);
-    EXPECT_EQ(gate.offer("route", urgent(start_time), false, start_time).reason,
-              gate_refusal::closed);
+    EXPECT_EQ(
+        gate.offer("route", urgent(start_time), when_slow::wait, start_time)
+            .reason,
+        gate_refusal::closed);
 }
 
 TEST(target_gate_policy, the_more_urgent_rank_runs_first)
@@ -91,14 +94,17 @@
     running.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
-        running.push_back(gate.offer("route", urgent(now), false, now).ticket);
+        running.push_back(
+            gate.offer("route", urgent(now), when_slow::wait, now).ticket);
     }
     static_cast<void>(gate.take_ready(now));
-    static_cast<void>(gate.offer(
-        "late", urgent(now, milliseconds(500), seconds(2), 2), false, now));
+    static_cast<void>(gate.offer("late",
+                                 urgent(now, milliseconds(500), seconds(2), 2),
+                                 when_slow::wait,
+                                 now));
     auto const first = gate.offer("soon",
                                   urgent(now, milliseconds(500), seconds(2), 0),
-                                  false,
+                                  when_slow::wait,
                                   now)
                            .ticket;
     gate.finish(running[0], false, now + milliseconds(10));
@@ -115,8 +121,11 @@
     std::size_t refused = 0;
     for (int i = 0; i < 200; ++i)
     {
-        auto const verdict = gate.offer(
-            "route", urgent(now, milliseconds(500), seconds(1)), false, now);
+        auto const verdict =
+            gate.offer("route",
+                       urgent(now, milliseconds(500), seconds(1)),
+                       when_slow::wait,
+                       now);
         static_cast<void>(gate.take_ready(now));
         if (verdict.what == gate_verdict::action::refuse)
         {
@@ -137,13 +146,14 @@
     teach(gate, milliseconds(200), now);
     for (int i = 0; i < 8; ++i)
     {
-        static_cast<void>(gate.offer("route", urgent(now), false, now));
+        static_cast<void>(
+            gate.offer("route", urgent(now), when_slow::wait, now));
     }
     static_cast<void>(gate.take_ready(now));
     static_cast<void>(
         gate.offer("route",
                    urgent(now, milliseconds(300), milliseconds(400)),
-                   false,
+                   when_slow::wait,
                    now));
     now += milliseconds(201);
     auto const ready = gate.take_ready(now);
@@ -164,7 +174,7 @@
         auto const verdict =
             gate.offer("route",
                        urgent(now, milliseconds(80), milliseconds(180)),
-                       false,
+                       when_slow::wait,
                        now);
         for (auto const & one : gate.take_ready(now))
         {
@@ -218,7 +228,8 @@
         {
             offered += 1;
             auto const urgency = urgent(now, milliseconds(400), seconds(2));
-            auto const verdict = gate.offer("route", urgency, false, now);
+            auto const verdict =
+                gate.offer("route", urgency, when_slow::wait, now);
             known[verdict.ticket] = {urgency, now};
         }
         for (auto const & verdict : gate.take_ready(now))
@@ -247,7 +258,7 @@
     auto gate = open_gate();
     gate.set_slowdown(1, start_time);
     auto now = start_time + milliseconds(50);
-    static_cast<void>(gate.offer("route", urgent(now), false, now));
+    static_cast<void>(gate.offer("route", urgent(now), when_slow::wait, now));
     EXPECT_EQ(started(gate.take_ready(now)), 0U);
     EXPECT_TRUE(gate.take_probe(now));
     EXPECT_FALSE(gate.take_probe(now)) << "one probe at a time";
@@ -261,7 +272,7 @@
     auto gate = open_gate();
     gate.set_slowdown(1, start_time);
     auto const now = start_time + milliseconds(50);
-    static_cast<void>(gate.offer("route", urgent(now), false, now));
+    static_cast<void>(gate.offer("route", urgent(now), when_slow::wait, now));
     EXPECT_TRUE(gate.take_probe(now));
     gate.probe_failed(now + milliseconds(30));
     EXPECT_EQ(started(gate.take_ready(now + milliseconds(30))), 1U);
@@ -273,7 +284,8 @@
     auto now = start_time;
     teach(gate, milliseconds(160), now);
     gate.set_slowdown(5, now);
-    static_cast<void>(gate.offer("route", urgent(now), true, now));
+    static_cast<void>(
+        gate.offer("route", urgent(now), when_slow::decline, now));
     auto const ready = gate.take_ready(now);
     ASSERT_EQ(ready.size(), 1U);
     EXPECT_EQ(ready[0].reason, gate_refusal::slow);
@@ -285,7 +297,7 @@
     auto now = start_time;
     teach(gate, milliseconds(160), now);
     gate.set_slowdown(5, now);
-    static_cast<void>(gate.offer("route", urgent(now), false, now));
+    static_cast<void>(gate.offer("route", urgent(now), when_slow::wait, now));
     EXPECT_TRUE(gate.take_ready(now).empty());
     ASSERT_TRUE(gate.next_review(now).has_value());
     EXPECT_LE(*gate.next_review(now), now + milliseconds(20));
@@ -300,7 +312,7 @@
     auto now = start_time;
     teach(gate, milliseconds(160), now);
     gate.set_slowdown(5, now);
-    static_cast<void>(gate.offer("route", urgent(now), false, now));
+    static_cast<void>(gate.offer("route", urgent(now), when_slow::wait, now));
     now += milliseconds(61);
     gate.set_slowdown(5, now);
     auto const ready = gate.take_ready(now);
@@ -314,8 +326,8 @@
     auto now = start_time;
     teach(gate, milliseconds(40), now);
     gate.set_slowdown(5, now);
-    static_cast<void>(
-        gate.offer("route", urgent(now, milliseconds(500)), false, now));
+    static_cast<void>(gate.offer(
+        "route", urgent(now, milliseconds(500)), when_slow::wait, now));
     EXPECT_EQ(started(gate.take_ready(now)), 1U);
 }
 
@@ -327,10 +339,86 @@
     gate.set_slowdown(5, now);
     now += seconds(2);
     gate.set_slowdown(5, now);
-    static_cast<void>(gate.offer("route", urgent(now), false, now));
+    static_cast<void>(gate.offer("route", urgent(now), when_slow::wait, now));
     EXPECT_EQ(started(gate.take_ready(now)), 1U);
 }
 
+TEST(target_gate_policy, slow_runs_do_not_raise_what_a_start_is_said_to_lose)
+{
+    auto gate = open_gate();
+    auto now = start_time;
+    teach(gate, milliseconds(40), now);
+    auto const slow_since = now;
+    gate.set_slowdown(12, now);
+    // runs that take as long as the target states
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const ticket =
+            gate.offer("route", urgent(now), when_slow::decide, now).ticket;
+        ASSERT_EQ(started(gate.take_ready(now)), 1U);
+        now += milliseconds(480);
+        gate.finish(ticket, false, now);
+        gate.set_slowdown(12, now);
+    }
+    ASSERT_GT(now - slow_since, seconds(8));
+    static_cast<void>(
+        gate.offer("route",
+                   urgent(now, milliseconds(250), milliseconds(700)),
+                   when_slow::wait,
+                   now));
+    EXPECT_EQ(started(gate.take_ready(now)), 1U)
+        << "a slow time this long is not waited for";
+}
+
+TEST(target_gate_policy, decides_at_once_where_the_request_has_waited_enough)
+{
+    auto gate = open_gate();
+    auto now = start_time;
+    teach(gate, milliseconds(40), now);
+    gate.set_slowdown(12, now);
+    auto const runs =
+        gate.offer("route",
+                   urgent(now, milliseconds(250), milliseconds(700)),
+                   when_slow::decide,
+                   now)
+            .ticket;
+    auto const refused =
+        gate.offer("route",
+                   urgent(now, milliseconds(250), milliseconds(300)),
+                   when_slow::decide,
+                   now)
+            .ticket;
+    auto const ready = gate.take_ready(now);
+    ASSERT_EQ(ready.size(), 2U);
+    for (auto const & one : ready)
+    {
+        bool const expected = one.ticket == runs;
+        EXPECT_EQ(one.what == gate_verdict::action::start, expected);
+        EXPECT_EQ(one.ticket == refused, !expected);
+        EXPECT_EQ(one.reason,
+                  expected ? gate_refusal::none : gate_refusal::too_late);
+    }
+}
+
+TEST(target_gate_policy, does_not_start_what_would_end_after_its_deadline)
+{
+    auto gate = open_gate();
+    auto now = start_time;
+    teach(gate, milliseconds(40), now);
+    gate.set_slowdown(12, now);
+    now += seconds(2);
+    gate.set_slowdown(12, now);
+    // neither a start now nor one after the slow time can end in time
+    static_cast<void>(
+        gate.offer("route",
+                   urgent(now, milliseconds(250), milliseconds(300)),
+                   when_slow::wait,
+                   now));
+    auto const ready = gate.take_ready(now);
+    ASSERT_EQ(ready.size(), 1U);
+    EXPECT_EQ(ready[0].reason, gate_refusal::too_late);
+}
+
 TEST(target_gate_policy, probes_stay_within_their_rate)
 {
     auto gate = open_gate();
@@ -339,7 +427,8 @@
     for (auto now = start_time; now < start_time + seconds(10);
          now += milliseconds(5))
     {
-        auto const ticket = gate.offer("route", urgent(now), false, now).ticket;
+        auto const ticket =
+            gate.offer("route", urgent(now), when_slow::wait, now).ticket;
         static_cast<void>(gate.take_ready(now));
         if (gate.take_probe(now))
         {
@@ -369,7 +458,8 @@
     for (auto now = start_time; now < start_time + seconds(10);
          now += milliseconds(2))
     {
-        auto const ticket = gate.offer("route", urgent(now), false, now).ticket;
+        auto const ticket =
+            gate.offer("route", urgent(now), when_slow::wait, now).ticket;
         for (auto const & one : gate.take_ready(now))
         {
             if (one.what == gate_verdict::action::start)
@@ -406,7 +496,7 @@
         auto const verdict =
             gate.offer("route",
                        urgent(start_time, milliseconds(500), seconds(1)),
-                       false,
+                       when_slow::wait,
                        start_time);
         static_cast<void>(gate.take_ready(start_time));
         refused += verdict.reason == gate_refusal::cold ? 1 : 0;
