Add a randomized fault soak with real processes

tests/soak: nodes and targets as processes; a loopback relay in front of clients' listeners, targets and the store that delays, cuts one way, silences and resets; signals that stop, pause, kill and restart; a store that hangs, refuses, loses answers, withholds or drops its history, and lapses entries. It checks what clients and targets saw: answers whole and in time, no refusal of a request that ran, unsafe requests once at most, nothing new after a confirmed drain, configurations that never go back, a reason in the logs of each request that was not served, entries and service back after the faults, nodes that stop in time.

The gate's reason of a refusal crosses the hop as a type; request_dispatch no longer compares texts. event_log has tests: an output that nobody reads, line breaks in values, budgets.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,12 @@
 DEPLOYMENT ?= directorate
 FAULTS ?= all
 HISTORY ?= $(BUILD)/history.jsonl
+SOAKS ?= 50
 SOURCES = $(shell git ls-files '*.hpp' '*.cpp')
 
 .PHONY: all dependencies build test known-red format format-check lint \
 	boundary-check \
-	generate demo measure clean
+	generate demo measure soak clean
 
 all: build
 
@@ -51,6 +52,10 @@
 		--plugin=protoc-gen-grpc=$$(command -v grpc_cpp_plugin) \
 		coordination.proto
 
+# the fault soak with seeds SEED to SEED + SOAKS - 1
+soak: build
+	@bash tools/soak $(BUILD) $(SEED) $(SOAKS) $(DURATION_S)
+
 demo: dependencies build
 	$(BUILD)/bin/demo --deployment $(DEPLOYMENT) --seed $(SEED) \
 		--duration_s $(DURATION_S) --faults $(FAULTS) --history $(HISTORY)
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -28,7 +28,7 @@
 // to do while the target is slow
 constexpr char const * urgency_field = "Endivehinge-Urgency";
 // outcome, from the service, reached, waited, ran and retry after in
-// microseconds, versions of the copies of the store
+// microseconds, why the gate refused, versions of the copies of the store
 constexpr char const * outcome_field = "Endivehinge-Outcome";
 constexpr char const * reason_field = "Endivehinge-Reason";
 // running, waiting, limit, slowdown, failure share, closed
@@ -223,6 +223,8 @@
                              " ",
                              microseconds(result.retry_after),
                              " ",
+                             static_cast<int>(result.refusal),
+                             " ",
                              write_versions(versions)));
     if (result.load)
     {
@@ -235,7 +237,11 @@
                                                replica_versions & versions)
 {
     auto const numbers = read_numbers(take(message, outcome_field));
-    if (numbers.size() != 6 + object_kinds || numbers[0] < 0 || numbers[0] > 2)
+    constexpr std::size_t own_numbers = 7;
+    if (numbers.size() != own_numbers + object_kinds || numbers[0] < 0 ||
+        numbers[0] > static_cast<int>(dispatch_outcome::indeterminate) ||
+        numbers[6] < 0 ||
+        numbers[6] > static_cast<int>(gate_refusal::other_run))
     {
         return std::nullopt;
     }
@@ -247,7 +253,8 @@
     result.waited = from_microseconds(numbers[3]);
     result.ran = from_microseconds(numbers[4]);
     result.retry_after = from_microseconds(numbers[5]);
-    versions = read_versions(numbers, 6);
+    result.refusal = static_cast<gate_refusal>(static_cast<int>(numbers[6]));
+    versions = read_versions(numbers, own_numbers);
     result.reason = take(message, reason_field);
     result.load = read_load(take(message, load_field));
     result.response = std::move(message);
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -83,6 +83,7 @@
         dispatch_result refused;
         refused.outcome = dispatch_outcome::refused;
         refused.reason = to_string(verdict.reason);
+        refused.refusal = verdict.reason;
         refused.retry_after = verdict.retry_after;
         refused.load = this->gate.load();
         asio::post(this->io,
@@ -270,6 +271,7 @@
     dispatch_result result;
     result.outcome = dispatch_outcome::refused;
     result.reason = to_string(verdict.reason);
+    result.refusal = verdict.reason;
     result.retry_after = verdict.retry_after;
     result.waited = loop_now() - state->offered;
     result.load = this->gate.load();
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -1,5 +1,7 @@
 #include <endivehinge/detail/gateway/peer_service.hpp>
 
+#include <absl/strings/str_cat.h> // StrCat
+
 #include <endivehinge/detail/gateway/flight_query.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
@@ -77,11 +79,10 @@
             this->flights.end(flight);
             if (result.outcome == dispatch_outcome::refused)
             {
-                bool const stable =
-                    result.reason.find(' ') == std::string::npos;
-                this->state.metrics.count(
-                    "gate_refused_" +
-                    (stable ? result.reason : std::string("unreachable")));
+                bool const by_gate = result.refusal != gate_refusal::none;
+                this->state.metrics.count(absl::StrCat(
+                    "gate_refused_",
+                    by_gate ? to_string(result.refusal) : "by_target"));
             }
             this->respond(*incoming, std::move(result));
         });
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -235,7 +235,7 @@
 {
     this->story.add(one->known, result, "refused");
     this->last_reason = result.reason;
-    if (result.reason == to_string(gate_refusal::slow))
+    if (result.refusal == gate_refusal::slow)
     {
         this->rounds.declined(one->known.id, one->slow_target);
     }
--- /dev/null
+++ b/tests/soak/soak_fleet.hpp
@@ -0,0 +1,116 @@
+#ifndef ENDIVEHINGE_TESTS_SOAK_SOAK_FLEET_HPP
+#define ENDIVEHINGE_TESTS_SOAK_SOAK_FLEET_HPP
+
+#include <functional> // function
+#include <memory>     // unique_ptr
+#include <string>     // string
+#include <vector>     // vector
+
+#include <boost/asio/io_context.hpp> // io_context
+
+#include <endivehinge/detail/gateway/upstream.hpp>
+
+#include "gateway/store_stand_in.hpp"
+#include "soak_process.hpp"
+#include "soak_relay.hpp"
+
+namespace endivehinge::tests
+{
+
+/// @brief a span in which a member may drop or hold what clients send
+struct trouble_span
+{
+    duration from{0};
+    duration to{0};
+};
+
+/// @brief a node, its target, and the links around them
+struct soak_member
+{
+    std::string host;
+    std::string settings;
+    std::unique_ptr<soak_process> node;
+    std::unique_ptr<soak_process> target;
+    // names of the target's runs
+    int target_runs = 0;
+    std::unique_ptr<soak_relay> client_link;
+    std::unique_ptr<soak_relay> target_link;
+    std::unique_ptr<soak_relay> store_link;
+    std::unique_ptr<detail::upstream> clients;
+    std::vector<trouble_span> troubles;
+    // spans in which its target may read late what was sent to it
+    std::vector<trouble_span> target_troubles;
+};
+
+/// @brief what a soak_fleet starts
+struct soak_plan
+{
+    std::size_t members = 4;
+    std::uint64_t seed = 1;
+    // the folder of this run's files
+    std::string folder;
+    // the programs
+    std::string endivehinge;
+    std::string soak;
+};
+
+/// @brief nodes and targets as processes, with the store and the links between
+/// them in this one
+/// @note thread safety: none; used on one event loop
+class soak_fleet
+{
+public:
+    explicit soak_fleet(soak_plan chosen);
+
+    /// @brief since the start
+    [[nodiscard]] duration now() const;
+
+    /// @brief calls an action later
+    void after(duration span, std::function<void()> action);
+
+    /// @brief runs the loop until a condition holds
+    /// @return whether it did within the patience
+    bool run_until(duration patience, std::function<bool()> const & condition);
+
+    /// @brief writes the next configuration as an operator does
+    void configure();
+
+    void start_node(std::size_t index);
+    void start_target(std::size_t index);
+
+    /// @brief ends every fault and starts what does not run
+    void calm();
+
+    /// @brief tells the nodes to stop; none is started afterwards
+    /// @return whether all have ended within the patience
+    bool stop_nodes(duration patience);
+
+    /// @brief a time of the monotonic clock, in milliseconds, since the start
+    [[nodiscard]] duration since_start(std::int64_t monotonic_ms) const;
+
+    /// @brief the nodes without an entry in the store
+    [[nodiscard]] std::vector<std::string> missing_entries() const;
+
+    /// @brief whether a span touches one of others
+    [[nodiscard]] static bool touches(std::vector<trouble_span> const & spans,
+                                      duration from,
+                                      duration to);
+
+    soak_plan plan;
+    boost::asio::io_context io{1};
+    store_stand_in store;
+    std::vector<std::unique_ptr<soak_member>> members;
+
+private:
+    void add_member(std::size_t index);
+    void write_settings(soak_member const & member, std::size_t index) const;
+
+    time_point began;
+    int version = 0;
+    // nodes are not started any more
+    bool closing = false;
+};
+
+} // namespace endivehinge::tests
+
+#endif
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -141,6 +141,12 @@
     }
 }
 
+void store_stand_in::release_watches()
+{
+    this->withhold = false;
+    this->notify();
+}
+
 void store_stand_in::drop_history()
 {
     this->history_begins = this->revision;
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -41,6 +41,9 @@
     /// @brief closes the connections of all waiting watches
     void cut_watches();
 
+    /// @brief watches hear again, first of what was withheld
+    void release_watches();
+
     /// @brief watches from earlier revisions are answered 410
     void drop_history();
 
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -103,6 +103,7 @@
         sent.from_service = true;
         sent.reached_target = true;
         sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
+        sent.refusal = gate_refusal::slow;
         sent.retry_after = milliseconds(70);
         sent.ran = milliseconds(12);
         target_load load;
@@ -117,6 +118,7 @@
         ASSERT_TRUE(read.has_value());
         EXPECT_EQ(read->outcome, outcome);
         EXPECT_EQ(read->reason, sent.reason);
+        EXPECT_EQ(read->refusal, gate_refusal::slow);
         EXPECT_EQ(read->retry_after, sent.retry_after);
         EXPECT_TRUE(read->from_service);
         EXPECT_TRUE(read->reached_target);
@@ -134,6 +136,16 @@
     }
 }
 
+TEST(hop_fields, a_result_with_an_unknown_reason_is_not_read)
+{
+    dispatch_result sent;
+    sent.refusal = static_cast<gate_refusal>(99);
+    replica_versions versions;
+    EXPECT_FALSE(read_hop_result(
+                     write_hop_result(sent, sample_sender().versions), versions)
+                     .has_value());
+}
+
 TEST(replica_exchange, survives_the_wire)
 {
     replica_exchange sent;
