Write an entry again that lapsed before its write was answered

Two causes: - An answer of a write that arrived after the watch had shown the lapse of the entry made the publisher believe that the store still holds it, for good. - A watch that a hanging store had taken was given up after 5 s only.

Ruled out: history that was dropped, deletions lost between peers, a write that never ended. The publisher now keeps the newest version that it has seen; watches end after 1.2 s and are given up after 1.6 s.

The stand-in of the store now ends watches as the platform does.

--- a/include/endivehinge/detail/gateway/entry_publisher.hpp
+++ b/include/endivehinge/detail/gateway/entry_publisher.hpp
@@ -55,6 +55,8 @@
     std::optional<target_entry> desired;
     std::optional<target_entry> stored;
     object_version stored_version;
+    // the newest state of the store that a list or watch has shown
+    object_version newest_seen;
     // what the write in progress makes the store hold
     std::optional<target_entry> in_progress;
     // nothing was wanted so far: an entry of an earlier process stays
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/entry_publisher.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 
 #include <absl/strings/str_cat.h> // StrCat
 
@@ -66,6 +66,7 @@
                                object_version version)
 {
     this->has_seen_store = true;
+    this->newest_seen = std::max(this->newest_seen, version);
     if (version < this->stored_version)
     {
         return;
@@ -160,9 +161,13 @@
         this->retry();
         return;
     }
-    this->stored = this->in_progress;
-    this->stored_version =
-        object && this->stored ? object->version : object_version();
+    // a change after this write may have been seen before its answer
+    if (!object || object->version >= this->newest_seen)
+    {
+        this->stored = this->in_progress;
+        this->stored_version =
+            object && this->stored ? object->version : object_version();
+    }
     this->failures = 0;
     this->writing = false;
     this->notify();
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -17,10 +17,12 @@
 
 // for a list; the store answers in milliseconds and may be slow a hundredfold
 constexpr duration list_timeout = std::chrono::milliseconds(1500);
-// how long the store holds a watch without a change; each call has a price
-constexpr duration watch_wait = std::chrono::milliseconds(4000);
+// how long the store holds a watch without a change; each call has a price. A
+// watch that a hanging store has taken is given up after the wait and the
+// grace, and lapsed entries are to be back 2 s after the store is
+constexpr duration watch_wait = std::chrono::milliseconds(1200);
 // for the answer after that wait
-constexpr duration watch_grace = std::chrono::milliseconds(1000);
+constexpr duration watch_grace = std::chrono::milliseconds(400);
 // between a change and the next watch, so that changes that come together
 // are one call
 constexpr duration watch_pause = std::chrono::milliseconds(150);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -98,6 +98,11 @@
 {
     fleet.calm();
     auto const began = fleet.now();
+    for (auto const & name : fleet.missing_entries())
+    {
+        std::cout << "without_entry " << name
+                  << " at_ms=" << began / milliseconds(1) << "\n";
+    }
     bool const listed =
         fleet.run_until(recovery_patience,
                         [&fleet]
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -1,6 +1,9 @@
 #include "store_stand_in.hpp"
 
-#include <utility> // exchange
+#include <algorithm> // remove_if
+#include <utility>   // exchange
+
+#include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <gtest/gtest.h>
 
@@ -29,7 +32,8 @@
 } // namespace
 
 store_stand_in::store_stand_in(boost::asio::io_context & loop)
-    : listener(loop, *this)
+    : io(loop)
+    , listener(loop, *this)
 {
     failure reason;
     EXPECT_TRUE(this->listener.open({"127.0.0.1", 0}, reason))
@@ -69,6 +73,7 @@
     {
         this->answer_watch(
             incoming, kind, std::stoull(query_value(target, "watch")));
+        this->end_watch_later(incoming, query_value(target, "waitMs"));
     }
     else if (method == http::verb::get)
     {
@@ -80,7 +85,7 @@
     }
     else
     {
-        this->answer_write(*incoming, kind, name);
+        this->answer_write(incoming, kind, name);
     }
 }
 
@@ -141,6 +146,14 @@
     }
 }
 
+void store_stand_in::answer_held_writes()
+{
+    for (auto const & one : std::exchange(this->held, {}))
+    {
+        answer(*one.client, 200, one.object);
+    }
+}
+
 void store_stand_in::release_watches()
 {
     this->withhold = false;
@@ -230,10 +243,40 @@
     this->notify();
 }
 
-void store_stand_in::answer_write(detail::exchange & client,
-                                  std::string const & kind,
-                                  std::string const & name)
+void store_stand_in::end_watch_later(
+    std::weak_ptr<detail::exchange> const & client, std::string const & wait_ms)
 {
+    auto const timer = std::make_shared<boost::asio::steady_timer>(
+        this->io, std::chrono::milliseconds(std::stoi(wait_ms)));
+    timer->async_wait(
+        [this, timer, client](boost::system::error_code error)
+        {
+            auto const waiting = client.lock();
+            if (error || !waiting || waiting->is_finished())
+            {
+                return;
+            }
+            auto const same = [&waiting](waiting_watch const & one)
+            {
+                return one.client.lock() == waiting;
+            };
+            this->watches.erase(std::remove_if(this->watches.begin(),
+                                               this->watches.end(),
+                                               same),
+                                this->watches.end());
+            answer(
+                *waiting,
+                200,
+                {{"events", json::array()}, {"storeRevision", this->revision}});
+        });
+}
+
+void store_stand_in::answer_write(
+    std::shared_ptr<detail::exchange> const & incoming,
+    std::string const & kind,
+    std::string const & name)
+{
+    auto & client = *incoming;
     auto const body = json::parse(client.request.body());
     auto const chosen =
         name.empty() ? body.at("metadata").at("name").get<std::string>() : name;
@@ -260,6 +303,12 @@
         this->lose_answers -= 1;
         return;
     }
+    if (this->hold_answers > 0)
+    {
+        this->hold_answers -= 1;
+        this->held.push_back({incoming, objects.at(chosen)});
+        return;
+    }
     answer(client, 200, objects.at(chosen));
 }
 
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -41,6 +41,9 @@
     /// @brief closes the connections of all waiting watches
     void cut_watches();
 
+    /// @brief answers the writes whose answers were held back
+    void answer_held_writes();
+
     /// @brief watches hear again, first of what was withheld
     void release_watches();
 
@@ -60,6 +63,8 @@
     unsigned status = 0;
     // so many writes are done and not answered
     int lose_answers = 0;
+    // so many writes are done and answered by answer_held_writes
+    int hold_answers = 0;
 
 private:
     struct change
@@ -81,11 +86,13 @@
                 nlohmann::json const & object,
                 bool deleted);
     void notify();
+    void end_watch_later(std::weak_ptr<detail::exchange> const & client,
+                         std::string const & wait_ms);
     void answer_list(detail::exchange & client, std::string const & kind);
     void answer_watch(std::shared_ptr<detail::exchange> const & client,
                       std::string const & kind,
                       std::uint64_t after);
-    void answer_write(detail::exchange & client,
+    void answer_write(std::shared_ptr<detail::exchange> const & incoming,
                       std::string const & kind,
                       std::string const & name);
     void answer_delete(detail::exchange & client,
@@ -97,6 +104,13 @@
                        unsigned code,
                        nlohmann::json const & body);
 
+    struct held_answer
+    {
+        std::shared_ptr<detail::exchange> client;
+        nlohmann::json object;
+    };
+
+    boost::asio::io_context & io;
     detail::http_listener listener;
     std::uint64_t revision = 1;
     std::uint64_t history_begins = 0;
@@ -104,6 +118,7 @@
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
     std::vector<change> history;
     std::vector<waiting_watch> watches;
+    std::vector<held_answer> held;
 };
 
 } // namespace endivehinge::tests
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -451,6 +451,51 @@
         }));
 }
 
+// the operators' cleaning may come between a write and its late answer
+TEST(gateway, an_entry_that_lapses_before_its_write_is_answered_comes_back)
+{
+    gateway_fleet fleet;
+    fleet.settle(1, "web");
+    fleet.store.hold_answers = 1;
+    static_cast<void>(fleet.report(*fleet.members[0], "draining", 2));
+    ASSERT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return fleet.store.spec("targets", "node-0").at("state") ==
+                   "draining";
+        }));
+    // the watch has shown the write, and waits again
+    fleet.run_for(milliseconds(400));
+    fleet.store.erase("targets", "node-0");
+    fleet.run_for(milliseconds(200));
+    fleet.store.answer_held_writes();
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-0").is_null();
+        }));
+}
+
+// a call that a hanging store has taken is never answered
+TEST(gateway, an_entry_that_lapses_while_the_store_hangs_comes_back)
+{
+    gateway_fleet fleet;
+    fleet.settle(1, "web");
+    // the next watch begins while the store hangs
+    fleet.store.put("targets", "node-9", fleet.store.spec("targets", "node-0"));
+    fleet.run_for(milliseconds(20));
+    fleet.store.silent = true;
+    fleet.run_for(milliseconds(400));
+    fleet.store.erase("targets", "node-0");
+    fleet.run_for(milliseconds(100));
+    fleet.store.silent = false;
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-0").is_null();
+        }));
+}
+
 TEST(gateway, an_older_configuration_never_replaces_a_newer_one)
 {
     gateway_fleet fleet;
