Take an entry as lapsed where a newer view of the store lacks it

No change of the copy told the publisher, which believed its own write for good.

Each view that is newer than the write and lacks the entry now counts as a lapse, not the first one only.

gateway.an_entry_that_no_view_of_the_store_has_shown_comes_back failed before. New lines: entry_written, entry_lapsed.

--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -71,6 +71,12 @@
     {
         return;
     }
+    if (this->stored && !held && this->desired)
+    {
+        this->log.write("entry_lapsed",
+                        {{"seen_version", absl::StrCat(version.value())},
+                         {"writing", this->writing ? "1" : "0"}});
+    }
     this->stored = std::move(held);
     this->stored_version = this->stored ? version : object_version();
     this->write();
@@ -168,6 +174,11 @@
         this->stored_version =
             object && this->stored ? object->version : object_version();
     }
+    this->log.write(
+        "entry_written",
+        {{"target", this->in_progress ? this->in_progress->id.value() : "none"},
+         {"version", object ? absl::StrCat(object->version.value()) : ""},
+         {"seen_version", absl::StrCat(this->newest_seen.value())}});
     this->failures = 0;
     this->writing = false;
     this->notify();
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -28,7 +28,6 @@
                           object_changes const & changes,
                           std::string const & from)
 {
-    bool const first = this->copy_of(kind).version() == object_version();
     auto const news = this->copy_of(kind).apply(changes);
     this->actions.versions(this->versions());
     switch (kind)
@@ -44,9 +43,10 @@
         return;
     case object_kind::targets:
         this->decode_targets(news);
-        if (first && this->copy_of(kind).find(this->node.value()) == nullptr)
+        // an entry may be written and lapse between two views of the store
+        if (this->copy_of(kind).find(this->node.value()) == nullptr)
         {
-            this->actions.entry(std::nullopt, news.version);
+            this->actions.entry(std::nullopt, this->copy_of(kind).version());
         }
         return;
     }
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -496,6 +496,39 @@
         }));
 }
 
+// a node whose watch hangs writes its entry; it sees neither that nor the lapse
+TEST(gateway, an_entry_that_no_view_of_the_store_has_shown_comes_back)
+{
+    gateway_fleet fleet;
+    fleet.settle(1, "web");
+    auto & late = fleet.add("web", "d2");
+    ASSERT_TRUE(fleet.run_until(
+        [&late]
+        {
+            return late.node->state.fleet.ready_targets(service_name("web"))
+                       .size() == 1;
+        }));
+    // the next watch begins while the store hangs
+    fleet.store.put("targets", "node-9", fleet.store.spec("targets", "node-0"));
+    fleet.run_for(milliseconds(20));
+    fleet.store.silent = true;
+    fleet.run_for(milliseconds(400));
+    fleet.store.silent = false;
+    EXPECT_EQ(fleet.report(late, "ready", 1), 200U);
+    ASSERT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-1").is_null();
+        }));
+    fleet.run_for(milliseconds(50));
+    fleet.store.erase("targets", "node-1");
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-1").is_null();
+        }));
+}
+
 TEST(gateway, an_older_configuration_never_replaces_a_newer_one)
 {
     gateway_fleet fleet;
