Leave repeats after a lost connection to the node that counts them

Cause: the gate's node sent a safe request again by itself where the connection ended within 20 ms, taking it for one that was closed while idle. That repeat was no attempt, was not charged to the repeat budget, and where it could not connect, the first try was forgotten.

--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -20,9 +20,6 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // lets the target's own response at the deadline arrive first
 constexpr duration deadline_grace = std::chrono::milliseconds(30);
-// a connection that ends so soon after a send was closed while it was idle; a
-// few round trips on one instance
-constexpr duration idle_close_time = std::chrono::milliseconds(20);
 // a review that is due is never due at once again
 constexpr duration shortest_review = std::chrono::milliseconds(1);
 // below the least number of connections that the brief names for a target
@@ -187,11 +184,10 @@
 bool local_target::can_send_again(request_state const & state,
                                   call_result const & result) const
 {
-    bool const never_sent = result.status == call_status::not_sent;
-    bool const idle_closed = result.status == call_status::lost &&
-                             !result.began && state.request.idempotent &&
-                             loop_now() - state.started < idle_close_time;
-    return !state.resent && state.connection && (never_sent || idle_closed);
+    // once a byte was sent the target may have run it: a further attempt, which
+    // is for the node that dispatches it to decide
+    return !state.resent && state.connection &&
+           result.status == call_status::not_sent;
 }
 
 void local_target::respond(gate_ticket ticket,
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // any_of, none_of
 #include <csignal>   // SIGCONT, SIGTERM
 #include <fstream>   // ofstream
+#include <iostream>  // cout
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
 #include <unistd.h>                    // getpid
@@ -27,6 +28,9 @@
 constexpr std::size_t domains = 2;
 // a node that was started takes connections by then
 constexpr milliseconds start_time(1500);
+// this process counts as paused beyond that, and is looked at so often
+constexpr milliseconds own_pause(300);
+constexpr milliseconds own_pause_check(50);
 constexpr char const * service = "web";
 constexpr char const * entries = "targets";
 
@@ -56,6 +60,26 @@
         this->start_node(i);
         this->start_target(i);
     }
+    this->watch_own_pauses(this->now());
+}
+
+void soak_fleet::watch_own_pauses(duration last)
+{
+    if (this->now() - last > own_pause)
+    {
+        for (auto const & member : this->members)
+        {
+            member->troubles.push_back({last, this->now()});
+            member->target_troubles.push_back({last, this->now()});
+        }
+        std::cout << "own_pause at_ms=" << last / milliseconds(1)
+                  << " until_ms=" << this->now() / milliseconds(1) << "\n";
+    }
+    this->after(own_pause_check,
+                [this, at = this->now()]
+                {
+                    this->watch_own_pauses(at);
+                });
 }
 
 duration soak_fleet::now() const
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -102,6 +102,8 @@
     std::vector<std::unique_ptr<soak_member>> members;
 
 private:
+    // notes where this process itself stood still: it read responses late then
+    void watch_own_pauses(duration last);
     void add_member(std::size_t index);
     void write_settings(soak_member const & member, std::size_t index) const;
 
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -50,6 +50,12 @@
     settings.domain = failure_domain(domain);
     settings.service = service_name(service);
     settings.target_address = member->target->address();
+    if (this->relays_targets)
+    {
+        member->target_link = std::make_unique<soak_relay>(
+            this->io, endpoint{"127.0.0.1", 0}, settings.target_address);
+        settings.target_address = member->target_link->address();
+    }
     settings.client_listener = this->reserve_address();
     settings.peer_listener = this->reserve_address();
     settings.readiness_listener = this->reserve_address();
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -11,6 +11,7 @@
 
 #include <endivehinge/detail/gateway/gateway_parts.hpp>
 
+#include "soak_relay.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
 
@@ -21,6 +22,8 @@
 struct fleet_member
 {
     std::unique_ptr<target_stand_in> target;
+    // in front of the target, where the fleet relays
+    std::unique_ptr<soak_relay> target_link;
     std::unique_ptr<detail::gateway_parts> node;
 };
 
@@ -79,6 +82,8 @@
     store_stand_in store;
     std::vector<std::unique_ptr<fleet_member>> members;
     int route_attempts = 2;
+    // nodes reach their targets through relays
+    bool relays_targets = false;
 
 private:
     /// @brief a port that stays bound, so that no connection gets it before a
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -122,6 +122,25 @@
     EXPECT_EQ(fleet.runs_of("id-1"), 2U) << "the route allows two";
 }
 
+TEST(gateway, connections_that_are_reset_add_no_attempts)
+{
+    gateway_fleet fleet;
+    fleet.relays_targets = true;
+    fleet.settle(2, "web");
+    for (auto const & member : fleet.members)
+    {
+        member->target->habit = [link = member->target_link.get()](
+                                    std::shared_ptr<exchange> const & incoming)
+        {
+            static_cast<void>(incoming);
+            link->reset_connections();
+        };
+    }
+    auto const result = fleet.ask(*fleet.members[0], "/safe/a", "id-1");
+    EXPECT_EQ(result.response.result_int(), 502U);
+    EXPECT_EQ(fleet.runs_of("id-1"), 2U);
+}
+
 TEST(gateway, a_broken_response_is_never_delivered_as_a_whole_one)
 {
     gateway_fleet fleet;
