--- a/tests/src/unit-control.cpp
+++ b/tests/src/unit-control.cpp
@@ -89,7 +89,8 @@
     EXPECT_FALSE(
         this->client.push(this->address(), {}, generous, this->reason));
     this->handler.answers = true;
-    EXPECT_TRUE(this->client.push(this->address(), {}, generous, this->reason));
+    EXPECT_TRUE(this->client.push(this->address(), {}, generous, this->reason))
+        << this->reason.describe();
 }
 
 TEST_F(control, a_message_over_the_bound_is_refused_and_the_server_goes_on)
