--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -10,9 +10,9 @@
 
 #include <endivehinge/detail/gateway/upstream.hpp>
 
+#include "gateway/soak_relay.hpp"
 #include "gateway/store_stand_in.hpp"
 #include "soak_process.hpp"
-#include "soak_relay.hpp"
 
 namespace endivehinge::tests
 {
--- a/tests/soak/soak_relay.hpp
+++ b/tests/src/gateway/soak_relay.hpp
@@ -1,5 +1,5 @@
-#ifndef ENDIVEHINGE_TESTS_SOAK_SOAK_RELAY_HPP
-#define ENDIVEHINGE_TESTS_SOAK_SOAK_RELAY_HPP
+#ifndef ENDIVEHINGE_TESTS_GATEWAY_SOAK_RELAY_HPP
+#define ENDIVEHINGE_TESTS_GATEWAY_SOAK_RELAY_HPP
 
 #include <memory> // enable_shared_from_this, shared_ptr, weak_ptr
 #include <vector> // vector
