Log an entry write that finds no free connection

Cause: entry_publisher retried such a write silently; found on reading the change as a newcomer. Also the doc comment of gate_options named a type that is gone. Ruled out: that retries are unbounded in rate (each waits 50 ms to 800 ms; lines have a budget).

Behaviour is otherwise unchanged: gateway.* 29 of 29 before and after, the gate, replay and log tests 56 of 56.

--- a/include/endivehinge/policy/gate_options.hpp
+++ b/include/endivehinge/policy/gate_options.hpp
@@ -8,7 +8,7 @@
 namespace endivehinge
 {
 
-/// @brief bounds of a gate_decision
+/// @brief bounds and weights of a target_gate_policy
 struct gate_options
 {
     // part of the slots that is filled; targets slow down when nearly full
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -133,6 +133,8 @@
                                        });
     if (!sent)
     {
+        this->log.write("entry_write_failed",
+                        {{"reason", "no connection left"}});
         this->retry();
     }
 }
