Bound the nodes that call the store, and let most watches wait longer

Ten nodes held three watches of 1.2 s each, which is 25 calls a second that bring nothing. While a store is down or turns nodes away, each source in turn says that it has no contact, so in the end every node calls the store by itself. At the first start, nodes that know few entries each took themselves for the one that follows the store.

Change: groups of 64 nodes instead of 32; at most three nodes of a group may call the store, others pull from any node, unless none has responded for 2.4 s; a fleet that starts for the first time follows the seeds for 3 s; only the configuration's watch, which shows whether the store responds, is held for 1.2 s, the others for 4.8 s.

--- a/include/endivehinge/coordination/replication_source.hpp
+++ b/include/endivehinge/coordination/replication_source.hpp
@@ -23,8 +23,10 @@
 /// @brief where a node replicates from: another node or the store itself
 struct replication_source
 {
-    // nothing: the store itself
     std::optional<endpoint> peer;
+    // without a peer: whether the node may call the store. If not, it pulls
+    // from any other node, since enough nodes of its domain call the store
+    bool may_call_store = false;
 };
 
 /// @brief chooses where a node replicates from, so that few nodes call the
@@ -32,8 +34,9 @@
 ///
 /// The nodes of a failure domain form groups of bounded size by a hash of their
 /// names. The node with the lowest hash in a group replicates from the store,
-/// the others from that node; if it fails, the next one takes over. This bounds
-/// the calls to the store and to each node at any fleet size.
+/// the others from that node; if it fails, the next one takes over, but only a
+/// few nodes of a group in all. This bounds the calls to the store and to each
+/// node at any fleet size, also while the store is down or refuses some nodes.
 /// @param own this node
 /// @param candidates the other nodes of its failure domain that it knows of
 /// @param seeds nodes to replicate from if there is no candidate; without those
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -4,6 +4,7 @@
 #include <functional> // function
 #include <optional>   // optional
 #include <string>     // string
+#include <vector>     // vector
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 #include <boost/asio/steady_timer.hpp>    // steady_timer
@@ -54,9 +55,12 @@
     void start_source_selection();
     void query_seeds();
     void update_source();
+    /// @brief whether no other node has responded lately
+    [[nodiscard]] bool is_isolated() const;
     /// @brief whether the replication source failed but may be starting
     [[nodiscard]] bool awaits_source() const;
     [[nodiscard]] replication_source select_source() const;
+    [[nodiscard]] std::vector<replication_candidate> candidates() const;
     [[nodiscard]] bool has_failed(endpoint const & peer) const;
     void mark_failed(endpoint const & peer, std::string const & reason);
     void pull(endpoint const & peer, bool from_source);
@@ -87,6 +91,8 @@
     bool pulling = false;
     bool selecting_source = false;
     time_point started_at;
+    // last response of any node to a pull
+    time_point last_pull_response;
     // last response of the store to this node or to its replication source
     time_point last_store_response;
     // until then the replication source counts as connected to the store
--- a/src/coordination/replication_source.cpp
+++ b/src/coordination/replication_source.cpp
@@ -10,7 +10,10 @@
 {
 
 // nodes that replicate from one node; bounds the calls it receives
-constexpr std::size_t max_group_size = 32;
+constexpr std::size_t max_group_size = 64;
+// nodes of a group that may call the store if those before them fail; more
+// would add calls to a store that is down, and reach it no sooner
+constexpr std::size_t max_store_callers = 3;
 
 std::uint64_t rank_of(node_name const & node)
 {
@@ -24,26 +27,36 @@
                           std::vector<replication_candidate> const & candidates,
                           std::vector<endpoint> const & seeds)
 {
+    auto const own_rank = rank_of(own);
     if (candidates.empty())
     {
-        return seeds.empty() ? replication_source{}
-                             : replication_source{seeds.front()};
+        return seeds.empty()
+                   ? replication_source{std::nullopt, true}
+                   : replication_source{seeds[own_rank % seeds.size()], false};
     }
     std::uint64_t const group_count = candidates.size() / max_group_size + 1;
-    auto const own_rank = rank_of(own);
+    std::size_t predecessors = 0;
     replication_candidate const * source = nullptr;
     for (auto const & candidate : candidates)
     {
         auto const rank = rank_of(candidate.node);
         bool const is_same_group = rank % group_count == own_rank % group_count;
-        if (!candidate.failed && is_same_group && rank < own_rank &&
+        if (!is_same_group || rank >= own_rank)
+        {
+            continue;
+        }
+        predecessors += 1;
+        if (!candidate.failed &&
             (source == nullptr || rank < rank_of(source->node)))
         {
             source = &candidate;
         }
     }
-    return source == nullptr ? replication_source{}
-                             : replication_source{source->peer};
+    if (source != nullptr)
+    {
+        return {source->peer, false};
+    }
+    return {std::nullopt, predecessors < max_store_callers};
 }
 
 } // namespace endivehinge
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -26,6 +26,10 @@
 // nodes that start together reach each other within this time; until then, a
 // node with a snapshot does not replace an unreachable replication source
 constexpr duration fleet_start_duration = std::chrono::milliseconds(1000);
+// until then, a fleet that starts for the first time has written its entries
+constexpr duration first_start_duration = std::chrono::milliseconds(3000);
+// with an older last response of any node, a node calls the store itself
+constexpr duration max_pull_response_age = std::chrono::milliseconds(2400);
 // how long a node is excluded as replication source while a fleet may start
 constexpr duration starting_source_exclusion = std::chrono::milliseconds(300);
 // how long a failed node is excluded as replication source
@@ -99,6 +103,7 @@
     };
     this->started_at = loop_now();
     this->last_store_response = this->started_at;
+    this->last_pull_response = this->started_at;
     this->snapshot.read(
         [this]
         {
@@ -207,7 +212,16 @@
             this->pull(*selected.peer, true);
         }
     }
-    else if (!this->awaits_source())
+    else if (this->awaits_source() ||
+             !(selected.may_call_store || this->is_isolated()))
+    {
+        this->session.stop();
+        if (!this->pulling)
+        {
+            this->pull_from_random_node();
+        }
+    }
+    else
     {
         this->session.start();
         if (this->session.is_connected())
@@ -234,6 +248,11 @@
         });
 }
 
+bool replica_sync::is_isolated() const
+{
+    return loop_now() - this->last_pull_response > max_pull_response_age;
+}
+
 bool replica_sync::awaits_source() const
 {
     bool const can_wait = this->state.fleet.configuration() != nullptr ||
@@ -244,16 +263,6 @@
 
 replication_source replica_sync::select_source() const
 {
-    std::vector<replication_candidate> candidates;
-    for (auto const * const entry :
-         this->state.fleet.targets_in(this->state.settings.domain))
-    {
-        if (entry->node != this->state.settings.node)
-        {
-            candidates.push_back(
-                {entry->node, entry->peer, this->has_failed(entry->peer)});
-        }
-    }
     std::vector<endpoint> seeds;
     bool is_seed = false;
     for (auto const & seed : this->state.settings.seeds)
@@ -268,8 +277,31 @@
     {
         seeds.clear();
     }
-    return choose_replication_source(
-        this->state.settings.node, candidates, seeds);
+    // a fleet that starts for the first time writes its entries one by one, and
+    // nodes that know few of them would all call the store
+    bool const entries_incomplete =
+        this->state.settings.first_start && !seeds.empty() &&
+        loop_now() - this->started_at < first_start_duration;
+    return choose_replication_source(this->state.settings.node,
+                                     entries_incomplete
+                                         ? std::vector<replication_candidate>{}
+                                         : this->candidates(),
+                                     seeds);
+}
+
+std::vector<replication_candidate> replica_sync::candidates() const
+{
+    std::vector<replication_candidate> result;
+    for (auto const * const entry :
+         this->state.fleet.targets_in(this->state.settings.domain))
+    {
+        if (entry->node != this->state.settings.node)
+        {
+            result.push_back(
+                {entry->node, entry->peer, this->has_failed(entry->peer)});
+        }
+    }
+    return result;
 }
 
 bool replica_sync::has_failed(endpoint const & peer) const
@@ -351,8 +383,9 @@
     {
         return std::nullopt;
     }
-    this->last_store_response =
-        std::max(this->last_store_response, loop_now() - reply->age);
+    this->last_pull_response = loop_now();
+    this->last_store_response = std::max(this->last_store_response,
+                                         this->last_pull_response - reply->age);
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
         if (reply->kinds[i].version > object_version())
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -18,11 +18,14 @@
 // for a list; the store usually responds in milliseconds and may be 100 times
 // slower
 constexpr duration list_timeout = std::chrono::milliseconds(1500);
-// how long the store holds a watch without a change; longer waits cost fewer
-// calls, which are charged. A watch that a hanging store accepted times out
-// after this time plus the margin, and expired entries must return within 2 s
-// of the store's recovery
-constexpr duration watch_hold_time = std::chrono::milliseconds(1200);
+// how long the store holds the watch of the probe kind without a change. A
+// watch that a hanging store accepted times out after this time plus the
+// margin, and expired entries must return within 2 s of the store's recovery
+constexpr duration probe_watch_hold_time = std::chrono::milliseconds(1200);
+// the same for other kinds: a failed watch of the probe kind cancels theirs,
+// and other nodes report changes that a silent connection loses; calls are
+// charged
+constexpr duration watch_hold_time = std::chrono::milliseconds(4800);
 // for the response to arrive after the hold time
 constexpr duration watch_response_margin = std::chrono::milliseconds(400);
 // between a change and the next watch, so that changes in quick succession
@@ -182,13 +185,14 @@
 void store_session::watch(object_kind kind)
 {
     auto const versions = this->replica.versions();
-    this->send(kind,
-               this->adapter.watch_request(
-                   kind,
-                   versions.kinds[static_cast<std::size_t>(kind)],
-                   watch_hold_time),
-               watch_hold_time + watch_response_margin,
-               &store_session::on_watch_response);
+    auto const hold_time =
+        kind == probe_kind ? probe_watch_hold_time : watch_hold_time;
+    this->send(
+        kind,
+        this->adapter.watch_request(
+            kind, versions.kinds[static_cast<std::size_t>(kind)], hold_time),
+        hold_time + watch_response_margin,
+        &store_session::on_watch_response);
 }
 
 void store_session::on_watch_response(object_kind kind,
