Let a stopping node serve other nodes until it drains

A node refused requests of other nodes as soon as it was told to stop, for 2.3 s, and needed 0.55 s to return, so at any time one or two of eleven targets were away (329 refusals node_stops within 2 s, 178 requests refused for it). The others also kept its report that it is closed until they had no other target left. Ruled out: the restart itself; the targets ran all the time.

Change: stop_schedule decides which requests of other nodes a stopping node accepts: until 0.3 s before clients have left, if they end before the process does. A report that a target is closed expires after 1 s.

Result: a_stopping_node_serves_other_nodes_until_it_drains and a_report_that_a_target_is_closed_expires fail before.

--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -18,6 +18,7 @@
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/peer_node.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
+#include <endivehinge/policy/stop_schedule.hpp>
 #include <endivehinge/policy/target_selector.hpp>
 #include <endivehinge/policy/traffic_splitter.hpp>
 
@@ -73,8 +74,8 @@
     // describes this node in requests to other nodes
     hop_sender own_sender;
     bool stopping = false;
-    // set while stopping: latest end of the process
-    time_point stop_deadline;
+    // set while stopping
+    stop_schedule stop;
 
 private:
     absl::flat_hash_map<endpoint, std::unique_ptr<peer_node>> peers;
--- a/include/endivehinge/policy/target_selector.hpp
+++ b/include/endivehinge/policy/target_selector.hpp
@@ -15,6 +15,9 @@
 {
     // age at which a reported slowdown counts half
     duration slowdown_half_life = std::chrono::milliseconds(100);
+    // age at which a report that the target is closed expires: a node that
+    // stopped is back by then, and other changes are in the entries
+    duration closed_max_age = std::chrono::milliseconds(1000);
     // slowdown assumed in place of a missing or outdated report
     double default_slowdown = 1.5;
     // cost of a target in another failure domain, relative to the latency
@@ -67,6 +70,8 @@
                               placement_request const & request) const;
 
 private:
+    [[nodiscard]] bool is_closed(target_candidate const & candidate) const;
+
     target_selector_options options;
 };
 
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -10,6 +10,8 @@
 // the platform probes readiness every second and stops sending clients after
 // two negative responses
 constexpr duration readiness_propagation_time = std::chrono::milliseconds(2300);
+// before clients have left, for the requests of other nodes to end
+constexpr duration peer_drain_time = std::chrono::milliseconds(300);
 // time before the platform kills the process, for sending the last responses
 constexpr duration kill_safety_margin = std::chrono::milliseconds(300);
 // a client's header plus the fields that the sending node adds
@@ -116,7 +118,9 @@
     this->on_stopped = std::move(callback);
     this->state.stopping = true;
     this->stop_started = loop_now();
-    this->state.stop_deadline = this->stop_started +
+    this->state.stop.drain_start =
+        this->stop_started + readiness_propagation_time - peer_drain_time;
+    this->state.stop.deadline = this->stop_started +
                                 this->state.settings.bounds.stop_grace -
                                 kill_safety_margin;
     this->state.log.write(
@@ -134,7 +138,7 @@
     {
         this->client_listener.drain();
     }
-    bool const deadline_reached = loop_now() >= this->state.stop_deadline;
+    bool const deadline_reached = loop_now() >= this->state.stop.deadline;
     if ((elapsed >= readiness_propagation_time && pending == 0) ||
         deadline_reached)
     {
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -4,6 +4,7 @@
 
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
+#include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
 namespace endivehinge::detail
@@ -43,7 +44,9 @@
         this->refuse(*incoming, "fenced", false);
         return;
     }
-    if (this->state.stopping)
+    if (this->state.stopping && !this->state.stop.accepts(request->urgency,
+                                                          request->idempotent,
+                                                          loop_now()))
     {
         this->in_flight_requests.end(request->in_flight_id);
         this->refuse(*incoming, "node_stops", true);
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -144,7 +144,7 @@
     {
         return false;
     }
-    auto const end = this->state.stop_deadline;
+    auto const end = this->state.stop.deadline;
     bool const arrived_late = end - this->client->arrival < shutdown_margin;
     bool const may_run_longer = this->urgency.deadline > end;
     return arrived_late && may_run_longer;
--- a/src/policy/target_selector.cpp
+++ b/src/policy/target_selector.cpp
@@ -38,7 +38,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         auto const & candidate = candidates[i];
-        if (candidate.load && candidate.load->closed)
+        if (this->is_closed(candidate))
         {
             continue;
         }
@@ -53,6 +53,12 @@
     return best;
 }
 
+bool target_selector::is_closed(target_candidate const & candidate) const
+{
+    return candidate.load && candidate.load->closed &&
+           candidate.load_age < this->options.closed_max_age;
+}
+
 double target_selector::cost(target_candidate const & candidate,
                              placement_request const & request) const
 {
--- a/tests/src/system-gateway-start.cpp
+++ b/tests/src/system-gateway-restart.cpp
@@ -143,5 +143,29 @@
     EXPECT_EQ(fleet.execution_count("id-1"), 1U);
 }
 
+// Nodes that are restarted in turn refused requests of other nodes for the two
+// seconds in which their clients learn of it, although their targets ran on.
+TEST(gateway_stop, a_stopping_node_serves_other_nodes_until_it_drains)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & sender = fleet.add("other");
+    ASSERT_TRUE(fleet.run_until(
+        [&sender]
+        {
+            return sender.node->state.fleet.ready_targets(service_name("web"))
+                       .size() == 1;
+        }));
+    auto & stopping = *fleet.members[0]->node;
+    stopping.stop([] {});
+    EXPECT_EQ(
+        fleet.send_and_wait(sender, "/unsafe/a", "id-1").response.result_int(),
+        200U);
+    stopping.state.stop.drain_start = std::chrono::steady_clock::now();
+    auto const refused = fleet.send_and_wait(sender, "/unsafe/a", "id-2");
+    EXPECT_EQ(refused.response.result_int(), 503U);
+    EXPECT_EQ(fleet.execution_count("id-2"), 0U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
--- a/tests/src/unit-target-selector.cpp
+++ b/tests/src/unit-target-selector.cpp
@@ -96,5 +96,19 @@
     EXPECT_EQ(selector.choose({closed}, request, no_jitter), std::nullopt);
 }
 
+// A node that restarts says that its target is closed, and after its return
+// nobody sends it a request that would show that the target is open.
+TEST(target_selector, a_report_that_a_target_is_closed_expires)
+{
+    target_selector const selector;
+    auto load = make_load(0);
+    load.closed = true;
+    auto closed = make_candidate("closed", load);
+    auto const busy = make_candidate("busy", make_load(12, 2));
+    EXPECT_EQ(selector.choose({closed, busy}, request, no_jitter), 1U);
+    closed.load_age = std::chrono::seconds(2);
+    EXPECT_EQ(selector.choose({closed, busy}, request, no_jitter), 0U);
+}
+
 } // namespace
 } // namespace endivehinge
