Free the buffers and the last request of idle connections

A node holds idle connections to and from nearly each of 295 nodes, and each kept a read buffer of 4 or 8 KB and the body of its last request. Not looked at: the tables of the fleet.

Change: connections wait for bytes without a buffer, allocate it to read, and free it when it is empty; the sent request is freed at its end.

--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -62,6 +62,7 @@
     void configure_socket();
     void write();
     void read();
+    void handle_readable(boost::system::error_code error);
     void handle_read(boost::system::error_code error, std::size_t size);
     void parse();
     void start_parser();
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -56,6 +56,7 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read();
+    void handle_readable(boost::system::error_code error);
     void handle_read(boost::system::error_code error, std::size_t size);
     void parse();
     void start_parser();
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/write.hpp> // async_write
 
 #include <endivehinge/detail/gateway/loop_time.hpp>
+#include <endivehinge/detail/gateway/read_buffer.hpp>
 
 namespace endivehinge::detail
 {
@@ -130,6 +131,7 @@
     boost::system::error_code ignored; // affects latency only
     this->socket.set_option(tcp::no_delay(true), ignored);
     this->socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    this->socket.non_blocking(true, ignored);
     int const native_socket = this->socket.native_handle();
     auto const set_tcp_option = [native_socket](int option, int value)
     {
@@ -169,15 +171,32 @@
         return;
     }
     this->read_pending = true;
-    this->socket.async_read_some(
-        this->buffer.prepare(read_buffer_bytes),
-        [self = this->shared_from_this()](boost::system::error_code error,
-                                          std::size_t size)
+    release_if_empty(this->buffer);
+    this->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this()](boost::system::error_code error)
         {
-            self->handle_read(error, size);
+            self->handle_readable(error);
         });
 }
 
+void client_connection::handle_readable(boost::system::error_code error)
+{
+    std::size_t size = 0;
+    if (!error && !this->closed)
+    {
+        size = this->socket.read_some(this->buffer.prepare(read_buffer_bytes),
+                                      error);
+    }
+    if (error == asio::error::would_block)
+    {
+        this->read_pending = false;
+        this->read();
+        return;
+    }
+    this->handle_read(error, size);
+}
+
 void client_connection::handle_read(boost::system::error_code error,
                                     std::size_t size)
 {
@@ -366,6 +385,9 @@
     if (!this->closed)
     {
         this->timer.cancel();
+        // open connections have sent their request; moving it out frees the
+        // memory of its body, which assigning an empty message does not
+        request_message const sent = std::move(this->request);
     }
     if (auto const done = std::exchange(this->completion_handler, nullptr))
     {
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp> // async_write
 
 #include <endivehinge/detail/gateway/loop_time.hpp>
+#include <endivehinge/detail/gateway/read_buffer.hpp>
 
 namespace endivehinge::detail
 {
@@ -51,6 +52,7 @@
 {
     boost::system::error_code ignored; // affects latency only
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
     this->start_parser();
     this->read();
 }
@@ -126,15 +128,32 @@
         return;
     }
     this->read_pending = true;
-    this->socket.async_read_some(
-        this->buffer.prepare(read_buffer_bytes),
-        [self = this->shared_from_this()](boost::system::error_code error,
-                                          std::size_t size)
+    release_if_empty(this->buffer);
+    this->socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = this->shared_from_this()](boost::system::error_code error)
         {
-            self->handle_read(error, size);
+            self->handle_readable(error);
         });
 }
 
+void server_connection::handle_readable(boost::system::error_code error)
+{
+    std::size_t size = 0;
+    if (!error)
+    {
+        size = this->socket.read_some(this->buffer.prepare(read_buffer_bytes),
+                                      error);
+    }
+    if (error == asio::error::would_block)
+    {
+        this->read_pending = false;
+        this->read();
+        return;
+    }
+    this->handle_read(error, size);
+}
+
 void server_connection::handle_read(boost::system::error_code error,
                                     std::size_t size)
 {
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <malloc.h> // mallinfo2
+
 #include <deque>    // deque
 #include <optional> // optional
 
@@ -544,5 +546,63 @@
     EXPECT_NE(received.find("the last"), std::string::npos);
 }
 
+// ---------------------------------------------------------------------------
+// memory of idle connections
+// ---------------------------------------------------------------------------
+
+// With 295 nodes, each holds idle connections to and from nearly all others.
+// Their read buffers and last requests took 7 MB of a node's 12 MB.
+TEST(idle_connections, hold_no_buffer_and_no_request)
+{
+    constexpr std::size_t count = 200;
+    // 4 MB a node, of which 2.5 MB are used without other nodes, for two
+    // connections with each of 295 nodes
+    constexpr std::size_t max_bytes_per_pair = 5200;
+    asio::io_context io{1};
+    deferred_handler handler;
+    http_listener listener(io, handler);
+    failure reason;
+    ASSERT_TRUE(listener.open({"127.0.0.1", 0}, reason));
+    upstream_options options;
+    options.max_connections = count;
+    upstream connections(io, {"127.0.0.1", listener.port()}, options);
+    std::size_t answered = 0;
+    auto const used_before = ::mallinfo2().uordblks;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        request_message message{http::verb::post, "/", 11};
+        message.set(http::field::host, "h");
+        message.body() = std::string(4000, 'x');
+        message.prepare_payload();
+        call_options call;
+        call.deadline = now() + wait_limit;
+        ASSERT_TRUE(connections.send(
+            std::move(message),
+            call,
+            false,
+            [&answered](call_result const & result)
+            {
+                answered += result.status == call_status::answered ? 1 : 0;
+            }));
+    }
+    ASSERT_TRUE(run_until(io,
+                          [&handler]
+                          {
+                              return handler.exchanges.size() == count;
+                          }));
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        handler.respond(i, "done");
+    }
+    ASSERT_TRUE(run_until(io,
+                          [&answered]
+                          {
+                              return answered == count;
+                          }));
+    handler.exchanges.clear();
+    EXPECT_EQ(connections.opened_count(), count);
+    EXPECT_LE(::mallinfo2().uordblks - used_before, count * max_bytes_per_pair);
+}
+
 } // namespace
 } // namespace endivehinge::detail
