--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -433,8 +433,9 @@
     // free slots
     remaining.resize(std::max(this->limit(), remaining.size()), duration(0));
     std::sort(remaining.begin(), remaining.end());
-    auto const rounds = static_cast<double>(requests_ahead / remaining.size());
-    return remaining[requests_ahead % remaining.size()] + scaled(mean, rounds);
+    auto const rounds =
+        static_cast<std::int64_t>(requests_ahead / remaining.size());
+    return remaining[requests_ahead % remaining.size()] + mean * rounds;
 }
 
 bool target_admission_policy::can_meet_target_time(
