Wrap a comment as the formatter does

Cause: the header was not tracked yet when the formatter ran, so the format check failed on a fresh clone. Change: two comment lines. Result: format check clean.

--- a/include/endivehinge/detail/gateway/read_buffer.hpp
+++ b/include/endivehinge/detail/gateway/read_buffer.hpp
@@ -8,8 +8,8 @@
 
 /// @brief frees the memory of a buffer without unread bytes
 ///
-/// A node keeps idle connections to and from each node of its fleet. With a read
-/// buffer for each of them, its memory would grow with the fleet.
+/// A node keeps idle connections to and from each node of its fleet. With a
+/// read buffer for each of them, its memory would grow with the fleet.
 /// @note thread safety: none
 inline void release_if_empty(boost::beast::flat_buffer & buffer)
 {
