--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -83,9 +83,11 @@
 
     using state_pointer = std::shared_ptr<request_state>;
 
-    /// @brief whether the request may run on the current incarnation, which it
-    /// is then addressed to
-    [[nodiscard]] bool accepts_incarnation(dispatch_request & request) const;
+    /// @brief addresses the request to the current incarnation of the target
+    /// @return whether it may run there: it names this incarnation, or an
+    /// earlier one of the same service
+    [[nodiscard]] bool
+    address_to_current_incarnation(dispatch_request & request) const;
     void start(admission_ticket ticket);
     void
     send(admission_ticket ticket, state_pointer const & state, bool force_new);
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -3,7 +3,6 @@
 
 #include <array>      // array
 #include <functional> // function
-#include <memory>     // shared_ptr
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
--- a/include/endivehinge/policy/cold_rate_bound.hpp
+++ b/include/endivehinge/policy/cold_rate_bound.hpp
@@ -8,7 +8,9 @@
 /// second: its stated rate times the factor, plus the slack
 struct cold_rate_bound
 {
+    // used until the operators' bounds are read; below those of all deployments
     double factor = 1.25;
+    // requests
     double slack = 5;
 };
 
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -63,7 +63,7 @@
     state->done = std::move(done);
     state->queued_at = loop_now();
     target_admission_verdict verdict;
-    if (!this->accepts_incarnation(state->request))
+    if (!this->address_to_current_incarnation(state->request))
     {
         verdict.reason = admission_refusal::other_incarnation;
     }
@@ -119,7 +119,8 @@
     };
 }
 
-bool local_target::accepts_incarnation(dispatch_request & request) const
+bool local_target::address_to_current_incarnation(
+    dispatch_request & request) const
 {
     auto const & current = this->identity.current();
     if (!current || current->id == request.target)
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -18,6 +18,20 @@
 // respond earlier
 constexpr duration read_timeout = std::chrono::milliseconds(400);
 
+/// @brief the newest object of the first page, from which the replica continues
+///
+/// The stated version of an old page may be newer than its objects, and objects
+/// may change while later pages are read. This version never skips a change.
+object_version newest_version(store_page const & first_page)
+{
+    object_version newest;
+    for (auto const & object : first_page.objects)
+    {
+        newest = std::max(newest, object.version);
+    }
+    return newest;
+}
+
 } // namespace
 
 store_snapshot_reader::store_snapshot_reader(upstream & connections,
@@ -79,11 +93,18 @@
     {
         this->log.write("snapshot_not_read",
                         {{"kind", to_string(kind)}, {"reason", reason.detail}});
+        // an incomplete list would hide the objects of the missing pages
+        this->pages[static_cast<std::size_t>(kind)] = {};
         this->finish(kind);
         return;
     }
-    auto & objects = this->pages[static_cast<std::size_t>(kind)].objects;
-    objects.insert(objects.end(), page->objects.begin(), page->objects.end());
+    auto & changes = this->pages[static_cast<std::size_t>(kind)];
+    if (changes.objects.empty())
+    {
+        changes.version = newest_version(*page);
+    }
+    changes.objects.insert(
+        changes.objects.end(), page->objects.begin(), page->objects.end());
     if (page->has_more && !page->objects.empty())
     {
         this->list(kind, page->objects.back().name);
@@ -95,12 +116,6 @@
 void store_snapshot_reader::finish(object_kind kind)
 {
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
-    // the version of an old page may be newer than its objects, so the replica
-    // continues from the newest object, which never skips a change
-    for (auto const & object : changes.objects)
-    {
-        changes.version = std::max(changes.version, object.version);
-    }
     changes.complete = true;
     if (!changes.objects.empty())
     {
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -78,7 +78,7 @@
     }
     else if (method == http::verb::get)
     {
-        this->respond_to_list(*incoming, kind);
+        this->respond_to_list(*incoming, kind, query_value(target, "after"));
     }
     else if (method == http::verb::delete_)
     {
@@ -219,17 +219,33 @@
 }
 
 void store_stand_in::respond_to_list(detail::exchange & client,
-                                     std::string const & kind)
+                                     std::string const & kind,
+                                     std::string const & after)
 {
+    if (this->fail_later_pages && !after.empty())
+    {
+        send_response(client, 503, json::object());
+        return;
+    }
     json items = json::array();
+    bool has_more = false;
     for (auto const & [name, object] : this->kinds[kind])
     {
+        if (name <= after)
+        {
+            continue;
+        }
+        has_more = items.size() == this->page_size;
+        if (has_more)
+        {
+            break;
+        }
         items.push_back(object);
     }
     send_response(client,
                   200,
                   {{"items", items},
-                   {"hasMore", false},
+                   {"hasMore", has_more},
                    {"storeRevision", this->revision}});
 }
 
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -63,6 +63,10 @@
     bool unresponsive = false;
     // while not 0, every request is answered with this status
     unsigned status = 0;
+    // largest number of objects in a page of a list
+    std::size_t page_size = 1000;
+    // while set, lists fail after their first page
+    bool fail_later_pages = false;
     // number of writes to apply without ever responding
     int responses_to_drop = 0;
     // number of writes to apply whose responses wait for send_held_responses()
@@ -90,7 +94,9 @@
     void notify();
     void schedule_watch_timeout(std::weak_ptr<detail::exchange> const & client,
                                 std::string const & wait_ms);
-    void respond_to_list(detail::exchange & client, std::string const & kind);
+    void respond_to_list(detail::exchange & client,
+                         std::string const & kind,
+                         std::string const & after);
     void respond_to_watch(std::shared_ptr<detail::exchange> const & client,
                           std::string const & kind,
                           std::uint64_t after);
--- a/tests/src/system-gateway-restart.cpp
+++ b/tests/src/system-gateway-restart.cpp
@@ -143,6 +143,39 @@
     EXPECT_EQ(fleet.execution_count("id-1"), 1U);
 }
 
+// The snapshot's first page, taken for the whole list, hid all targets of the
+// other pages until their entries changed.
+TEST(gateway_start, a_list_that_fails_after_its_first_page_hides_no_target)
+{
+    gateway_fleet fleet;
+    fleet.start_members(3, "web");
+    // the object of the first page is the newest
+    fleet.store.put("targets", "node-0", fleet.store.spec("targets", "node-0"));
+    fleet.store.page_size = 1;
+    fleet.store.fail_later_pages = true;
+    // the store's watcher lists again, so at least one of two nodes depends on
+    // its snapshot
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const & node = *fleet.add("other").node;
+        ASSERT_TRUE(fleet.run_until(
+            [&node]
+            {
+                return node.state.fleet.configuration() != nullptr;
+            }));
+    }
+    fleet.store.fail_later_pages = false;
+    for (std::size_t i = 3; i < fleet.members.size(); ++i)
+    {
+        auto const & view = fleet.members[i]->node->state.fleet;
+        EXPECT_TRUE(fleet.run_until(
+            [&view]
+            {
+                return view.ready_targets(service_name("web")).size() == 3;
+            }));
+    }
+}
+
 // Nodes that are restarted in turn refused requests of other nodes for the two
 // seconds in which their clients learn of it, although their targets ran on.
 TEST(gateway_stop, a_stopping_node_serves_other_nodes_until_it_drains)
