Bound what a node sends to those that replicate from it

That the length of the configuration matters is likely, not shown: its size is not in the logs.

Changes that do not fit are marked as deferred, and the requester reads these kinds from the store. Earlier builds ignore the mark and pull again.

--- a/include/endivehinge/detail/gateway/replica_exchange.hpp
+++ b/include/endivehinge/detail/gateway/replica_exchange.hpp
@@ -23,6 +23,17 @@
     duration age{0};
     // whether this node, or the node that it replicates from, reaches the store
     bool in_contact = false;
+    // kinds whose changes this node has no capacity to send; the requester
+    // reads them from the store
+    std::array<bool, 3> deferred{};
+
+    /// @brief the length of the objects to send, in bytes
+    /// @note thread safety: const; any thread
+    [[nodiscard]] std::size_t content_size() const;
+
+    /// @brief marks all changes as deferred instead of sending them
+    /// @note thread safety: none
+    void defer();
 
     /// @brief whether a request is for these changes
     /// @note thread safety: any thread
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -17,6 +17,7 @@
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 #include <endivehinge/detail/gateway/store_session.hpp>
 #include <endivehinge/detail/gateway/store_snapshot_reader.hpp>
+#include <endivehinge/policy/transfer_budget.hpp>
 
 namespace endivehinge::detail
 {
@@ -82,6 +83,8 @@
     upstream store;
     fleet_replica replica;
     store_snapshot_reader snapshot;
+    // limits the responses of serve()
+    transfer_budget budget;
     store_session session;
     entry_publisher publisher;
     boost::asio::steady_timer seed_timer;
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -12,11 +12,11 @@
 namespace endivehinge::detail
 {
 
-/// @brief reads all objects once when the process starts
+/// @brief reads all objects once
 ///
-/// Accepts data that is a few seconds old: such reads cost the store little, so
-/// that a whole fleet may start at the same time. The replica receives later
-/// changes from a replication source or a store_session.
+/// When a process starts, it accepts data that is a few seconds old: such reads
+/// cost the store little, so that a whole fleet may start at the same time. The
+/// replica receives later changes from a replication source or a store_session.
 /// @note thread safety: none; used on the event loop only
 class store_snapshot_reader
 {
@@ -26,10 +26,14 @@
                           event_log & events,
                           fleet_replica & local_replica);
 
-    /// @brief reads every kind of object into the replica
-    /// @param done called once, after the last response or failure
-    /// @pre called once
-    void read(std::function<void()> done);
+    /// @brief reads objects into the replica; does nothing if a read is in
+    /// progress
+    /// @param wanted_kinds indexed by object_kind
+    /// @param done called once, after the last response or failure, if any kind
+    /// is read
+    void read(std::array<bool, object_kind_count> const & wanted_kinds,
+              read_freshness freshness,
+              std::function<void()> done);
 
 private:
     void list(object_kind kind, std::string const & after);
@@ -42,7 +46,8 @@
     fleet_replica & replica;
     std::function<void()> callback;
     std::array<object_changes, object_kind_count> pages;
-    std::size_t pending_kinds = object_kind_count;
+    read_freshness wanted_freshness = read_freshness::current;
+    std::size_t pending_kinds = 0;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -29,10 +29,9 @@
 ///   that starts then stays slow until it ends, so it is placed on another
 ///   target, or waits for the end of the slow period if that is sooner.
 /// - A cold target: the request rate is limited to what it may receive. Under
-///   overload its queue stays short, unless no request can meet its target time
-///   while the target is cold. It is
-///   not treated as slow for being cold, since that lasts for seconds and after
-///   a restart of the fleet no target is faster.
+///   overload its queue stays short. It is not treated as slow for being cold,
+///   since that lasts for seconds and after a restart of the fleet no target is
+///   faster.
 /// - A queue longer than the time left allows: requests are refused
 ///   immediately instead of being held.
 /// - Overload for longer than a burst: only requests that can still meet their
@@ -133,8 +132,11 @@
     [[nodiscard]] bool is_overloaded(time_point now) const;
     [[nodiscard]] duration planned_run_time(std::string const & route,
                                             time_point now) const;
+    /// @brief the run time that is assumed before any was measured
     [[nodiscard]] duration default_run_time(request_urgency const & urgency,
                                             time_point offered_at) const;
+    /// @brief whether a request that starts at the given time is late. One that
+    /// is late in any case on a cold target counts only if it waited too long
     [[nodiscard]] bool misses_target_time(std::string const & route,
                                           request_urgency const & urgency,
                                           time_point offered_at,
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -93,6 +93,28 @@
     return known_versions;
 }
 
+std::size_t replica_exchange::content_size() const
+{
+    std::size_t size = 0;
+    for (auto const & changes : this->kinds)
+    {
+        for (auto const & object : changes.objects)
+        {
+            size += object.name.size() + object.content.size();
+        }
+    }
+    return size;
+}
+
+void replica_exchange::defer()
+{
+    for (std::size_t i = 0; i < this->kinds.size(); ++i)
+    {
+        this->deferred[i] = this->kinds[i].version > object_version();
+        this->kinds[i] = object_changes{};
+    }
+}
+
 std::string replica_exchange::write() const
 {
     json kinds_json = json::array();
@@ -112,6 +134,7 @@
          std::chrono::duration_cast<std::chrono::microseconds>(this->age)
              .count()},
         {"in_contact", this->in_contact},
+        {"deferred", this->deferred},
         {"kinds", std::move(kinds_json)}};
     return document.dump();
 }
@@ -126,6 +149,12 @@
         exchange.age =
             std::chrono::microseconds(parsed.at("age_us").get<std::int64_t>());
         exchange.in_contact = parsed.at("in_contact").get<bool>();
+        // earlier versions do not send it
+        if (auto const deferred = parsed.find("deferred");
+            deferred != parsed.end())
+        {
+            exchange.deferred = deferred->get<std::array<bool, 3>>();
+        }
         for (std::size_t i = 0; i < exchange.kinds.size(); ++i)
         {
             exchange.kinds[i] = read_changes(parsed.at("kinds").at(i));
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -34,8 +34,8 @@
 constexpr duration starting_source_exclusion = std::chrono::milliseconds(300);
 // how long a failed node is excluded as replication source
 constexpr duration failed_source_exclusion = std::chrono::milliseconds(4000);
-// with an older last response of the store a node counts as disconnected: a
-// watch of the store ends after 4 s
+// with an older last response of the store a node counts as disconnected; the
+// most frequent watch of a session ends after 1.6 s at the latest
 constexpr duration max_contact_age = std::chrono::milliseconds(6000);
 // how long a replication source's report of store contact stays valid
 constexpr duration contact_validity = std::chrono::milliseconds(2000);
@@ -104,11 +104,12 @@
     this->started_at = loop_now();
     this->last_store_response = this->started_at;
     this->last_pull_response = this->started_at;
-    this->snapshot.read(
-        [this]
-        {
-            this->start_source_selection();
-        });
+    this->snapshot.read({true, true, true},
+                        read_freshness::may_be_stale,
+                        [this]
+                        {
+                            this->start_source_selection();
+                        });
     this->seed_timer.expires_after(seed_query_delay);
     this->seed_timer.async_wait(
         [this](boost::system::error_code error)
@@ -156,6 +157,10 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
+    if (!this->budget.try_spend(reply.content_size(), loop_now()))
+    {
+        reply.defer();
+    }
     response_message response{http::status::ok, 11};
     response.set(http::field::content_type, "application/json");
     response.body() = reply.write();
@@ -383,6 +388,7 @@
     {
         return std::nullopt;
     }
+    this->snapshot.read(reply->deferred, read_freshness::current, [] {});
     this->last_pull_response = loop_now();
     this->last_store_response = std::max(this->last_store_response,
                                          this->last_pull_response - reply->age);
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/store_snapshot_reader.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // count, max
 
 #include <absl/strings/str_cat.h> // StrCat
 
@@ -45,12 +45,25 @@
 {
 }
 
-void store_snapshot_reader::read(std::function<void()> done)
+void store_snapshot_reader::read(
+    std::array<bool, object_kind_count> const & wanted_kinds,
+    read_freshness freshness,
+    std::function<void()> done)
 {
+    if (this->pending_kinds > 0)
+    {
+        return;
+    }
+    this->pending_kinds = static_cast<std::size_t>(
+        std::count(wanted_kinds.begin(), wanted_kinds.end(), true));
+    this->wanted_freshness = freshness;
     this->callback = std::move(done);
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
-        this->list(static_cast<object_kind>(i), "");
+        if (wanted_kinds[i])
+        {
+            this->list(static_cast<object_kind>(i), "");
+        }
     }
 }
 
@@ -59,7 +72,7 @@
     call_options options;
     options.deadline = loop_now() + read_timeout;
     auto const connection = this->store.send(
-        this->adapter.list_request(kind, after, read_freshness::may_be_stale),
+        this->adapter.list_request(kind, after, this->wanted_freshness),
         options,
         false,
         [this, kind](call_result const & result)
@@ -101,7 +114,9 @@
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
     if (changes.objects.empty())
     {
-        changes.version = newest_version(*page);
+        changes.version = this->wanted_freshness == read_freshness::current
+                              ? page->version
+                              : newest_version(*page);
     }
     changes.objects.insert(
         changes.objects.end(), page->objects.begin(), page->objects.end());
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -175,6 +175,23 @@
     }
 }
 
+TEST(replica_exchange, deferred_changes_name_their_kinds_only)
+{
+    replica_exchange sent;
+    sent.in_contact = true;
+    sent.kinds[0] = {
+        object_version(9), true, {{"main", object_version(8), "long", false}}};
+    EXPECT_EQ(sent.content_size(), 8U);
+    sent.defer();
+    failure reason;
+    auto const read = replica_exchange::read(sent.write(), reason);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->deferred, (std::array<bool, 3>{true, false, false}));
+    EXPECT_EQ(read->content_size(), 0U);
+    EXPECT_EQ(read->kinds[0].version, object_version());
+    EXPECT_TRUE(read->in_contact);
+}
+
 TEST(replica_exchange, request_contains_replica_versions)
 {
     auto const request =
