Do not bound transfers before the first traffic

Change: the budget holds once a fleet that starts for the first time has written its entries; deferred targets are read with data that may be seconds old, since a node that is addressed with an outdated target answers for the current one.

--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -56,6 +56,9 @@
     void start_source_selection();
     void query_seeds();
     void update_source();
+    /// @brief whether the fleet starts for the first time, so that all nodes
+    /// replicate all entries and there are no requests of clients yet
+    [[nodiscard]] bool is_first_start() const;
     /// @brief whether no other node has responded lately
     [[nodiscard]] bool is_isolated() const;
     /// @brief whether the replication source failed but may be starting
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -29,6 +29,8 @@
     /// @brief reads objects into the replica; does nothing if a read is in
     /// progress
     /// @param wanted_kinds indexed by object_kind
+    /// @param freshness of the configuration and evacuations; targets may
+    /// always be stale
     /// @param done called once, after the last response or failure, if any kind
     /// is read
     void read(std::array<bool, object_kind_count> const & wanted_kinds,
@@ -39,6 +41,7 @@
     void list(object_kind kind, std::string const & after);
     void on_response(object_kind kind, call_result const & result);
     void finish(object_kind kind);
+    [[nodiscard]] read_freshness freshness_of(object_kind kind) const;
 
     upstream & store;
     store_adapter const & adapter;
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -157,7 +157,8 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
-    if (!this->budget.try_spend(reply.content_size(), loop_now()))
+    if (!this->is_first_start() &&
+        !this->budget.try_spend(reply.content_size(), loop_now()))
     {
         reply.defer();
     }
@@ -253,6 +254,12 @@
         });
 }
 
+bool replica_sync::is_first_start() const
+{
+    return this->state.settings.first_start &&
+           loop_now() - this->started_at < first_start_duration;
+}
+
 bool replica_sync::is_isolated() const
 {
     return loop_now() - this->last_pull_response > max_pull_response_age;
@@ -284,9 +291,7 @@
     }
     // a fleet that starts for the first time writes its entries one by one, and
     // nodes that know few of them would all call the store
-    bool const entries_incomplete =
-        this->state.settings.first_start && !seeds.empty() &&
-        loop_now() - this->started_at < first_start_duration;
+    bool const entries_incomplete = this->is_first_start() && !seeds.empty();
     return choose_replication_source(this->state.settings.node,
                                      entries_incomplete
                                          ? std::vector<replication_candidate>{}
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -72,7 +72,7 @@
     call_options options;
     options.deadline = loop_now() + read_timeout;
     auto const connection = this->store.send(
-        this->adapter.list_request(kind, after, this->wanted_freshness),
+        this->adapter.list_request(kind, after, this->freshness_of(kind)),
         options,
         false,
         [this, kind](call_result const & result)
@@ -114,7 +114,7 @@
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
     if (changes.objects.empty())
     {
-        changes.version = this->wanted_freshness == read_freshness::current
+        changes.version = this->freshness_of(kind) == read_freshness::current
                               ? page->version
                               : newest_version(*page);
     }
@@ -128,6 +128,13 @@
     this->finish(kind);
 }
 
+read_freshness store_snapshot_reader::freshness_of(object_kind kind) const
+{
+    // a node that addresses an outdated target is told so
+    return kind == object_kind::targets ? read_freshness::may_be_stale
+                                        : this->wanted_freshness;
+}
+
 void store_snapshot_reader::finish(object_kind kind)
 {
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
