--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -1,12 +1,14 @@
 #include "store_stand_in.hpp"
 
-#include <algorithm> // remove_if
+#include <algorithm> // min, remove_if
 #include <utility>   // exchange
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <gtest/gtest.h>
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::tests
 {
 
@@ -59,7 +61,7 @@
     }
     if (this->status != 0)
     {
-        send_response(*incoming, this->status, json::object());
+        this->send_response(*incoming, this->status, json::object());
         return;
     }
     std::string const target(incoming->request.target());
@@ -124,7 +126,7 @@
     {
         if (auto const client = watch.client.lock())
         {
-            send_response(
+            this->send_response(
                 *client,
                 200,
                 {{"events", json::array()}, {"storeRevision", this->revision}});
@@ -152,7 +154,8 @@
 {
     for (auto const & response : std::exchange(this->held_responses, {}))
     {
-        send_response(*response.client, 200, response.object);
+        this->send_response(
+            *response.client, 200, response.object, response.era);
     }
 }
 
@@ -167,12 +170,65 @@
     this->history_start = this->revision;
 }
 
+void store_stand_in::restore(std::uint64_t to_revision)
+{
+    this->era += 1;
+    this->revision = to_revision;
+    this->history_start = std::min(this->history_start, to_revision);
+    this->history.erase(std::remove_if(this->history.begin(),
+                                       this->history.end(),
+                                       [to_revision](change const & entry)
+                                       {
+                                           return entry.revision > to_revision;
+                                       }),
+                        this->history.end());
+    this->kinds.clear();
+    for (auto const & entry : this->history)
+    {
+        auto const name = entry.object.at("metadata").at("name");
+        if (entry.deleted)
+        {
+            this->kinds[entry.kind].erase(name);
+        }
+        else
+        {
+            this->kinds[entry.kind][name] = entry.object;
+        }
+    }
+    this->close_watch_connections();
+}
+
+void store_stand_in::restore_copy_of_age(duration age)
+{
+    auto const copy_time = detail::loop_now() - age;
+    std::uint64_t to_revision = 1;
+    for (auto const & entry : this->history)
+    {
+        if (entry.time <= copy_time)
+        {
+            to_revision = entry.revision;
+        }
+    }
+    this->restore(to_revision);
+}
+
+std::uint64_t store_stand_in::current_revision() const
+{
+    return this->revision;
+}
+
+std::uint64_t store_stand_in::current_era() const
+{
+    return this->era;
+}
+
 void store_stand_in::record(std::string const & kind,
                             json const & object,
                             bool deleted)
 {
     this->revision += 1;
-    this->history.push_back({this->revision, kind, object, deleted});
+    this->history.push_back(
+        {this->revision, kind, object, deleted, detail::loop_now()});
     this->notify();
 }
 
@@ -193,7 +249,7 @@
         }
         else if (client)
         {
-            send_response(
+            this->send_response(
                 *client,
                 200,
                 {{"events", events}, {"storeRevision", this->revision}});
@@ -224,7 +280,7 @@
 {
     if (this->fail_later_pages && !after.empty())
     {
-        send_response(client, 503, json::object());
+        this->send_response(client, 503, json::object());
         return;
     }
     json items = json::array();
@@ -242,11 +298,11 @@
         }
         items.push_back(object);
     }
-    send_response(client,
-                  200,
-                  {{"items", items},
-                   {"hasMore", has_more},
-                   {"storeRevision", this->revision}});
+    this->send_response(client,
+                        200,
+                        {{"items", items},
+                         {"hasMore", has_more},
+                         {"storeRevision", this->revision}});
 }
 
 void store_stand_in::respond_to_watch(
@@ -254,9 +310,9 @@
     std::string const & kind,
     std::uint64_t after)
 {
-    if (after < this->history_start)
+    if (after < this->history_start || after > this->revision)
     {
-        send_response(*client, 410, json::object());
+        this->send_response(*client, 410, json::object());
         return;
     }
     this->watches.push_back({kind, after, client});
@@ -284,7 +340,7 @@
                                                this->watches.end(),
                                                is_same_client),
                                 this->watches.end());
-            send_response(
+            this->send_response(
                 *waiting,
                 200,
                 {{"events", json::array()}, {"storeRevision", this->revision}});
@@ -305,7 +361,7 @@
     bool const is_create = client.request.method() == http::verb::post;
     if (!is_create && found == objects.end())
     {
-        send_response(client, 404, json::object());
+        this->send_response(client, 404, json::object());
         return;
     }
     bool const stale =
@@ -314,7 +370,7 @@
                           found->second.at("metadata").at("revision"));
     if (stale)
     {
-        send_response(client, 409, found->second);
+        this->send_response(client, 409, found->second);
         return;
     }
     this->put(kind, object_name, body.at("spec"));
@@ -326,10 +382,11 @@
     if (this->responses_to_hold > 0)
     {
         this->responses_to_hold -= 1;
-        this->held_responses.push_back({incoming, objects.at(object_name)});
+        this->held_responses.push_back(
+            {incoming, objects.at(object_name), this->era});
         return;
     }
-    send_response(client, 200, objects.at(object_name));
+    this->send_response(client, 200, objects.at(object_name));
 }
 
 void store_stand_in::respond_to_delete(detail::exchange & client,
@@ -338,20 +395,32 @@
 {
     if (this->kinds[kind].count(name) == 0)
     {
-        send_response(client, 404, json::object());
+        this->send_response(client, 404, json::object());
         return;
     }
     auto const object = this->kinds[kind].at(name);
     this->erase(kind, name);
-    send_response(client, 200, object);
+    this->send_response(client, 200, object);
+}
+
+void store_stand_in::send_response(detail::exchange & client,
+                                   unsigned status_code,
+                                   json const & body) const
+{
+    this->send_response(client, status_code, body, this->era);
 }
 
 void store_stand_in::send_response(detail::exchange & client,
                                    unsigned status_code,
-                                   json const & body)
+                                   json const & body,
+                                   std::uint64_t stated_era) const
 {
     detail::response_message message{static_cast<http::status>(status_code),
                                      11};
+    if (this->states_era)
+    {
+        message.set("Store-Era", std::to_string(stated_era));
+    }
     message.body() = body.dump();
     message.keep_alive(true);
     message.prepare_payload();
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -52,6 +52,21 @@
     /// @brief answers watches from revisions before the current one with 410
     void discard_history();
 
+    /// @brief returns to the state after a revision, in the next era
+    ///
+    /// Discards all later changes, so that their revisions are given out again.
+    /// Closes the connections of all pending watches.
+    /// @pre to_revision is at most current_revision()
+    void restore(std::uint64_t to_revision);
+
+    /// @brief returns to the state of some time ago, in the next era
+    void restore_copy_of_age(duration age);
+
+    [[nodiscard]] std::uint64_t current_revision() const;
+
+    /// @brief the number of restores, plus 1
+    [[nodiscard]] std::uint64_t current_era() const;
+
     [[nodiscard]] endpoint address() const;
 
     /// @brief number of requests received
@@ -67,6 +82,8 @@
     std::size_t page_size = 1000;
     // while set, lists fail after their first page
     bool fail_later_pages = false;
+    // while not set, responses do not state the era
+    bool states_era = true;
     // number of writes to apply without ever responding
     int responses_to_drop = 0;
     // number of writes to apply whose responses wait for send_held_responses()
@@ -79,6 +96,7 @@
         std::string kind;
         nlohmann::json object;
         bool deleted = false;
+        time_point time;
     };
 
     struct pending_watch
@@ -108,19 +126,25 @@
                            std::string const & name);
     [[nodiscard]] nlohmann::json events_after(std::string const & kind,
                                               std::uint64_t after) const;
-    static void send_response(detail::exchange & client,
-                              unsigned status_code,
-                              nlohmann::json const & body);
+    void send_response(detail::exchange & client,
+                       unsigned status_code,
+                       nlohmann::json const & body) const;
+    void send_response(detail::exchange & client,
+                       unsigned status_code,
+                       nlohmann::json const & body,
+                       std::uint64_t stated_era) const;
 
     struct held_response
     {
         std::shared_ptr<detail::exchange> client;
         nlohmann::json object;
+        std::uint64_t era = 0;
     };
 
     boost::asio::io_context & io;
     detail::http_listener listener;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
     std::uint64_t history_start = 0;
     std::uint64_t received_requests = 0;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
