Keep a request in flight at a node that is slow to respond

Cause: a node that did not answer the query of a request within 250 ms counted as lost. The attempt was cancelled, and without a retry left, or after a refused retry, the request ended with 502. A node that is slow by load or link receives request and cancellation together. Class of fault: a missing sign of life taken for a failure, and a failure response that discards running work.

Change: silence is reported and ends nothing. An idempotent request is retried beside the silent attempt if limits and budget allow; the first answer is sent. Otherwise it waits for the attempt, whose connection the kernel closes if the node is gone. request_attempts decides what may be said meanwhile; a late refusal of the silent attempt is believed, so that a 503 is true again. A node that states completion gets 400 ms from then for the response, where the request's whole age counted. In-flight requests are queried again after a lost node is back; before, only after the next request to it.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -38,7 +38,8 @@
                  event_log & events);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
-                                    result_handler done) override;
+                                    result_handler done,
+                                    silence_handler on_silence) override;
 
     /// @brief applies a report of a target
     /// @return whether the report is about this target
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -23,7 +23,8 @@
 ///
 /// Each request is sent as one HTTP request. Closing its connection cancels it.
 /// If the connection of a request is silent, the state of the request is
-/// queried from the node.
+/// queried from the node. A node that does not respond to the query may only be
+/// slow, so the request stays in flight and its silence is reported.
 /// @note thread safety: none; used on the event loop only
 class peer_node final : public target_runner
 {
@@ -41,7 +42,8 @@
               event_log & log);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
-                                    result_handler done) override;
+                                    result_handler done,
+                                    silence_handler on_silence) override;
 
     /// @brief sends a request to the node itself, not to its target
     /// @param done called once
@@ -79,8 +81,11 @@
     {
         std::shared_ptr<client_connection> connection;
         std::function<void(call_result)> finish;
+        // empty after it was called
+        silence_handler on_silence;
         time_point sent_at;
-        bool idempotent = false;
+        // when the node first stated that the request is completed
+        std::optional<time_point> completed_at;
     };
 
     void send(request_message message,
@@ -99,7 +104,9 @@
     void
     handle_query_result(std::vector<std::uint64_t> const & queried_sequences,
                         call_result const & result);
-    void fail_silent_request(std::uint64_t sequence);
+    void notify_silence(std::uint64_t sequence);
+    void handle_completed_request(std::uint64_t sequence);
+    void record_failure_share(bool failed);
     void record_result(dispatch_result const & result, call_status status);
 
     boost::asio::io_context & io;
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -13,6 +13,7 @@
 #include <endivehinge/detail/gateway/placement_trace.hpp>
 #include <endivehinge/detail/gateway/target_chooser.hpp>
 #include <endivehinge/policy/placement_limit.hpp>
+#include <endivehinge/policy/request_attempts.hpp>
 #include <endivehinge/policy/slow_target_rounds.hpp>
 
 namespace endivehinge::detail
@@ -21,8 +22,9 @@
 /// @brief dispatches one client request, from its arrival to its response
 ///
 /// Places the request on a target, and on another one if the target refuses it.
-/// Retries an idempotent request if the target fails or its outcome is unknown.
-/// Sends exactly one response unless the client disconnects.
+/// Retries an idempotent request if the target fails, its outcome is unknown or
+/// its node is silent; a silent attempt stays in flight, and the first answer
+/// is sent. Sends exactly one response unless the client disconnects.
 /// @note thread safety: none; used on the event loop only
 class request_dispatch : public std::enable_shared_from_this<request_dispatch>
 {
@@ -41,6 +43,7 @@
         target_candidate candidate;
         slow_target_action slow_action = slow_target_action::decline;
         target_runner::cancel_action cancel;
+        std::size_t index = 0;
         bool finished = false;
     };
 
@@ -54,6 +57,7 @@
     void start_attempt(chosen_target const & chosen);
     void handle_result(attempt_ptr const & target_attempt,
                        dispatch_result result);
+    void handle_silence(attempt_ptr const & target_attempt);
     void handle_answer(attempt_ptr const & target_attempt,
                        dispatch_result result);
     void handle_refusal(attempt_ptr const & target_attempt,
@@ -61,6 +65,10 @@
     void handle_indeterminate(attempt_ptr const & target_attempt,
                               dispatch_result const & result);
     [[nodiscard]] bool try_acquire_retry();
+    // sends the last answer of a target, or a failure or refusal, unless an
+    // attempt is running
+    void finish_without_answer(std::string const & reason,
+                               duration retry_delay);
     void arm_deadline();
     void handle_deadline();
     void handle_cancel();
@@ -83,9 +91,7 @@
     boost::asio::steady_timer deadline_timer;
     std::vector<attempt_ptr> attempts;
     slow_target_rounds placement_rounds;
-    // whether the outcome at any target is unknown
-    bool may_have_run = false;
-    std::uint32_t target_arrivals = 0;
+    request_attempts progress;
     placement_limit placements{time_point(), duration(0)};
     std::optional<duration> min_retry_after;
     std::string last_reason;
--- a/include/endivehinge/detail/gateway/target_runner.hpp
+++ b/include/endivehinge/detail/gateway/target_runner.hpp
@@ -14,7 +14,9 @@
 {
 public:
     using result_handler = std::function<void(dispatch_result)>;
-    // cancels the request; its handler is not called afterwards
+    // called while the request stays in flight
+    using silence_handler = std::function<void()>;
+    // cancels the request; its handlers are not called afterwards
     using cancel_action = std::function<void()>;
 
     target_runner() = default;
@@ -24,9 +26,13 @@
 
     /// @brief runs a request
     /// @param done called once, and not before run() returns
+    /// @param on_silence called at most once and before done, if the node of
+    /// the target does not confirm that it handles the request; done may still
+    /// receive any result. Not called before run() returns
     /// @note thread safety: event loop only
     [[nodiscard]] virtual cancel_action run(dispatch_request request,
-                                            result_handler done) = 0;
+                                            result_handler done,
+                                            silence_handler on_silence) = 0;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -56,7 +56,8 @@
 // ---------------------------------------------------------------------------
 
 target_runner::cancel_action local_target::run(dispatch_request request,
-                                               result_handler done)
+                                               result_handler done,
+                                               silence_handler /*on_silence*/)
 {
     auto const state = std::make_shared<request_state>();
     state->request = std::move(request);
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/peer_node.hpp>
 
 #include <algorithm> // max, min
+#include <utility>   // exchange, move
 
 #include <absl/strings/str_cat.h> // StrCat
 #include <boost/asio/post.hpp>    // post
@@ -33,8 +34,8 @@
 // time without a response from a node after which its in-flight requests are
 // queried
 constexpr duration silence_limit = std::chrono::milliseconds(200);
-// time for the response of a completed request to arrive, equal to two silence
-// limits; after that its connection is considered silent
+// time for the response to arrive after the node stated that the request is
+// completed, equal to two silence limits; then its connection has failed
 constexpr duration response_arrival_limit = 2 * silence_limit;
 // concurrent requests to one node; limits file descriptors
 constexpr std::size_t max_peer_connections = 256;
@@ -68,7 +69,8 @@
 }
 
 target_runner::cancel_action peer_node::run(dispatch_request request,
-                                            result_handler done)
+                                            result_handler done,
+                                            silence_handler on_silence)
 {
     auto const sequence = ++this->last_sequence;
     request.in_flight_id = this->in_flight_id_of(sequence);
@@ -82,7 +84,7 @@
     this->sent_since_load += 1;
     auto & entry = this->in_flight_requests[sequence];
     entry.sent_at = loop_now();
-    entry.idempotent = request.idempotent;
+    entry.on_silence = std::move(on_silence);
     entry.finish = [this, done = std::move(done)](call_result result)
     {
         auto const status = result.status;
@@ -191,6 +193,7 @@
                 this->last_received = loop_now();
                 this->events.write("peer_regained",
                                    {{"peer", this->peer.to_string()}});
+                this->arm_watchdog();
                 return;
             }
             this->failed_checks += 1;
@@ -267,12 +270,7 @@
         this->suspend("no response to status query: " + result.detail);
         for (auto const sequence : queried_sequences)
         {
-            auto const found = this->in_flight_requests.find(sequence);
-            if (found != this->in_flight_requests.end() &&
-                found->second.idempotent)
-            {
-                this->fail_silent_request(sequence);
-            }
+            this->notify_silence(sequence);
         }
         return;
     }
@@ -302,23 +300,44 @@
             found->second.connection->cancel();
             this->complete_request(queried_sequences[i], std::move(refusal));
         }
-        else if (loop_now() - found->second.sent_at > response_arrival_limit)
+        else
         {
-            // the response is overdue on this connection
-            this->fail_silent_request(queried_sequences[i]);
+            this->handle_completed_request(queried_sequences[i]);
         }
     }
     this->arm_watchdog();
 }
 
-void peer_node::fail_silent_request(std::uint64_t sequence)
+void peer_node::notify_silence(std::uint64_t sequence)
 {
     auto const found = this->in_flight_requests.find(sequence);
-    if (found == this->in_flight_requests.end() || !found->second.connection)
+    if (found == this->in_flight_requests.end())
+    {
+        return;
+    }
+    if (auto const on_silence =
+            std::exchange(found->second.on_silence, nullptr))
+    {
+        this->record_failure_share(true);
+        on_silence();
+    }
+}
+
+void peer_node::handle_completed_request(std::uint64_t sequence)
+{
+    auto & entry = this->in_flight_requests.at(sequence);
+    if (!entry.completed_at)
+    {
+        // the response may be right behind that of the query
+        entry.completed_at = loop_now();
+        return;
+    }
+    if (loop_now() - *entry.completed_at < response_arrival_limit ||
+        !entry.connection)
     {
         return;
     }
-    found->second.connection->cancel();
+    entry.connection->cancel();
     call_result lost;
     lost.status = call_status::connection_lost;
     lost.detail = "connection silent: no response received";
@@ -400,6 +419,7 @@
     {
         this->last_received = loop_now();
         this->suspended = false;
+        this->arm_watchdog();
     }
     if (result.load)
     {
@@ -410,6 +430,11 @@
     bool const failed =
         result.outcome == dispatch_outcome::indeterminate ||
         (result.outcome == dispatch_outcome::refused && result.reached_target);
+    this->record_failure_share(failed);
+}
+
+void peer_node::record_failure_share(bool failed)
+{
     this->recent_failure_share +=
         failure_share_weight *
         ((failed ? 1.0 : 0.0) - this->recent_failure_share);
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -91,7 +91,8 @@
                                          : "by_target"));
             }
             this->respond(*incoming, std::move(result));
-        });
+        },
+        [] {});
     incoming->on_cancel(
         [this, cancel, in_flight_id]
         {
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -189,14 +189,9 @@
         this->start_attempt(*chosen);
         return;
     }
-    if (this->fallback_response)
-    {
-        this->respond(std::move(*this->fallback_response), "failed_by_target");
-        return;
-    }
-    this->reject(this->last_reason.empty() ? "no target available"
-                                           : this->last_reason,
-                 this->min_retry_after.value_or(default_retry_delay));
+    this->finish_without_answer(
+        this->last_reason.empty() ? "no target available" : this->last_reason,
+        this->min_retry_after.value_or(default_retry_delay));
 }
 
 void request_dispatch::start_attempt(chosen_target const & chosen)
@@ -213,6 +208,7 @@
     request.idempotent = this->route->idempotent;
     auto const target_attempt = std::make_shared<attempt>();
     target_attempt->candidate = chosen.candidate;
+    target_attempt->index = this->progress.start();
     target_attempt->slow_action =
         this->placement_rounds.next_action(loop_now());
     request.slow_action = target_attempt->slow_action;
@@ -222,13 +218,20 @@
         chosen.candidate.local
             ? static_cast<target_runner &>(this->state.target)
             : this->state.peer(entry.peer);
-    target_attempt->cancel =
-        runner.run(std::move(request),
-                   [self = this->shared_from_this(),
-                    target_attempt](dispatch_result result)
-                   {
-                       self->handle_result(target_attempt, std::move(result));
-                   });
+    target_attempt->cancel = runner.run(
+        std::move(request),
+        [self = this->shared_from_this(),
+         target_attempt](dispatch_result result)
+        {
+            self->handle_result(target_attempt, std::move(result));
+        },
+        [weak = this->weak_from_this(), target_attempt]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->handle_silence(target_attempt);
+            }
+        });
 }
 
 // ---------------------------------------------------------------------------
@@ -243,7 +246,6 @@
     {
         return;
     }
-    this->target_arrivals += result.reached_target ? 1 : 0;
     switch (result.outcome)
     {
     case dispatch_outcome::answered:
@@ -258,14 +260,36 @@
     }
 }
 
+void request_dispatch::handle_silence(attempt_ptr const & target_attempt)
+{
+    if (this->done || target_attempt->finished)
+    {
+        return;
+    }
+    dispatch_result silence;
+    silence.reason = "no sign of the request from its node";
+    this->trace.add(target_attempt->candidate, silence, "silent");
+    this->progress.record_silence(target_attempt->index);
+    if (this->route->idempotent && this->try_acquire_retry())
+    {
+        this->place();
+    }
+}
+
 void request_dispatch::handle_answer(attempt_ptr const & target_attempt,
                                      dispatch_result result)
 {
+    this->progress.record_answer(target_attempt->index);
     bool const failed =
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
     this->trace.add(
         target_attempt->candidate, result, failed ? "failed" : "answered");
+    if (failed && this->progress.any_confirmed())
+    {
+        this->fallback_response = std::move(result.response);
+        return;
+    }
     if (failed && this->route->idempotent && this->try_acquire_retry())
     {
         this->fallback_response = std::move(result.response);
@@ -287,6 +311,7 @@
                                       dispatch_result const & result)
 {
     this->trace.add(target_attempt->candidate, result, "refused");
+    this->progress.record_refusal(target_attempt->index, result.reached_target);
     this->last_reason = result.reason;
     this->placements.record_refusal(result.refusal);
     if (result.refusal == admission_refusal::slow)
@@ -300,10 +325,15 @@
             std::min(this->min_retry_after.value_or(result.retry_after),
                      result.retry_after);
     }
+    if (this->progress.any_confirmed())
+    {
+        return;
+    }
     if (result.reached_target && !this->try_acquire_retry())
     {
-        this->reject("shed by target; no retry left",
-                     this->min_retry_after.value_or(default_retry_delay));
+        this->finish_without_answer(
+            "shed by target; no retry left",
+            this->min_retry_after.value_or(default_retry_delay));
         return;
     }
     this->place();
@@ -313,24 +343,39 @@
                                             dispatch_result const & result)
 {
     this->trace.add(target_attempt->candidate, result, "indeterminate");
-    this->may_have_run = true;
+    this->progress.record_unknown_outcome(target_attempt->index,
+                                          result.reached_target);
     this->last_reason = result.reason;
+    if (this->progress.any_confirmed())
+    {
+        return;
+    }
     if (this->route->idempotent && this->try_acquire_retry())
     {
         this->place();
         return;
     }
+    this->finish_without_answer(result.reason, default_retry_delay);
+}
+
+void request_dispatch::finish_without_answer(std::string const & reason,
+                                             duration retry_delay)
+{
+    if (this->progress.any_running())
+    {
+        return;
+    }
     if (this->fallback_response)
     {
         this->respond(std::move(*this->fallback_response), "failed_by_target");
         return;
     }
-    this->fail(http::status::bad_gateway, result.reason);
+    this->reject(reason, retry_delay);
 }
 
 bool request_dispatch::try_acquire_retry()
 {
-    return this->target_arrivals < this->route->attempts &&
+    return this->progress.arrivals() < this->route->attempts &&
            loop_now() + this->state.mean_service_time(*this->route) <
                this->urgency.deadline &&
            this->state.retry_budget_of(this->service)
@@ -367,13 +412,8 @@
         this->respond(std::move(*this->fallback_response), "failed_by_target");
         return;
     }
-    bool attempt_running = false;
-    for (auto const & target_attempt : this->attempts)
-    {
-        attempt_running = attempt_running || !target_attempt->finished;
-    }
     this->last_reason = "deadline";
-    if (attempt_running || this->may_have_run)
+    if (this->progress.may_have_run())
     {
         this->fail(http::status::gateway_timeout, "deadline");
     }
@@ -428,7 +468,7 @@
 
 void request_dispatch::reject(std::string const & reason, duration wait)
 {
-    if (this->may_have_run)
+    if (this->progress.may_have_run())
     {
         // a refusal would state that the request did not run
         this->fail(http::status::bad_gateway, reason);
--- a/tests/src/system-gateway-restart.cpp
+++ b/tests/src/system-gateway-restart.cpp
@@ -131,7 +131,8 @@
             [&results](detail::dispatch_result result)
             {
                 results.push_back(std::move(result));
-            }));
+            },
+            [] {}));
         ASSERT_TRUE(fleet.run_until(
             [&results, count = results.size()]
             {
