Answer all running requests of a connection before a stopping node closes it

Callers saw: requests sent behind another one on the same connection to a stopping node got no answer, although they had been passed on to a target.

Cause: once a node drains, the response to the first pending request carried Connection: close, and the requests behind it, which run concurrently, were cancelled.

Change: while draining, the response to the last pending request closes the connection, and no further request is accepted after the first response.

Result: responds_to_all_running_requests_while_draining fails before (one request cancelled, two without a response) and passes.

--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -70,7 +70,7 @@
     boost::asio::ip::tcp::socket socket;
     request_handler & handler;
     server_limits const & connection_limits;
-    // while set, each response closes the connection
+    // while set, the response to the last pending request closes the connection
     bool const & draining;
     boost::beast::flat_buffer buffer;
     std::optional<request_parser> parser;
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -282,10 +282,12 @@
     }
     this->write_pending = true;
     auto const front = this->pending_exchanges.front();
+    // requests behind this one may be running already
+    bool const drained = this->draining && this->pending_exchanges.size() == 1;
     bool const keep_alive =
-        front->keep_alive && !this->draining && front->response->keep_alive();
+        front->keep_alive && !drained && front->response->keep_alive();
     front->keep_alive = keep_alive;
-    if (!keep_alive)
+    if (!keep_alive || this->draining)
     {
         this->accepts_requests = false;
     }
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -546,6 +546,33 @@
     EXPECT_NE(received.find("the last"), std::string::npos);
 }
 
+// Requests behind the first one of a connection were cancelled when a stopping
+// node closed it after the first response, although they were running already.
+TEST(server_connection, responds_to_all_running_requests_while_draining)
+{
+    raw_client client;
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(client.wait_for_requests(3));
+    client.listener.drain();
+    client.handler.respond(0, "first.");
+    client.handler.respond(2, "third.");
+    client.send("GET /4 HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.io.run_for(milliseconds(20));
+    EXPECT_EQ(client.handler.cancelled, 0U);
+    client.handler.respond(1, "second");
+    auto const received = client.read_until("never");
+    EXPECT_NE(received.find("first."), std::string::npos);
+    EXPECT_NE(received.find("second"), std::string::npos);
+    EXPECT_NE(received.find("third."), std::string::npos);
+    auto const close = received.find("Connection: close");
+    EXPECT_LT(received.find("second"), close);
+    EXPECT_LT(close, received.find("third."));
+    EXPECT_EQ(client.handler.exchanges.size(), 3U)
+        << "a request behind the close is not accepted";
+}
+
 // ---------------------------------------------------------------------------
 // memory of idle connections
 // ---------------------------------------------------------------------------
