Add failing tests of timeouts that end the wrong request

The timer of a client connection is armed again for the next step (connect timeout, then the deadline of the request, then that of the next request). A wait that has expired already can't be cancelled: its handler runs after that of the socket and ends the new step with "no response in time". The request was sent, so the target receives it together with the close.

--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -320,6 +320,107 @@
     EXPECT_EQ(client.send_request("1").status, call_status::timed_out);
 }
 
+/// @brief calls whose client does not run while their server responds
+class stalled_client
+{
+public:
+    explicit stalled_client(std::deque<scripted_server::reply> script)
+        : server(this->server_io, std::move(script))
+        , connections(this->io, this->server.address(), upstream_options{})
+    {
+    }
+
+    /// @brief sends a request
+    void send(duration connect_timeout,
+              duration timeout,
+              client_connection::result_handler done)
+    {
+        request_message message{http::verb::get, "/", 11};
+        message.set(http::field::host, "h");
+        call_options options;
+        options.connect_timeout = connect_timeout;
+        options.deadline = now() + timeout;
+        ASSERT_TRUE(this->connections.send(
+            std::move(message), options, false, std::move(done)));
+    }
+
+    /// @brief runs the server only
+    void stall(duration length)
+    {
+        this->server_io.restart();
+        this->server_io.run_for(length);
+    }
+
+    bool run_until(std::function<bool()> const & condition)
+    {
+        return detail::run_until(this->io,
+                                 [this, &condition]
+                                 {
+                                     this->server_io.restart();
+                                     this->server_io.poll();
+                                     return condition();
+                                 });
+    }
+
+    asio::io_context server_io{1};
+    asio::io_context io{1};
+    scripted_server server;
+    upstream connections;
+};
+
+// The connect timeout of a process that was busy for longer had expired as the
+// connection was established; it ended the request that was just sent on it.
+TEST(client_connection, expired_connect_timeout_does_not_end_a_sent_request)
+{
+    stalled_client client({{response("1", "one")}});
+    std::optional<call_result> result;
+    client.send(milliseconds(20),
+                std::chrono::seconds(2),
+                [&result](call_result received)
+                {
+                    result = std::move(received);
+                });
+    client.stall(milliseconds(60));
+    ASSERT_TRUE(client.run_until(
+        [&result]
+        {
+            return result.has_value();
+        }));
+    EXPECT_EQ(result->status, call_status::answered) << result->detail;
+}
+
+// The deadline of an answered request had expired as its response was read; it
+// ended the next request on the connection.
+TEST(client_connection, expired_deadline_does_not_end_the_next_request)
+{
+    stalled_client client({{response("1", "one")}, {response("2", "two")}});
+    std::optional<call_result> first;
+    std::optional<call_result> second;
+    client.send(milliseconds(50),
+                milliseconds(100),
+                [&](call_result received)
+                {
+                    first = std::move(received);
+                    client.send(milliseconds(50),
+                                std::chrono::seconds(2),
+                                [&second](call_result next)
+                                {
+                                    second = std::move(next);
+                                });
+                });
+    // sends the request
+    client.io.run_for(milliseconds(20));
+    client.stall(milliseconds(120));
+    client.io.restart();
+    ASSERT_TRUE(client.run_until(
+        [&second]
+        {
+            return second.has_value();
+        }));
+    EXPECT_EQ(first->status, call_status::answered) << first->detail;
+    EXPECT_EQ(second->status, call_status::answered) << second->detail;
+}
+
 // ---------------------------------------------------------------------------
 // server connections against a raw client
 // ---------------------------------------------------------------------------
