Add a failing test of a response that is discarded on its way

A node states that a request is completed while the response is on its way. The sender closes the connection 400 ms later, whatever arrives on it, and the client gets 502 for a request that ran.

--- a/tests/src/system-gateway-slow-node.cpp
+++ b/tests/src/system-gateway-slow-node.cpp
@@ -134,5 +134,27 @@
         << "the request has not reached the slow node yet";
 }
 
+// The response of a completed request was on its way for longer than usual; its
+// connection was closed and the client got 502.
+TEST(gateway_slow_node, a_response_on_its_way_is_not_discarded)
+{
+    slow_node_fleet fleet(1);
+    relay_faults slow_response;
+    slow_response.delay_to_client = milliseconds(1200);
+    fleet.links[0]->set_faults(slow_response);
+    auto const call = fleet.send(*fleet.sender, "/unsafe/a", "id-1");
+    fleet.run_for(milliseconds(100));
+    ASSERT_EQ(fleet.execution_count("id-1"), 1U);
+    // bytes that are on their way stay delayed
+    fleet.links[0]->set_faults({});
+    ASSERT_TRUE(fleet.run_until(
+        [&call]
+        {
+            return call->result.has_value();
+        }));
+    EXPECT_EQ(call->result->response.result_int(), 200U);
+    EXPECT_EQ(fleet.execution_count("id-1"), 1U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
