Do not end a sent request by an expired timeout of the step before

Cause: the timer of a connection is armed again for each step: the connect timeout, the deadline of the request, that of the next one. A wait that has expired, in a process that did not run meanwhile, cannot be cancelled any more: its handler ended the new step with "no response in time". Class of fault: a late event taken for one of the current step. The other timers of the request path are armed once or check a generation.

Change: the handler compares the time with the timer's current expiry. A connection that is established after the request's deadline sends nothing.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -118,6 +118,11 @@
         this->fail(call_status::not_sent, "connect: " + error.message());
         return;
     }
+    if (loop_now() >= this->request_options.deadline)
+    {
+        this->fail(call_status::not_sent, "connect: timed out");
+        return;
+    }
     this->established = true;
     this->configure_socket();
     this->start_parser();
@@ -356,7 +361,11 @@
 
 void client_connection::handle_timeout()
 {
-    if (!this->request_active || this->closed)
+    // the handler of a wait that expired before the timer was armed again can
+    // no longer be cancelled
+    bool const rearmed =
+        std::chrono::steady_clock::now() < this->timer.expiry();
+    if (!this->request_active || this->closed || rearmed)
     {
         return;
     }
