Wait for the response of a completed request

Callers saw: 502 for a request that may not be repeated and had run once; its response was on its way.

Change: that a response is overdue counts as silence: an idempotent request is retried beside it, any other waits for it until its deadline.

--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -35,7 +35,7 @@
 // queried
 constexpr duration silence_limit = std::chrono::milliseconds(200);
 // time for the response to arrive after the node stated that the request is
-// completed, equal to two silence limits; then its connection has failed
+// completed, equal to two silence limits; then its connection may have failed
 constexpr duration response_arrival_limit = 2 * silence_limit;
 // concurrent requests to one node; limits file descriptors
 constexpr std::size_t max_peer_connections = 256;
@@ -284,11 +284,14 @@
             continue;
         }
         bool const fenced = states->at(i) == in_flight_request_state::fenced;
-        this->events.write(
-            "connection_silent",
-            {{"peer", this->peer.to_string()},
-             {"flight", this->in_flight_id_of(queried_sequences[i])},
-             {"request", fenced ? "not received" : "completed"}});
+        if (fenced || !found->second.completed_at)
+        {
+            this->events.write(
+                "connection_silent",
+                {{"peer", this->peer.to_string()},
+                 {"flight", this->in_flight_id_of(queried_sequences[i])},
+                 {"request", fenced ? "not received" : "completed"}});
+        }
         if (fenced)
         {
             // the node will refuse the request if it still arrives
@@ -332,16 +335,10 @@
         entry.completed_at = loop_now();
         return;
     }
-    if (loop_now() - *entry.completed_at < response_arrival_limit ||
-        !entry.connection)
+    if (loop_now() - *entry.completed_at >= response_arrival_limit)
     {
-        return;
+        this->notify_silence(sequence);
     }
-    entry.connection->cancel();
-    call_result lost;
-    lost.status = call_status::connection_lost;
-    lost.detail = "connection silent: no response received";
-    this->complete_request(sequence, std::move(lost));
 }
 
 std::string peer_node::in_flight_id_of(std::uint64_t sequence) const
