Report the silence of all requests at a lost node

Cause: only the requests of the query that got no answer were reported as silent. Those sent shortly before the node counted as lost waited until their deadline without a retry, and an unknown outcome took back that a silent attempt may have arrived.

Change: while a node is lost, each of its requests is reported at its silence limit. A silent attempt stays counted as arrived if its outcome is unknown.

Result: gateway tests pass; no test of its own for the first part.

--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -105,6 +105,7 @@
     handle_query_result(std::vector<std::uint64_t> const & queried_sequences,
                         call_result const & result);
     void notify_silence(std::uint64_t sequence);
+    void notify_silence_of_all();
     void handle_completed_request(std::uint64_t sequence);
     void record_failure_share(bool failed);
     void record_result(dispatch_result const & result, call_status status);
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -222,10 +222,16 @@
 
 void peer_node::handle_watchdog()
 {
-    if (this->in_flight_requests.empty() || this->suspended)
+    if (this->in_flight_requests.empty())
     {
         return;
     }
+    if (this->suspended)
+    {
+        this->notify_silence_of_all();
+        this->arm_watchdog();
+        return;
+    }
     auto const oldest = this->in_flight_requests.begin()->second.sent_at;
     if (loop_now() - std::max(this->last_received, oldest) < silence_limit)
     {
@@ -235,6 +241,22 @@
     this->query_in_flight_requests();
 }
 
+void peer_node::notify_silence_of_all()
+{
+    std::vector<std::uint64_t> silent_sequences;
+    for (auto const & [sequence, entry] : this->in_flight_requests)
+    {
+        if (loop_now() - entry.sent_at >= silence_limit)
+        {
+            silent_sequences.push_back(sequence);
+        }
+    }
+    for (auto const sequence : silent_sequences)
+    {
+        this->notify_silence(sequence);
+    }
+}
+
 void peer_node::query_in_flight_requests()
 {
     std::vector<std::uint64_t> queried_sequences;
--- a/src/policy/request_attempts.cpp
+++ b/src/policy/request_attempts.cpp
@@ -29,7 +29,8 @@
 
 void request_attempts::record_unknown_outcome(std::size_t index, bool arrived)
 {
-    this->attempts[index] = {state::unknown, arrived, false};
+    bool const may_have_arrived = arrived || this->attempts[index].silent;
+    this->attempts[index] = {state::unknown, may_have_arrived, false};
 }
 
 bool request_attempts::any_running() const
