Do not take an own connection limit for the loss of a node

Cause: a request that found no free connection to a node, by this process's own limit, counted as a failed connect: the node was suspended and its idle connections closed.

Change: no_connection is a status of its own; the request is refused as not run, and nothing is concluded about the node.

Result: gateway tests pass; no test of its own.

--- a/include/endivehinge/detail/gateway/call_result.hpp
+++ b/include/endivehinge/detail/gateway/call_result.hpp
@@ -13,6 +13,7 @@
 {
     answered,        // a complete response was received
     not_sent,        // no byte of the request was sent
+    no_connection,   // not sent: the own limit on connections is reached
     connection_lost, // sent, but the connection ended before a complete
                      // response
     timed_out,       // sent, but no complete response before the deadline
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -106,6 +106,7 @@
                           [this, sequence]
                           {
                               call_result result;
+                              result.status = call_status::no_connection;
                               result.detail = "connection limit reached";
                               this->complete_request(sequence,
                                                      std::move(result));
@@ -283,6 +284,11 @@
     std::vector<std::uint64_t> const & queried_sequences,
     call_result const & result)
 {
+    if (result.status == call_status::no_connection)
+    {
+        this->arm_watchdog();
+        return;
+    }
     auto const states =
         result.status == call_status::answered
             ? in_flight_query::read(result.response, queried_sequences.size())
@@ -398,6 +404,7 @@
                       [done = std::move(done)]
                       {
                           call_result result;
+                          result.status = call_status::no_connection;
                           result.detail = "connection limit reached";
                           done(std::move(result));
                       });
@@ -418,10 +425,11 @@
         parsed.reason = "response without valid hop fields";
         return parsed;
     }
-    parsed.outcome = result.status == call_status::not_sent
-                         ? dispatch_outcome::refused
-                         : dispatch_outcome::indeterminate;
-    parsed.reached_target = result.status != call_status::not_sent;
+    bool const sent = result.status != call_status::not_sent &&
+                      result.status != call_status::no_connection;
+    parsed.outcome =
+        sent ? dispatch_outcome::indeterminate : dispatch_outcome::refused;
+    parsed.reached_target = sent;
     parsed.reason = "peer " + this->peer.to_string() + ": " + result.detail;
     return parsed;
 }
@@ -429,6 +437,11 @@
 void peer_node::record_result(dispatch_result const & result,
                               call_status status)
 {
+    if (status == call_status::no_connection)
+    {
+        // says nothing about the node
+        return;
+    }
     if (status == call_status::not_sent)
     {
         this->suspend(result.reason);
