Do not fence a request that an earlier process may have run

Callers could see: a request that may not be repeated runs twice, or gets 503 although it ran, if a node was killed and restarted behind a cut link within the request's time: the new process stated that it had never received it.

Cause: a fence held only for the process that stated it.

Change: a query states the age of its oldest request, and an unknown request that is older than the process is given as ended. Earlier builds ignore the field.

--- a/include/endivehinge/detail/gateway/in_flight_query.hpp
+++ b/include/endivehinge/detail/gateway/in_flight_query.hpp
@@ -6,6 +6,7 @@
 #include <vector>   // vector
 
 #include <endivehinge/coordination/in_flight_request_table.hpp>
+#include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
 
 namespace endivehinge::detail
@@ -19,13 +20,21 @@
 
     /// @brief makes a query; without IDs, it only checks whether the node
     /// responds
+    /// @param max_age time since the oldest of the requests was sent
     [[nodiscard]] static request_message
-    write_request(std::vector<std::string> const & in_flight_ids);
+    write_request(std::vector<std::string> const & in_flight_ids,
+                  duration max_age);
 
     /// @brief responds to a query, and fences the requests that have not been
     /// received so that they cannot run later
+    ///
+    /// An unknown request that is older than this process may have run in the
+    /// process before it, so its state is given as ended.
+    /// @param uptime time since this process started
     [[nodiscard]] static response_message
-    answer(request_message const & message, in_flight_request_table & table);
+    answer(request_message const & message,
+           in_flight_request_table & table,
+           duration uptime);
 
     /// @brief reads the states from a response, in the order of the query
     /// @param expected_count number of IDs in the query
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -27,6 +27,7 @@
 
     gateway_state & state;
     replica_sync & replicas;
+    time_point started_at;
     in_flight_request_table in_flight_requests;
 };
 
--- a/src/gateway/in_flight_query.cpp
+++ b/src/gateway/in_flight_query.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
 
 #include <absl/strings/match.h>     // StartsWith
+#include <absl/strings/numbers.h>   // SimpleAtoi
 #include <absl/strings/str_cat.h>   // StrCat
 #include <absl/strings/str_join.h>  // StrJoin
 #include <absl/strings/str_split.h> // StrSplit
@@ -15,6 +16,8 @@
 
 // followed by the IDs, separated by commas
 constexpr char const * path_prefix = "/endivehinge/flights/";
+// microseconds since the oldest of the requests was sent
+constexpr char const * age_field = "Endivehinge-Query-Age";
 // response body: one character per request, in the order of the query
 constexpr char in_progress_code = 'p';
 constexpr char ended_code = 'e';
@@ -59,17 +62,30 @@
 }
 
 request_message
-in_flight_query::write_request(std::vector<std::string> const & in_flight_ids)
+in_flight_query::write_request(std::vector<std::string> const & in_flight_ids,
+                               duration max_age)
 {
-    return request_message{
+    request_message message{
         http::verb::get,
         absl::StrCat(path_prefix, absl::StrJoin(in_flight_ids, ",")),
         11};
+    message.set(
+        age_field,
+        std::to_string(
+            std::chrono::ceil<std::chrono::microseconds>(max_age).count()));
+    return message;
 }
 
 response_message in_flight_query::answer(request_message const & message,
-                                         in_flight_request_table & table)
+                                         in_flight_request_table & table,
+                                         duration uptime)
 {
+    auto const age_text = std_view(message[age_field]);
+    std::int64_t age_us = 0; // earlier versions do not send it
+    bool const older_than_process =
+        absl::SimpleAtoi(absl::string_view(age_text.data(), age_text.size()),
+                         &age_us) &&
+        std::chrono::microseconds(age_us) >= uptime;
     auto const target = std_view(message.target());
     absl::string_view const text(target.data(), target.size());
     response_message response{http::status::ok, 11};
@@ -78,7 +94,10 @@
                         ',',
                         absl::SkipEmpty()))
     {
-        response.body() += code_of(table.query(std::string(id)));
+        auto const state = table.query(std::string(id));
+        bool const unknown = state == in_flight_request_state::fenced;
+        response.body() +=
+            unknown && older_than_process ? ended_code : code_of(state);
     }
     response.keep_alive(true);
     response.prepare_payload();
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -183,7 +183,7 @@
 void peer_node::send_check()
 {
     this->call_on_new_connection(
-        in_flight_query::write_request({}),
+        in_flight_query::write_request({}, duration(0)),
         check_response_timeout,
         [this](call_result const & result)
         {
@@ -272,7 +272,9 @@
         }
     }
     this->call_on_new_connection(
-        in_flight_query::write_request(in_flight_ids),
+        in_flight_query::write_request(
+            in_flight_ids,
+            loop_now() - this->in_flight_requests.begin()->second.sent_at),
         check_response_timeout,
         [this, queried_sequences](call_result const & result)
         {
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -15,6 +15,7 @@
 peer_service::peer_service(gateway_state & shared_state, replica_sync & sync)
     : state(shared_state)
     , replicas(sync)
+    , started_at(loop_now())
 {
 }
 
@@ -65,8 +66,10 @@
     }
     if (in_flight_query::is_request(incoming.request))
     {
-        incoming.respond(in_flight_query::answer(incoming.request,
-                                                 this->in_flight_requests));
+        incoming.respond(
+            in_flight_query::answer(incoming.request,
+                                    this->in_flight_requests,
+                                    loop_now() - this->started_at));
         return true;
     }
     return false;
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -671,7 +671,8 @@
             }));
         return received->response;
     };
-    auto const query = detail::in_flight_query::write_request({"process-7"});
+    auto const query =
+        detail::in_flight_query::write_request({"process-7"}, duration(0));
     EXPECT_EQ(
         detail::in_flight_query::read(send_and_wait(query), 1),
         std::vector<in_flight_request_state>{in_flight_request_state::fenced});
