Order the store's positions by era before revision

Cause: a store that returns from an older copy gives revisions out again, so that revisions alone say nothing about which of two positions is newer. All copies, pulls and messages between nodes compared bare revisions.

Change: `object_version` is a position, an era and a revision, ordered by the era first; an unknown era is older than any known one. A copy takes a complete list of a newer era although its revisions are lower, ignores single changes of another era, and answers a copy of another era, or from before the restored list, with a complete list. Pulls and hop fields pass on the eras and the version of the active configuration. Pulls append them, and earlier builds ignore them. The hop fields have a field of their own for them: earlier builds reject sender and outcome fields with further numbers, and would take an answered request for one whose outcome is unknown.

--- a/include/endivehinge/coordination/object_copy.hpp
+++ b/include/endivehinge/coordination/object_copy.hpp
@@ -15,7 +15,9 @@
 ///        with older copies lack
 ///
 /// The versions are those of the store. The version of a copy never decreases:
-/// changes up to an older version are ignored.
+/// changes up to an older version are ignored. A complete list of a newer era
+/// replaces the copy, also where its revisions are lower; single changes of
+/// another era are ignored, because their base is missing.
 /// @note pure; thread safety: none, the owner serialises calls
 class object_copy
 {
--- a/include/endivehinge/core/ids.hpp
+++ b/include/endivehinge/core/ids.hpp
@@ -4,6 +4,7 @@
 #include <cstdint> // uint64_t
 #include <string>  // string
 
+#include <endivehinge/core/object_version.hpp>
 #include <endivehinge/core/strong_type.hpp>
 
 namespace endivehinge
@@ -36,9 +37,6 @@
 /// @brief a generation of the assignment of key owners; never decreases
 using epoch = strong_type<struct epoch_tag, std::uint64_t>;
 
-/// @brief the platform's version of an object; never decreases
-using object_version = strong_type<struct object_version_tag, std::uint64_t>;
-
 /// @brief a digest of a request's content, to recognise crashing requests
 using request_fingerprint =
     strong_type<struct request_fingerprint_tag, std::uint64_t>;
--- a/include/endivehinge/detail/gateway/replica_versions.hpp
+++ b/include/endivehinge/detail/gateway/replica_versions.hpp
@@ -3,19 +3,24 @@
 
 #include <array>   // array
 #include <cstddef> // size_t
+#include <cstdint> // uint64_t
 
 #include <endivehinge/core/ids.hpp>
 
 namespace endivehinge::detail
 {
 
-/// @brief the versions of a node's store copies, one per object kind
+/// @brief what a node's store copies reflect
 struct replica_versions
 {
     // indexed by object_kind
     std::array<object_version, 3> kinds;
+    // the operators' version of the active configuration; 0: none. A restored
+    // store may hold an earlier one at a newer position
+    std::uint64_t configuration_version = 0;
 
-    /// @brief whether at least one version is newer than that of another node
+    /// @brief whether at least one copy, or the active configuration, is newer
+    /// than that of another node
     /// @note thread safety: any thread
     [[nodiscard]] bool is_newer_than(replica_versions const & other) const
     {
@@ -26,7 +31,7 @@
                 return true;
             }
         }
-        return false;
+        return this->configuration_version > other.configuration_version;
     }
 };
 
--- a/src/coordination/object_copy.cpp
+++ b/src/coordination/object_copy.cpp
@@ -19,6 +19,13 @@
     {
         return applied;
     }
+    if (!changes.complete &&
+        changes.version.era() != this->current_version.era())
+    {
+        // the changes build on a base that this copy does not have; a complete
+        // list follows
+        return applied;
+    }
     if (changes.complete)
     {
         this->replace(changes, applied);
@@ -37,8 +44,9 @@
 {
     object_changes changes;
     changes.version = this->current_version;
-    changes.complete =
-        older == object_version() || older < this->tombstones_since;
+    changes.complete = older == object_version() ||
+                       older.era() != this->current_version.era() ||
+                       older < this->tombstones_since;
     for (auto const & [name, object] : this->objects)
     {
         if (changes.complete || object.version > older)
@@ -99,8 +107,10 @@
             this->tombstones[name] = changes.version;
         }
     }
-    if (this->current_version == object_version())
+    if (this->current_version.era() != changes.version.era() ||
+        this->current_version == object_version())
     {
+        // the deletions before the list, in its era, are not known
         this->tombstones_since = changes.version;
     }
     this->objects = std::move(replacement);
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -1,5 +1,6 @@
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 
+#include <array>  // array
 #include <vector> // vector
 
 #include <absl/strings/numbers.h>   // SimpleAtod, SimpleAtoi
@@ -36,6 +37,10 @@
 // microseconds until a cold target may start another request, and between two
 // starts; only sent by cold targets
 constexpr char const * cold_field = "Endivehinge-Cold";
+// eras of the sender's replicas, version of its active configuration. A field
+// of its own, because earlier versions reject sender and outcome fields with
+// further numbers
+constexpr char const * position_field = "Endivehinge-Position";
 
 std::int64_t microsecond_count(duration value)
 {
@@ -134,15 +139,51 @@
                         versions.kinds[2].value());
 }
 
+/// @brief writes what write_versions() leaves out; earlier versions ignore it
+void write_position(header_fields & fields, replica_versions const & versions)
+{
+    auto const & kinds = versions.kinds;
+    if (kinds[0].era() == store_era() && kinds[1].era() == store_era() &&
+        kinds[2].era() == store_era() && versions.configuration_version == 0)
+    {
+        return;
+    }
+    fields.set(position_field,
+               absl::StrCat(kinds[0].era().value(),
+                            " ",
+                            kinds[1].era().value(),
+                            " ",
+                            kinds[2].era().value(),
+                            " ",
+                            versions.configuration_version));
+}
+
+/// @param position the value of position_field; earlier versions send none, and
+/// then the eras are unknown
 replica_versions read_versions(std::vector<double> const & numbers,
-                               std::size_t first_index)
+                               std::size_t first_index,
+                               std::string const & position)
 {
+    std::array<std::uint64_t, object_kind_count + 1> position_numbers{};
+    std::vector<absl::string_view> const parts =
+        absl::StrSplit(position, ' ', absl::SkipEmpty());
+    bool is_valid = parts.size() >= position_numbers.size();
+    for (std::size_t i = 0; is_valid && i < position_numbers.size(); ++i)
+    {
+        is_valid = absl::SimpleAtoi(parts[i], &position_numbers[i]);
+    }
+    if (!is_valid)
+    {
+        position_numbers = {};
+    }
     replica_versions versions;
     for (std::size_t i = 0; i < versions.kinds.size(); ++i)
     {
         versions.kinds[i] = object_version(
+            store_era(position_numbers[i]),
             static_cast<std::uint64_t>(numbers[first_index + i]));
     }
+    versions.configuration_version = position_numbers.back();
     return versions;
 }
 
@@ -157,6 +198,7 @@
                 absl::StrCat(sender.peer.to_string(),
                              " ",
                              write_versions(sender.versions)));
+    write_position(message, sender.versions);
     message.set(target_field, request.target.value());
     message.set(service_field, request.service.value());
     message.set(route_field, request.route);
@@ -179,6 +221,7 @@
 std::optional<hop_sender> read_hop_sender(request_message & message)
 {
     auto const text = extract_field(message, sender_field);
+    auto const position = extract_field(message, position_field);
     auto const separator = text.find(' ');
     if (separator == std::string::npos)
     {
@@ -191,7 +234,7 @@
     {
         return std::nullopt;
     }
-    return hop_sender{*peer, read_versions(numbers, 0), {}};
+    return hop_sender{*peer, read_versions(numbers, 0, position), {}};
 }
 
 std::optional<dispatch_request> read_hop_request(request_message message,
@@ -250,6 +293,7 @@
                              static_cast<int>(result.refusal),
                              " ",
                              write_versions(versions)));
+    write_position(message, versions);
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
@@ -284,7 +328,8 @@
     result.retry_after = from_microseconds(numbers[5]);
     result.refusal =
         static_cast<admission_refusal>(static_cast<int>(numbers[6]));
-    versions = read_versions(numbers, result_number_count);
+    versions = read_versions(
+        numbers, result_number_count, extract_field(message, position_field));
     result.reason = extract_field(message, reason_field);
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
@@ -309,7 +354,8 @@
                                     outcome_field,
                                     reason_field,
                                     load_field,
-                                    cold_field})
+                                    cold_field,
+                                    position_field})
     {
         fields.erase(name);
     }
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -1,10 +1,12 @@
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
+#include <array>  // array, tuple_size_v
 #include <vector> // vector
 
 #include <absl/strings/match.h>     // StartsWith
 #include <absl/strings/numbers.h>   // SimpleAtoi
 #include <absl/strings/str_cat.h>   // StrCat
+#include <absl/strings/str_join.h>  // StrJoin
 #include <absl/strings/str_split.h> // StrSplit
 #include <nlohmann/json.hpp>        // json
 
@@ -17,34 +19,68 @@
 namespace
 {
 
-// followed by the requester's versions, separated by commas
+// followed by the requester's revisions, their eras and the version of its
+// active configuration, separated by commas; earlier versions send and read the
+// revisions only
 constexpr char const * request_path_prefix = "/endivehinge/replica/";
 constexpr char const * read_step = "parse a replica response of another node";
 
-json write_object(replicated_object const & object)
+/// @param era of the changes that contain the object; not repeated per object
+json write_object(replicated_object const & object, store_era era)
 {
-    return {{"name", object.name},
-            {"version", object.version.value()},
-            {"content", object.content},
-            {"deleted", object.deleted}};
+    json written = {{"name", object.name},
+                    {"version", object.version.value()},
+                    {"content", object.content},
+                    {"deleted", object.deleted}};
+    if (object.version.era() != era)
+    {
+        written["era"] = object.version.era().value();
+    }
+    return written;
+}
+
+/// @param era if none is stated
+object_version read_version(json const & value, store_era era)
+{
+    return {store_era(value.value("era", era.value())),
+            value.at("version").get<std::uint64_t>()};
 }
 
-replicated_object read_object(json const & value)
+replicated_object read_object(json const & value, store_era era)
 {
     return {value.at("name").get<std::string>(),
-            object_version(value.at("version").get<std::uint64_t>()),
+            read_version(value, era),
             value.at("content").get<std::string>(),
             value.at("deleted").get<bool>()};
 }
 
+json write_changes(object_changes const & changes)
+{
+    auto const era = changes.version.era();
+    json objects = json::array();
+    for (auto const & object : changes.objects)
+    {
+        objects.push_back(write_object(object, era));
+    }
+    json written = {{"version", changes.version.value()},
+                    {"complete", changes.complete},
+                    {"objects", std::move(objects)}};
+    if (era != store_era())
+    {
+        written["era"] = era.value();
+    }
+    return written;
+}
+
 object_changes read_changes(json const & value)
 {
     object_changes changes;
-    changes.version = object_version(value.at("version").get<std::uint64_t>());
+    // earlier versions send no era
+    changes.version = read_version(value, store_era());
     changes.complete = value.at("complete").get<bool>();
     for (auto const & object : value.at("objects"))
     {
-        changes.objects.push_back(read_object(object));
+        changes.objects.push_back(read_object(object, changes.version.era()));
     }
     return changes;
 }
@@ -62,34 +98,46 @@
 request_message
 replica_exchange::write_request(replica_versions const & known_versions)
 {
-    return request_message{http::verb::get,
-                           absl::StrCat(request_path_prefix,
-                                        known_versions.kinds[0].value(),
-                                        ",",
-                                        known_versions.kinds[1].value(),
-                                        ",",
-                                        known_versions.kinds[2].value()),
-                           11};
+    std::vector<std::uint64_t> numbers;
+    for (auto const & version : known_versions.kinds)
+    {
+        numbers.push_back(version.value());
+    }
+    for (auto const & version : known_versions.kinds)
+    {
+        numbers.push_back(version.era().value());
+    }
+    numbers.push_back(known_versions.configuration_version);
+    return request_message{
+        http::verb::get,
+        absl::StrCat(request_path_prefix, absl::StrJoin(numbers, ",")),
+        11};
 }
 
 replica_versions replica_exchange::read_request(request_message const & message)
 {
     replica_versions known_versions;
+    constexpr auto kind_count =
+        std::tuple_size_v<decltype(known_versions.kinds)>;
+    std::array<std::uint64_t, 2 * kind_count + 1> numbers{};
     auto const target = std_view(message.target());
     absl::string_view const versions_text(target.data(), target.size());
-    std::vector<absl::string_view> const version_texts = absl::StrSplit(
+    std::vector<absl::string_view> const number_texts = absl::StrSplit(
         versions_text.substr(absl::string_view(request_path_prefix).size()),
         ',');
-    for (std::size_t i = 0;
-         i < known_versions.kinds.size() && i < version_texts.size();
-         ++i)
+    for (std::size_t i = 0; i < numbers.size() && i < number_texts.size(); ++i)
     {
-        if (std::uint64_t version = 0;
-            absl::SimpleAtoi(version_texts[i], &version))
+        if (!absl::SimpleAtoi(number_texts[i], &numbers[i]))
         {
-            known_versions.kinds[i] = object_version(version);
+            numbers[i] = 0;
         }
     }
+    for (std::size_t i = 0; i < kind_count; ++i)
+    {
+        known_versions.kinds[i] =
+            object_version(store_era(numbers[kind_count + i]), numbers[i]);
+    }
+    known_versions.configuration_version = numbers.back();
     return known_versions;
 }
 
@@ -120,14 +168,7 @@
     json kinds_json = json::array();
     for (auto const & changes : this->kinds)
     {
-        json objects = json::array();
-        for (auto const & object : changes.objects)
-        {
-            objects.push_back(write_object(object));
-        }
-        kinds_json.push_back({{"version", changes.version.value()},
-                              {"complete", changes.complete},
-                              {"objects", std::move(objects)}});
+        kinds_json.push_back(write_changes(changes));
     }
     json const document = {
         {"age_us",
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm> // count
+
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
@@ -148,6 +150,91 @@
                      .has_value());
 }
 
+replica_versions versions_with_eras()
+{
+    replica_versions versions;
+    versions.kinds = {object_version(store_era(2), 4),
+                      object_version(store_era(2), 5),
+                      object_version(store_era(3), 6)};
+    versions.configuration_version = 17;
+    return versions;
+}
+
+TEST(hop_fields, request_passes_on_eras_and_configuration_version)
+{
+    auto sent = sample_request();
+    auto sender = sample_sender();
+    sender.versions = versions_with_eras();
+    write_hop_request(sent, sender, now_time);
+    auto message = sent.message;
+    auto const read = read_hop_sender(message);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->versions.kinds, versions_with_eras().kinds);
+    EXPECT_EQ(read->versions.configuration_version, 17U);
+    EXPECT_EQ(message.count("Endivehinge-Position"), 0U);
+}
+
+TEST(hop_fields, result_passes_on_eras_and_configuration_version)
+{
+    replica_versions read;
+    auto const result = read_hop_result(
+        write_hop_result(dispatch_result(), versions_with_eras()), read);
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(read.kinds, versions_with_eras().kinds);
+    EXPECT_EQ(read.configuration_version, 17U);
+    EXPECT_EQ(result->response.count("Endivehinge-Position"), 0U);
+}
+
+// earlier versions reject these fields if they have further numbers, and then
+// take an answered request for one whose outcome is unknown
+TEST(hop_fields, fields_of_earlier_versions_keep_their_count_of_numbers)
+{
+    auto sent = sample_request();
+    auto sender = sample_sender();
+    sender.versions = versions_with_eras();
+    write_hop_request(sent, sender, now_time);
+    EXPECT_EQ(sent.message["Endivehinge-Sender"], "10.0.0.1:8000 4 5 6");
+    auto const message =
+        write_hop_result(dispatch_result(), versions_with_eras());
+    std::string const outcome(message["Endivehinge-Outcome"]);
+    EXPECT_EQ(std::count(outcome.begin(), outcome.end(), ' '), 9);
+    EXPECT_EQ(outcome.substr(outcome.size() - 6), " 4 5 6");
+}
+
+TEST(hop_fields, message_of_an_earlier_version_has_no_eras)
+{
+    for (auto const * const position : {"", "2", "2 2 x 17", "-2 2 3 17"})
+    {
+        auto sent = sample_request();
+        auto sender = sample_sender();
+        sender.versions = versions_with_eras();
+        write_hop_request(sent, sender, now_time);
+        sent.message.erase("Endivehinge-Position");
+        if (*position != '\0')
+        {
+            sent.message.set("Endivehinge-Position", position);
+        }
+        auto const read = read_hop_sender(sent.message);
+        ASSERT_TRUE(read.has_value());
+        EXPECT_EQ(read->versions.kinds, sample_sender().versions.kinds);
+        EXPECT_EQ(read->versions.configuration_version, 0U);
+        EXPECT_FALSE(read->versions.is_newer_than(versions_with_eras()));
+    }
+}
+
+TEST(replica_versions, newer_era_or_configuration_is_newer)
+{
+    auto const known = versions_with_eras();
+    auto other = known;
+    EXPECT_FALSE(other.is_newer_than(known));
+    other.configuration_version += 1;
+    EXPECT_TRUE(other.is_newer_than(known));
+    other = known;
+    other.kinds[1] = object_version(store_era(3), 1);
+    EXPECT_TRUE(other.is_newer_than(known));
+    EXPECT_FALSE(known.is_newer_than(other));
+}
+
 TEST(replica_exchange, response_round_trip)
 {
     replica_exchange sent;
--- a/tests/src/unit-object-copy.cpp
+++ b/tests/src/unit-object-copy.cpp
@@ -39,6 +39,78 @@
     EXPECT_EQ(older_copy.find("a")->version, object_version(7));
 }
 
+object_version position(std::uint64_t era, std::uint64_t revision)
+{
+    return {store_era(era), revision};
+}
+
+TEST(object_copy, restored_list_with_lower_revisions_replaces_the_copy)
+{
+    object_copy copy;
+    copy.apply({position(1, 900),
+                true,
+                {{"a", position(1, 800), "late", false},
+                 {"b", position(1, 900), "late", false}}});
+    auto const applied = copy.apply(
+        {position(2, 850), true, {{"a", position(2, 700), "early", false}}});
+    EXPECT_EQ(copy.version(), position(2, 850));
+    EXPECT_EQ(copy.find("b"), nullptr);
+    ASSERT_NE(copy.find("a"), nullptr);
+    EXPECT_EQ(copy.find("a")->content, "early");
+    ASSERT_EQ(applied.objects.size(), 2U);
+    EXPECT_FALSE(applied.objects[0].deleted);
+    EXPECT_TRUE(applied.objects[1].deleted);
+}
+
+TEST(object_copy, changes_of_an_earlier_era_are_ignored)
+{
+    object_copy copy;
+    copy.apply({position(2, 5), true, {{"a", position(2, 4), "", false}}});
+    EXPECT_TRUE(copy.apply({position(1, 900), true, {}}).objects.empty());
+    EXPECT_TRUE(copy.apply({object_version(900), true, {}}).objects.empty());
+    EXPECT_TRUE(
+        copy.apply(
+                {position(1, 901), false, {{"a", position(1, 901), "", true}}})
+            .objects.empty());
+    EXPECT_NE(copy.find("a"), nullptr);
+    EXPECT_EQ(copy.version(), position(2, 5));
+}
+
+TEST(object_copy, single_changes_of_a_newer_era_wait_for_a_list)
+{
+    object_copy copy;
+    copy.apply({position(1, 9), true, {{"a", position(1, 9), "", false}}});
+    auto const applied =
+        copy.apply({position(2, 8), false, {{"b", position(2, 8), "", false}}});
+    EXPECT_TRUE(applied.objects.empty());
+    EXPECT_EQ(copy.find("b"), nullptr);
+    EXPECT_EQ(copy.version(), position(1, 9));
+}
+
+TEST(object_copy, copy_of_another_era_gets_a_complete_list)
+{
+    object_copy copy;
+    copy.apply({position(1, 9), true, {{"a", position(1, 9), "", false}}});
+    copy.apply({position(2, 5), true, {{"a", position(2, 4), "", false}}});
+    copy.apply({position(2, 7), false, {{"b", position(2, 7), "", false}}});
+    EXPECT_TRUE(copy.changes_since(position(1, 9)).complete);
+    EXPECT_EQ(copy.changes_since(position(1, 9)).objects.size(), 2U);
+    EXPECT_TRUE(copy.changes_since(object_version(900)).complete);
+    auto const later = copy.changes_since(position(2, 5));
+    EXPECT_FALSE(later.complete);
+    EXPECT_EQ(later.objects.size(), 1U);
+}
+
+// deletions between the other copy's version and the restored list are unknown
+TEST(object_copy, copy_from_before_the_restored_list_gets_a_complete_list)
+{
+    object_copy copy;
+    copy.apply({position(1, 9), true, {{"a", position(1, 9), "", false}}});
+    copy.apply({position(2, 8), true, {}});
+    EXPECT_TRUE(copy.changes_since(position(2, 6)).complete);
+    EXPECT_FALSE(copy.changes_since(position(2, 8)).complete);
+}
+
 TEST(object_copy, older_changes_are_ignored)
 {
     object_copy copy;
--- /dev/null
+++ b/tests/src/unit-replica-exchange.cpp
@@ -0,0 +1,100 @@
+#include <gtest/gtest.h>
+
+#include <endivehinge/detail/gateway/replica_exchange.hpp>
+
+namespace endivehinge::detail
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+
+replica_versions versions_with_eras()
+{
+    replica_versions versions;
+    versions.kinds = {object_version(store_era(2), 4),
+                      object_version(store_era(2), 1ULL << 60U),
+                      object_version(store_era(3), 6)};
+    versions.configuration_version = 17;
+    return versions;
+}
+
+std::string const earlier_body =
+    R"({"age_us":7,"in_contact":true,"deferred":[false,false,false],)"
+    R"("kinds":[{"version":9,"complete":true,"objects":[{"name":"main",)"
+    R"("version":8,"content":"{}","deleted":false}]},)"
+    R"({"version":0,"complete":false,"objects":[]},)"
+    R"({"version":0,"complete":false,"objects":[]}]})";
+
+TEST(replica_exchange_eras, request_passes_on_eras_and_configuration_version)
+{
+    auto const read = replica_exchange::read_request(
+        replica_exchange::write_request(versions_with_eras()));
+    EXPECT_EQ(read.kinds, versions_with_eras().kinds);
+    EXPECT_EQ(read.configuration_version, 17U);
+}
+
+TEST(replica_exchange_eras, earlier_version_finds_revisions_where_they_were)
+{
+    auto const request = replica_exchange::write_request(versions_with_eras());
+    EXPECT_EQ(request.target(),
+              "/endivehinge/replica/4,1152921504606846976,6,2,2,3,17");
+}
+
+TEST(replica_exchange_eras, request_of_an_earlier_version_has_no_eras)
+{
+    auto const read = replica_exchange::read_request(
+        request_message{http::verb::get, "/endivehinge/replica/4,5,6", 11});
+    EXPECT_EQ(read.kinds,
+              (std::array<object_version, 3>{
+                  object_version(4), object_version(5), object_version(6)}));
+    EXPECT_EQ(read.configuration_version, 0U);
+}
+
+TEST(replica_exchange_eras, invalid_numbers_of_a_request_count_as_unknown)
+{
+    auto const read = replica_exchange::read_request(request_message{
+        http::verb::get, "/endivehinge/replica/4,x,6,-1,2", 11});
+    EXPECT_EQ(read.kinds[0], object_version(4));
+    EXPECT_EQ(read.kinds[1], object_version(store_era(2), 0));
+    EXPECT_EQ(read.kinds[2], object_version(6));
+}
+
+TEST(replica_exchange_eras, response_keeps_the_era_of_each_position)
+{
+    replica_exchange sent;
+    sent.kinds[1] = {object_version(store_era(2), 9),
+                     true,
+                     {{"a", object_version(store_era(2), 8), "{}", false},
+                      {"b", object_version(store_era(1), 700), "{}", false}}};
+    failure reason;
+    auto const read = replica_exchange::read(sent.write(), reason);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->kinds[1].version, object_version(store_era(2), 9));
+    ASSERT_EQ(read->kinds[1].objects.size(), 2U);
+    EXPECT_EQ(read->kinds[1].objects[0].version,
+              object_version(store_era(2), 8));
+    EXPECT_EQ(read->kinds[1].objects[1].version,
+              object_version(store_era(1), 700));
+}
+
+TEST(replica_exchange_eras, response_without_known_era_is_not_longer)
+{
+    replica_exchange sent;
+    sent.kinds[1] = {
+        object_version(9), true, {{"a", object_version(8), "{}", false}}};
+    EXPECT_EQ(sent.write().find("era"), std::string::npos);
+}
+
+TEST(replica_exchange_eras, response_of_an_earlier_version_has_no_eras)
+{
+    failure reason;
+    auto const read = replica_exchange::read(earlier_body, reason);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->kinds[0].version, object_version(9));
+    ASSERT_EQ(read->kinds[0].objects.size(), 1U);
+    EXPECT_EQ(read->kinds[0].objects[0].version, object_version(8));
+}
+
+} // namespace
+} // namespace endivehinge::detail
