Keep what a node knows in use when the store was restored

Cause: the view of the fleet took each list of the store as it is. After a return from an older copy this would put departed targets and lifted evacuations back into use, and take out targets and evacuations that the copy lacks. A node that starts later would find an earlier configuration than the others have in force.

Change: on a list of a newer era, the copies follow the store and the view keeps the states that `restored_list_merge` holds, until a timer or a change ends the hold. The settle times are 2 s for targets, 5 s for evacuations in force and 4 s for lifted ones. Nodes that follow the store remove entries of departed targets that it has again, those of other domains after the settle time. The newest configuration stays with the replica when the store has an earlier one, at any position; nodes that state an earlier configuration version get it with their pulls, and a node that follows the store asks one other node after its start. Deletions that a copy reports carry the last content, which tells which incarnation of a target has left.

--- a/include/endivehinge/coordination/object_copy.hpp
+++ b/include/endivehinge/coordination/object_copy.hpp
@@ -28,7 +28,8 @@
     explicit object_copy(std::size_t tombstone_limit = 512);
 
     /// @brief applies changes from the store or from another node
-    /// @return the changes that had an effect, including deletions
+    /// @return the changes that had an effect, including deletions, which have
+    ///         the last content of the object
     object_changes apply(object_changes const & changes);
 
     /// @brief the changes since an older version
--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -4,8 +4,12 @@
 #include <array>      // array
 #include <functional> // function
 #include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
 
 #include <endivehinge/coordination/object_copy.hpp>
+#include <endivehinge/coordination/restored_list_merge.hpp>
+#include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_view.hpp>
 #include <endivehinge/detail/gateway/replica_versions.hpp>
@@ -15,6 +19,10 @@
 {
 
 /// @brief this node's copy of the store, decoded into a fleet view
+///
+/// The copies always follow the store. After a restore of the store from an
+/// older copy, the view keeps the newer state that this node knew for a while,
+/// and the newest configuration for good.
 /// @note thread safety: none; used on the event loop only
 class fleet_replica
 {
@@ -27,6 +35,8 @@
         std::function<void(std::optional<target_entry>, object_version)> entry;
         // the versions of all copies, after each change
         std::function<void(replica_versions const &)> versions;
+        // next_settle_time() has changed
+        std::function<void()> settling;
     };
 
     fleet_replica(fleet_view & decoded_view,
@@ -43,20 +53,61 @@
                object_changes const & changes,
                std::string const & source);
 
-    /// @brief the versions of the copies
+    /// @brief ends the holds of a restored list whose time has passed, so that
+    /// the store's state counts
+    void settle(time_point now);
+
+    /// @brief when to call settle(); empty if no hold ends by itself
+    [[nodiscard]] std::optional<time_point> next_settle_time() const;
+
+    /// @brief entries of departed targets that a restored store has again
+    /// @param domain the failure domain of this node; entries of others are
+    /// left to their nodes at first
+    /// @return valid until the next call of a non-const function
+    [[nodiscard]] std::vector<replicated_object const *>
+    departures_to_remove(failure_domain const & domain, time_point now) const;
+
+    /// @brief the versions of the copies and of the active configuration
     [[nodiscard]] replica_versions versions() const;
 
     /// @brief the stored object of a node's target, or null
     [[nodiscard]] replicated_object const *
     find_target(node_name const & name) const;
 
-    /// @brief the changes that a copy at an older version is missing
+    /// @brief the changes that a copy at an older version is missing; with the
+    /// active configuration even if the store has an earlier one
     [[nodiscard]] object_changes
     changes_since(object_kind kind, object_version base_version) const;
 
 private:
     [[nodiscard]] object_copy & copy_of(object_kind kind);
-    void decode_configuration(object_changes const & updates,
+    [[nodiscard]] object_copy const & copy_of(object_kind kind) const;
+    [[nodiscard]] restored_list_merge & merge_of(object_kind kind);
+    /// @brief applies changes to the copy
+    /// @return those that affect the view
+    [[nodiscard]] object_changes update_copy(object_kind kind,
+                                             object_changes const & changes,
+                                             std::string const & source);
+    void record_changes(object_kind kind, object_changes const & updates);
+    void merge_restored_list(object_kind kind,
+                             std::vector<restored_object> objects,
+                             object_changes const & updates,
+                             std::string const & source);
+    [[nodiscard]] std::vector<restored_object>
+    compare_with_copy(object_kind kind, object_changes const & changes) const;
+    [[nodiscard]] object_digest digest_of(object_kind kind,
+                                          replicated_object const & object,
+                                          object_version version) const;
+    [[nodiscard]] bool is_own_entry(object_kind kind,
+                                    std::string const & name) const;
+    void decode(object_kind kind,
+                object_changes const & updates,
+                std::string const & source);
+    void apply_configuration(object_changes const & changes,
+                             std::string const & source);
+    [[nodiscard]] std::optional<replicated_object> newest_configuration() const;
+    /// @return whether the object takes the place of the newest configuration
+    bool decode_configuration(replicated_object const & object,
                               std::string const & source);
     void decode_evacuations(object_changes const & updates,
                             std::string const & source);
@@ -70,6 +121,13 @@
     node_name node;
     handlers callbacks;
     std::array<object_copy, object_kind_count> copies;
+    std::array<restored_list_merge, object_kind_count> merges;
+    // when the last restored list of targets was applied
+    time_point targets_restored_at;
+    // name of the object that holds the configuration
+    std::string configuration_name;
+    // the newest configuration while the copy has an earlier one or none
+    std::optional<replicated_object> retained_configuration;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_SYNC_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_SYNC_HPP
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <optional>   // optional
 #include <string>     // string
@@ -77,6 +78,18 @@
                         std::string & detail);
     void pull_from_random_node();
     void remove_unreachable_entry();
+    /// @brief removes entries of departed targets that a restored store has
+    /// again
+    void remove_restored_departures();
+    void remove_entry(node_name const & node, object_version expected);
+    /// @brief whether the active configuration may be outdated: no node was
+    /// asked yet, or one that pulls has a newer one
+    [[nodiscard]] bool needs_configuration_check() const;
+    [[nodiscard]] bool may_pull_for(replica_versions const & versions);
+    /// @brief whether a requester has an earlier configuration than this node
+    [[nodiscard]] bool
+    needs_configuration(replica_versions const & requester) const;
+    void arm_settle_timer();
     [[nodiscard]] bool has_store_contact() const;
     [[nodiscard]] bool is_in_local_domain(endpoint const & peer) const;
     [[nodiscard]] duration contact_age() const;
@@ -93,6 +106,8 @@
     boost::asio::steady_timer seed_timer;
     boost::asio::steady_timer source_timer;
     boost::asio::steady_timer remote_pull_timer;
+    // ends the holds of a restored list
+    boost::asio::steady_timer settle_timer;
     bool remote_pull_pending = false;
     bool pulling = false;
     bool selecting_source = false;
@@ -103,6 +118,10 @@
     time_point last_store_response;
     // until then the replication source counts as connected to the store
     time_point source_contact_until;
+    // until then, no pull for a newer configuration alone
+    time_point next_configuration_pull;
+    // newest version of a configuration that a requester of changes has
+    std::uint64_t newest_requester_configuration = 0;
     // nodes that are excluded as replication source, and until when
     absl::flat_hash_map<endpoint, time_point> failed_until;
 };
--- a/src/coordination/object_copy.cpp
+++ b/src/coordination/object_copy.cpp
@@ -103,7 +103,8 @@
         {
             // the exact version of the deletion is unknown, but it is not later
             // than that of the changes
-            applied.objects.push_back({name, changes.version, "", true});
+            applied.objects.push_back(
+                {name, changes.version, object.content, true});
             this->tombstones[name] = changes.version;
         }
     }
@@ -133,6 +134,8 @@
         applied.objects.push_back(object);
         if (object.deleted)
         {
+            applied.objects.back().content =
+                exists ? existing->second.content : "";
             this->objects.erase(object.name);
             this->tombstones[object.name] = changes.version;
         }
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -1,12 +1,47 @@
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 
-#include <memory> // make_shared
+#include <algorithm> // find_if, min, remove_if
+#include <memory>    // make_shared
 
 #include <absl/strings/str_cat.h>  // StrCat
 #include <absl/strings/str_join.h> // StrJoin
 
+#include <endivehinge/core/stable_hash.hpp>
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
+namespace
+{
+
+// from applying a restored list; nodes write their entries again within 2 s of
+// the store's return, then a missing entry counts as gone
+constexpr duration targets_settle_time = std::chrono::seconds(2);
+// the operator repeats a lost evacuation within this time, the platform's limit
+// for evacuations to come into force
+constexpr duration evacuations_settle_time = std::chrono::seconds(5);
+// 1 s shorter, because the operator may have ordered the same evacuation again
+// before the list was read
+constexpr duration lifted_evacuations_settle_time = std::chrono::seconds(4);
+
+restored_list_options merge_options(object_kind kind)
+{
+    restored_list_options options;
+    if (kind == object_kind::targets)
+    {
+        options.presence_settle_time = targets_settle_time;
+        options.absence_settle_time = targets_settle_time;
+        options.deletions_are_final = true;
+    }
+    else if (kind == object_kind::evacuations)
+    {
+        options.presence_settle_time = evacuations_settle_time;
+        options.absence_settle_time = lifted_evacuations_settle_time;
+    }
+    return options;
+}
+
+} // namespace
 
 fleet_replica::fleet_replica(fleet_view & decoded_view,
                              store_adapter const & codec,
@@ -16,6 +51,9 @@
     , adapter(codec)
     , log(events)
     , node(std::move(own_node))
+    , merges{restored_list_merge(merge_options(object_kind::configuration)),
+             restored_list_merge(merge_options(object_kind::evacuations)),
+             restored_list_merge(merge_options(object_kind::targets))}
 {
 }
 
@@ -28,29 +66,79 @@
                           object_changes const & changes,
                           std::string const & source)
 {
-    auto const updates = this->copy_of(kind).apply(changes);
+    if (kind == object_kind::configuration)
+    {
+        this->apply_configuration(changes, source);
+    }
+    else
+    {
+        this->decode(kind, this->update_copy(kind, changes, source), source);
+    }
+    // an entry can be written and expire between two reads of the store, so its
+    // absence is reported even without a deletion
+    if (kind == object_kind::targets &&
+        this->copy_of(kind).find(this->node.value()) == nullptr)
+    {
+        this->callbacks.entry(std::nullopt, this->copy_of(kind).version());
+    }
     this->callbacks.versions(this->versions());
-    switch (kind)
+}
+
+void fleet_replica::settle(time_point now)
+{
+    for (auto const kind : {object_kind::evacuations, object_kind::targets})
     {
-    case object_kind::configuration:
-        this->decode_configuration(updates, source);
-        return;
-    case object_kind::evacuations:
-        if (!updates.objects.empty())
+        auto const & copy = this->copy_of(kind);
+        object_changes updates;
+        updates.version = copy.version();
+        for (auto const & name : this->merge_of(kind).settle(now))
         {
-            this->decode_evacuations(updates, source);
+            auto const * const object = copy.find(name);
+            updates.objects.push_back(
+                object != nullptr
+                    ? *object
+                    : replicated_object{name, copy.version(), "", true});
         }
-        return;
-    case object_kind::targets:
-        this->decode_targets(updates);
-        // an entry can be written and expire between two reads of the store, so
-        // its absence is reported even without a deletion
-        if (this->copy_of(kind).find(this->node.value()) == nullptr)
+        this->decode(kind, updates, "settled store");
+    }
+}
+
+std::optional<time_point> fleet_replica::next_settle_time() const
+{
+    std::optional<time_point> next;
+    for (auto const & merge : this->merges)
+    {
+        auto const time = merge.next_settle_time();
+        if (time && (!next || *time < *next))
         {
-            this->callbacks.entry(std::nullopt, this->copy_of(kind).version());
+            next = time;
         }
-        return;
     }
+    return next;
+}
+
+std::vector<replicated_object const *>
+fleet_replica::departures_to_remove(failure_domain const & domain,
+                                    time_point now) const
+{
+    bool const any_domain =
+        now - this->targets_restored_at >= targets_settle_time;
+    std::vector<replicated_object const *> objects;
+    for (auto const & name :
+         this->merges[static_cast<std::size_t>(object_kind::targets)]
+             .restored_deletions())
+    {
+        auto const * const object = this->find_target(node_name(name));
+        failure reason;
+        auto const entry = object != nullptr
+                               ? this->adapter.read_target(*object, reason)
+                               : std::nullopt;
+        if (entry && (any_domain || entry->domain == domain))
+        {
+            objects.push_back(object);
+        }
+    }
+    return objects;
 }
 
 replica_versions fleet_replica::versions() const
@@ -60,14 +148,38 @@
     {
         versions.kinds[i] = this->copies[i].version();
     }
+    if (auto const & active = this->view.configuration())
+    {
+        versions.configuration_version = active->version;
+    }
     return versions;
 }
 
 object_changes fleet_replica::changes_since(object_kind kind,
                                             object_version base_version) const
 {
-    return this->copies[static_cast<std::size_t>(kind)].changes_since(
-        base_version);
+    auto changes = this->copy_of(kind).changes_since(base_version);
+    if (kind != object_kind::configuration || !this->retained_configuration)
+    {
+        return changes;
+    }
+    auto const & retained = *this->retained_configuration;
+    auto const listed = std::find_if(changes.objects.begin(),
+                                     changes.objects.end(),
+                                     [&retained](auto const & object)
+                                     {
+                                         return object.name == retained.name;
+                                     });
+    if (listed != changes.objects.end() && !listed->deleted)
+    {
+        listed->content = retained.content;
+    }
+    else if (listed == changes.objects.end() && changes.complete)
+    {
+        changes.objects.push_back(
+            {retained.name, changes.version, retained.content, false});
+    }
+    return changes;
 }
 
 replicated_object const *
@@ -82,35 +194,230 @@
     return this->copies[static_cast<std::size_t>(kind)];
 }
 
-void fleet_replica::decode_configuration(object_changes const & updates,
-                                         std::string const & source)
+object_copy const & fleet_replica::copy_of(object_kind kind) const
+{
+    return this->copies[static_cast<std::size_t>(kind)];
+}
+
+restored_list_merge & fleet_replica::merge_of(object_kind kind)
+{
+    return this->merges[static_cast<std::size_t>(kind)];
+}
+
+// ---------------------------------------------------------------------------
+// lists of a restored store
+// ---------------------------------------------------------------------------
+
+object_changes fleet_replica::update_copy(object_kind kind,
+                                          object_changes const & changes,
+                                          std::string const & source)
+{
+    auto & copy = this->copy_of(kind);
+    bool const is_restored = changes.complete &&
+                             copy.version() != object_version() &&
+                             copy.version().era() < changes.version.era();
+    std::vector<restored_object> compared;
+    if (is_restored)
+    {
+        compared = this->compare_with_copy(kind, changes);
+    }
+    auto updates = copy.apply(changes);
+    if (is_restored)
+    {
+        this->merge_restored_list(kind, std::move(compared), updates, source);
+    }
+    else
+    {
+        this->record_changes(kind, updates);
+    }
+    auto const & merge = this->merge_of(kind);
+    updates.objects.erase(std::remove_if(updates.objects.begin(),
+                                         updates.objects.end(),
+                                         [&merge](auto const & object)
+                                         {
+                                             return merge.holds(object.name);
+                                         }),
+                          updates.objects.end());
+    return updates;
+}
+
+void fleet_replica::record_changes(object_kind kind,
+                                   object_changes const & updates)
 {
+    auto & merge = this->merge_of(kind);
     for (auto const & object : updates.objects)
     {
-        if (object.deleted || !this->adapter.is_current_configuration(object))
+        merge.record_change(object.name);
+        if (object.deleted && !this->is_own_entry(kind, object.name))
         {
-            continue;
+            merge.record_deletion(
+                object.name, this->digest_of(kind, object, updates.version));
         }
-        failure reason;
-        auto parsed = this->adapter.read_configuration(object, reason);
-        if (!parsed)
+    }
+}
+
+void fleet_replica::merge_restored_list(object_kind kind,
+                                        std::vector<restored_object> objects,
+                                        object_changes const & updates,
+                                        std::string const & source)
+{
+    std::size_t missing_count = 0;
+    for (auto const & object : updates.objects)
+    {
+        if (object.deleted && !this->is_own_entry(kind, object.name))
+        {
+            objects.push_back({object.name,
+                               this->digest_of(kind, object, object.version),
+                               std::nullopt});
+            missing_count += 1;
+        }
+    }
+    auto const now = loop_now();
+    auto const held_count = this->merge_of(kind).apply(objects, now);
+    if (kind == object_kind::targets)
+    {
+        this->targets_restored_at = now;
+    }
+    this->log.write("restored_list_merged",
+                    {{"kind", to_string(kind)},
+                     {"objects", absl::StrCat(objects.size())},
+                     {"missing", absl::StrCat(missing_count)},
+                     {"held", absl::StrCat(held_count)},
+                     {"from", source}});
+    this->callbacks.settling();
+}
+
+std::vector<restored_object>
+fleet_replica::compare_with_copy(object_kind kind,
+                                 object_changes const & changes) const
+{
+    std::vector<restored_object> compared;
+    for (auto const & object : changes.objects)
+    {
+        if (object.deleted || this->is_own_entry(kind, object.name))
         {
-            this->log.write("configuration_unreadable",
-                            {{"reason", reason.describe()}, {"from", source}});
             continue;
         }
-        auto const version = parsed->version;
-        if (this->view.set_configuration(
-                std::make_shared<routing_configuration>(std::move(*parsed))))
+        restored_object entry;
+        entry.name = object.name;
+        if (auto const * const known = this->copy_of(kind).find(object.name))
+        {
+            entry.known = this->digest_of(kind, *known, known->version);
+        }
+        entry.listed = this->digest_of(kind, object, object.version);
+        compared.push_back(std::move(entry));
+    }
+    return compared;
+}
+
+object_digest fleet_replica::digest_of(object_kind kind,
+                                       replicated_object const & object,
+                                       object_version version) const
+{
+    object_digest digest;
+    digest.version = version;
+    digest.content = stable_hash(object.content);
+    digest.subject = digest.content;
+    failure reason;
+    if (kind == object_kind::targets)
+    {
+        if (auto const entry = this->adapter.read_target(object, reason))
+        {
+            digest.subject = stable_hash(entry->id.value());
+        }
+    }
+    return digest;
+}
+
+bool fleet_replica::is_own_entry(object_kind kind,
+                                 std::string const & name) const
+{
+    return kind == object_kind::targets && name == this->node.value();
+}
+
+// ---------------------------------------------------------------------------
+// decoding into the view
+// ---------------------------------------------------------------------------
+
+void fleet_replica::decode(object_kind kind,
+                           object_changes const & updates,
+                           std::string const & source)
+{
+    if (updates.objects.empty())
+    {
+        return;
+    }
+    if (kind == object_kind::evacuations)
+    {
+        this->decode_evacuations(updates, source);
+    }
+    else if (kind == object_kind::targets)
+    {
+        this->decode_targets(updates);
+    }
+}
+
+void fleet_replica::apply_configuration(object_changes const & changes,
+                                        std::string const & source)
+{
+    auto newest = this->newest_configuration();
+    auto & copy = this->copy_of(object_kind::configuration);
+    static_cast<void>(copy.apply(changes));
+    // also at an earlier position: the operators' version decides
+    for (auto const & object : changes.objects)
+    {
+        bool const is_known = newest && newest->content == object.content;
+        if (!object.deleted && !is_known &&
+            this->adapter.is_current_configuration(object) &&
+            this->decode_configuration(object, source))
         {
-            this->log.write(
-                "configuration_in_force",
-                {{"version", absl::StrCat(version)},
-                 {"store_version", absl::StrCat(object.version.value())},
-                 {"from", source}});
-            this->callbacks.configuration();
+            newest = object;
+            this->configuration_name = object.name;
         }
     }
+    this->retained_configuration.reset();
+    auto const * const stored = copy.find(this->configuration_name);
+    if (newest && (stored == nullptr || stored->content != newest->content))
+    {
+        this->retained_configuration = std::move(newest);
+    }
+}
+
+std::optional<replicated_object> fleet_replica::newest_configuration() const
+{
+    if (this->retained_configuration)
+    {
+        return this->retained_configuration;
+    }
+    auto const * const stored = this->copy_of(object_kind::configuration)
+                                    .find(this->configuration_name);
+    return stored != nullptr ? std::optional(*stored) : std::nullopt;
+}
+
+bool fleet_replica::decode_configuration(replicated_object const & object,
+                                         std::string const & source)
+{
+    failure reason;
+    auto parsed = this->adapter.read_configuration(object, reason);
+    if (!parsed)
+    {
+        this->log.write("configuration_unreadable",
+                        {{"reason", reason.describe()}, {"from", source}});
+        // other nodes may be able to read it
+        return true;
+    }
+    auto const version = parsed->version;
+    if (this->view.set_configuration(
+            std::make_shared<routing_configuration>(std::move(*parsed))))
+    {
+        this->log.write(
+            "configuration_in_force",
+            {{"version", absl::StrCat(version)},
+             {"store_version", absl::StrCat(object.version.value())},
+             {"from", source}});
+        this->callbacks.configuration();
+    }
+    return version == this->view.configuration()->version;
 }
 
 void fleet_replica::decode_evacuations(object_changes const & updates,
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -44,6 +44,12 @@
 // before a pull from another failure domain, so that a node of the local domain
 // can supply the changes first; traffic between domains is charged
 constexpr duration remote_domain_pull_delay = std::chrono::milliseconds(150);
+// between pulls for a newer configuration alone, which a node that cannot read
+// it would repeat with each message
+constexpr duration configuration_pull_interval = std::chrono::milliseconds(200);
+// entries removed in one round, so that a restore does not exceed the
+// platform's rate of writes
+constexpr std::size_t max_removals_per_round = 8;
 
 } // namespace
 
@@ -74,6 +80,7 @@
     , seed_timer(shared.io)
     , source_timer(shared.io)
     , remote_pull_timer(shared.io)
+    , settle_timer(shared.io)
 {
 }
 
@@ -95,6 +102,10 @@
     {
         this->state.own_sender.versions = versions;
     };
+    callbacks.settling = [this]
+    {
+        this->arm_settle_timer();
+    };
     this->replica.on_change(std::move(callbacks));
     this->state.on_peer_versions =
         [this](endpoint const & peer, replica_versions const & versions)
@@ -157,6 +168,15 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
+    if (this->needs_configuration(known_versions))
+    {
+        reply.kinds[static_cast<std::size_t>(object_kind::configuration)] =
+            this->replica.changes_since(object_kind::configuration,
+                                        object_version());
+    }
+    this->newest_requester_configuration =
+        std::max(this->newest_requester_configuration,
+                 known_versions.configuration_version);
     if (!this->is_first_start() &&
         !this->budget.try_spend(reply.content_size(), loop_now()))
     {
@@ -233,8 +253,11 @@
         if (this->session.is_connected())
         {
             this->remove_unreachable_entry();
+            this->remove_restored_departures();
         }
-        else if (!this->pulling)
+        if ((!this->session.is_connected() ||
+             this->needs_configuration_check()) &&
+            !this->pulling)
         {
             this->pull_from_random_node();
         }
@@ -399,7 +422,9 @@
                                          this->last_pull_response - reply->age);
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
-        if (reply->kinds[i].version > object_version())
+        // a configuration counts at any position
+        if (reply->kinds[i].version > object_version() ||
+            !reply->kinds[i].objects.empty())
         {
             this->replica.apply(
                 static_cast<object_kind>(i), reply->kinds[i], peer.to_string());
@@ -411,8 +436,7 @@
 void replica_sync::receive_peer_versions(endpoint const & peer,
                                          replica_versions const & versions)
 {
-    if (this->pulling ||
-        !versions.is_newer_than(this->state.own_sender.versions))
+    if (this->pulling || !this->may_pull_for(versions))
     {
         return;
     }
@@ -470,24 +494,105 @@
                               {{"node", entry->node.value()},
                                {"target", entry->id.value()},
                                {"peer", entry->peer.to_string()}});
-        call_options options;
-        options.deadline = loop_now() + pull_timeout;
-        // a node that is still alive writes its entry again
-        static_cast<void>(this->store.send(
-            this->adapter.remove_request(entry->node, stored_object->version),
-            options,
-            false,
-            [this](call_result const & result)
+        this->remove_entry(entry->node, stored_object->version);
+        return;
+    }
+}
+
+void replica_sync::remove_restored_departures()
+{
+    std::size_t removals = 0;
+    for (auto const * const object : this->replica.departures_to_remove(
+             this->state.settings.domain, loop_now()))
+    {
+        if (removals == max_removals_per_round)
+        {
+            return;
+        }
+        removals += 1;
+        this->state.log.write(
+            "restored_entry_removed",
+            {{"node", object->name},
+             {"version", absl::StrCat(object->version.value())}});
+        this->remove_entry(node_name(object->name), object->version);
+    }
+}
+
+void replica_sync::remove_entry(node_name const & node, object_version expected)
+{
+    call_options options;
+    options.deadline = loop_now() + pull_timeout;
+    // a node that is still alive writes its entry again
+    static_cast<void>(this->store.send(
+        this->adapter.remove_request(node, expected),
+        options,
+        false,
+        [this](call_result const & result)
+        {
+            // a successful removal arrives through the watch
+            if (result.status != call_status::answered)
             {
-                // a successful removal arrives through the watch
-                if (result.status != call_status::answered)
-                {
-                    this->state.log.write("entry_not_removed",
-                                          {{"reason", result.detail}});
-                }
-            }));
+                this->state.log.write("entry_not_removed",
+                                      {{"reason", result.detail}});
+            }
+        }));
+}
+
+bool replica_sync::needs_configuration_check() const
+{
+    return this->last_pull_response == this->started_at ||
+           this->newest_requester_configuration >
+               this->replica.versions().configuration_version;
+}
+
+bool replica_sync::may_pull_for(replica_versions const & versions)
+{
+    auto const & own = this->state.own_sender.versions;
+    auto positions = versions;
+    positions.configuration_version = 0;
+    if (positions.is_newer_than(own))
+    {
+        return true;
+    }
+    auto const now = loop_now();
+    if (!versions.is_newer_than(own) || now < this->next_configuration_pull)
+    {
+        return false;
+    }
+    this->next_configuration_pull = now + configuration_pull_interval;
+    return true;
+}
+
+bool replica_sync::needs_configuration(replica_versions const & requester) const
+{
+    auto const & position =
+        requester.kinds[static_cast<std::size_t>(object_kind::configuration)];
+    // an earlier build states neither era nor configuration
+    bool const states_configuration =
+        requester.configuration_version != 0 || position.era() != store_era();
+    return states_configuration &&
+           requester.configuration_version <
+               this->replica.versions().configuration_version;
+}
+
+void replica_sync::arm_settle_timer()
+{
+    auto const time = this->replica.next_settle_time();
+    if (!time)
+    {
+        this->settle_timer.cancel();
         return;
     }
+    this->settle_timer.expires_at(std::chrono::steady_clock::time_point(*time));
+    this->settle_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->replica.settle(loop_now());
+                this->arm_settle_timer();
+            }
+        });
 }
 
 bool replica_sync::has_store_contact() const
