Follow the store through a restore from an older copy

Cause: after a restore the store gives revisions out again. Copies discarded all lists and events whose revision was not above their own, a session met 410 with a list, discarded it and watched again without a pause, and a node whose entry was gone took it for written.

A rise makes a node that follows the store list all kinds once. An answer of an earlier era changes nothing; a write so answered is repeated. A watch never starts from a position of an earlier era. An entry that a restored list lacks, or has with other content, is written again after up to 500 ms at random; without a valid position it is created, never replaced. Requests for changes from earlier builds are compared by revision as before, and a source that answers with positions without an era is left for another one. One log line, a counter and a gauge tell of a restore.

--- a/include/endivehinge/detail/gateway/entry_publisher.hpp
+++ b/include/endivehinge/detail/gateway/entry_publisher.hpp
@@ -9,6 +9,7 @@
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/store_adapter.hpp>
+#include <endivehinge/detail/gateway/store_era_reader.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
 
 namespace endivehinge::detail
@@ -18,7 +19,8 @@
 /// holds the desired state
 ///
 /// Each write is conditional on the version that was read, so a write whose
-/// response was lost can be repeated safely.
+/// response was lost can be repeated safely. An entry that a restore of the
+/// store lost or took back is written again after a random delay.
 /// @note thread safety: none; used on the event loop only
 class entry_publisher
 {
@@ -27,6 +29,7 @@
                     upstream & connections,
                     store_adapter const & codec,
                     event_log & events,
+                    store_era_reader & era_reader,
                     node_name own_node,
                     std::function<double()> random_source);
 
@@ -47,11 +50,14 @@
     void on_write_response(call_result result);
     void set_stored(replicated_object const & object);
     void schedule_retry();
+    /// @pre no write is in progress
+    void schedule_write(duration delay);
     void run_publish_callbacks();
 
     upstream & store;
     store_adapter const & adapter;
     event_log & log;
+    store_era_reader & eras;
     node_name node;
     std::function<double()> random;
     boost::asio::steady_timer timer;
@@ -67,6 +73,7 @@
     bool has_desired_state = false;
     bool store_was_read = false;
     bool timer_armed = false;
+    // also while the next write waits
     bool writing = false;
     std::uint32_t consecutive_failures = 0;
     std::vector<std::function<void()>> publish_callbacks;
--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -9,6 +9,7 @@
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_view.hpp>
 #include <endivehinge/detail/gateway/replica_versions.hpp>
+#include <endivehinge/detail/gateway/restored_copy.hpp>
 #include <endivehinge/detail/gateway/store_adapter.hpp>
 
 namespace endivehinge::detail
@@ -27,6 +28,8 @@
         std::function<void(std::optional<target_entry>, object_version)> entry;
         // the versions of all copies, after each change
         std::function<void(replica_versions const &)> versions;
+        // a list of a newer era replaced a copy
+        std::function<void(restored_copy const &)> restored;
     };
 
     fleet_replica(fleet_view & decoded_view,
@@ -56,6 +59,10 @@
 
 private:
     [[nodiscard]] object_copy & copy_of(object_kind kind);
+    void report_restore(object_kind kind,
+                        object_version old_version,
+                        object_changes const & updates,
+                        std::string const & source) const;
     void decode_configuration(object_changes const & updates,
                               std::string const & source);
     void decode_evacuations(object_changes const & updates,
--- a/include/endivehinge/detail/gateway/replica_exchange.hpp
+++ b/include/endivehinge/detail/gateway/replica_exchange.hpp
@@ -44,6 +44,10 @@
     [[nodiscard]] static request_message
     write_request(replica_versions const & known_versions);
 
+    /// @brief whether a request contains eras; those of earlier versions do not
+    /// @note thread safety: any thread
+    [[nodiscard]] static bool states_eras(request_message const & message);
+
     /// @brief reads the versions of a request; 0 for a malformed one
     /// @note thread safety: any thread
     [[nodiscard]] static replica_versions
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -15,6 +15,8 @@
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
+#include <endivehinge/detail/gateway/store_era_reader.hpp>
+#include <endivehinge/detail/gateway/store_restore_log.hpp>
 #include <endivehinge/detail/gateway/store_session.hpp>
 #include <endivehinge/detail/gateway/store_snapshot_reader.hpp>
 #include <endivehinge/policy/transfer_budget.hpp>
@@ -53,6 +55,10 @@
     void serve(exchange & incoming);
 
 private:
+    void learn_eras(replica_versions const & versions);
+    void on_era_rise();
+    [[nodiscard]] bool
+    follows_earlier_history(replica_exchange const & reply) const;
     void start_source_selection();
     void query_seeds();
     void update_source();
@@ -84,6 +90,8 @@
     gateway_state & state;
     store_adapter const & adapter;
     upstream store;
+    store_era_reader eras;
+    store_restore_log restores;
     fleet_replica replica;
     store_snapshot_reader snapshot;
     // limits the responses of serve()
--- a/include/endivehinge/detail/gateway/replica_versions.hpp
+++ b/include/endivehinge/detail/gateway/replica_versions.hpp
@@ -33,6 +33,21 @@
         }
         return this->configuration_version > other.configuration_version;
     }
+
+    /// @brief takes each position without an era for one of the era of another
+    /// node's position
+    void assume_eras_of(replica_versions const & other)
+    {
+        for (std::size_t i = 0; i < this->kinds.size(); ++i)
+        {
+            if (this->kinds[i] != object_version() &&
+                this->kinds[i].era() == store_era())
+            {
+                this->kinds[i] = object_version(other.kinds[i].era(),
+                                                this->kinds[i].value());
+            }
+        }
+    }
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/store_adapter.hpp
+++ b/include/endivehinge/detail/gateway/store_adapter.hpp
@@ -86,13 +86,20 @@
     [[nodiscard]] virtual request_message
     remove_request(node_name const & node, object_version expected) const = 0;
 
+    /// @brief the era that an answer states, whatever its status
+    /// @return nullopt if it states none, or none that can be read
+    [[nodiscard]] virtual std::optional<store_era>
+    read_era(response_message const & answer) const = 0;
+
+    /// @param era the era that the positions in the body belong to
     /// @param reason invalid_message if the body is malformed
-    [[nodiscard]] virtual std::optional<store_page>
-    read_page(std::string const & body, failure & reason) const = 0;
+    [[nodiscard]] virtual std::optional<store_page> read_page(
+        std::string const & body, store_era era, failure & reason) const = 0;
 
     /// @brief reads the object from the response to a write
-    [[nodiscard]] virtual std::optional<replicated_object>
-    read_object(std::string const & body, failure & reason) const = 0;
+    /// @param era the era that the positions in the body belong to
+    [[nodiscard]] virtual std::optional<replicated_object> read_object(
+        std::string const & body, store_era era, failure & reason) const = 0;
 
     /// @param reason invalid_configuration if the content is invalid
     [[nodiscard]] virtual std::optional<routing_configuration>
--- a/include/endivehinge/detail/gateway/store_session.hpp
+++ b/include/endivehinge/detail/gateway/store_session.hpp
@@ -10,6 +10,7 @@
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
+#include <endivehinge/detail/gateway/store_era_reader.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
 
 namespace endivehinge::detail
@@ -18,7 +19,8 @@
 /// @brief replicates from the store: lists each object kind, then watches it
 ///
 /// Lists again after a failed watch, or if the store no longer has the history
-/// since the requested version. After a failure it retries with a single kind
+/// since the requested version. Lists all kinds again after a restore of the
+/// store. After a failure it retries with a single kind
 /// and increasing delay, and resumes the other kinds once the store responds.
 /// @note thread safety: none; used on the event loop only
 class store_session
@@ -28,6 +30,7 @@
                   upstream & connections,
                   store_adapter const & codec,
                   event_log & events,
+                  store_era_reader & era_reader,
                   fleet_replica & local_replica,
                   std::function<double()> random_source);
 
@@ -37,6 +40,12 @@
     /// @brief cancels all calls and stops replicating
     void stop();
 
+    /// @brief lists all kinds again, once; does nothing unless active
+    ///
+    /// Needed when the era of the store rose: positions of an earlier era mean
+    /// nothing to the store.
+    void resynchronize();
+
     /// @brief whether the session is started, connected or not
     [[nodiscard]] bool is_active() const;
 
@@ -53,13 +62,23 @@
         std::shared_ptr<client_connection> connection;
         object_changes pages;
         bool synchronizing = false;
+        // consecutive responses that the history since the version is gone
+        std::uint32_t lost_histories = 0;
     };
 
     [[nodiscard]] kind_state & state_of(object_kind kind);
     void synchronize(object_kind kind);
     void list(object_kind kind, std::string const & after);
     void on_list_response(object_kind kind, call_result const & result);
+    /// @brief lists after a delay that grows with each lost history in a row
+    void list_later(object_kind kind);
     void watch(object_kind kind);
+    void run_later(object_kind kind,
+                   duration delay,
+                   void (store_session::*action)(object_kind));
+    void list_all(object_kind kind);
+    [[nodiscard]] object_version version_of(object_kind kind) const;
+    [[nodiscard]] duration retry_delay(std::uint32_t failures);
     void on_watch_response(object_kind kind, call_result const & result);
     void send(object_kind kind,
               request_message message,
@@ -76,6 +95,7 @@
     upstream & store;
     store_adapter const & adapter;
     event_log & log;
+    store_era_reader & eras;
     fleet_replica & replica;
     std::function<double()> random;
     boost::asio::steady_timer retry_timer;
@@ -85,6 +105,8 @@
     bool active = false;
     bool connected = false;
     std::uint32_t consecutive_failures = 0;
+    // era of the response that is being handled
+    store_era response_era;
     time_point last_response;
 };
 
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -3,10 +3,13 @@
 
 #include <array>      // array
 #include <functional> // function
+#include <optional>   // optional
+#include <string>     // string
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 #include <endivehinge/detail/gateway/store_adapter.hpp>
+#include <endivehinge/detail/gateway/store_era_reader.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
 
 namespace endivehinge::detail
@@ -24,6 +27,7 @@
     store_snapshot_reader(upstream & connections,
                           store_adapter const & codec,
                           event_log & events,
+                          store_era_reader & era_reader,
                           fleet_replica & local_replica);
 
     /// @brief reads objects into the replica; does nothing if a read is in
@@ -40,12 +44,15 @@
 private:
     void list(object_kind kind, std::string const & after);
     void on_response(object_kind kind, call_result const & result);
+    [[nodiscard]] std::optional<store_page>
+    read_page(call_result const & result, std::string & detail);
     void finish(object_kind kind);
     [[nodiscard]] read_freshness freshness_of(object_kind kind) const;
 
     upstream & store;
     store_adapter const & adapter;
     event_log & log;
+    store_era_reader & eras;
     fleet_replica & replica;
     std::function<void()> callback;
     std::array<object_changes, object_kind_count> pages;
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -23,6 +23,10 @@
 // limit on waiting for the first read of the store; then the entry is written
 // without one
 constexpr duration first_read_wait_limit = std::chrono::milliseconds(1000);
+// up to which the write of an entry that a restore of the store lost waits at
+// random, so that a fleet stays below the rate of the store's calls; with the
+// delay of a pull, the entry must be back within 2 s (issue 23)
+constexpr duration max_rewrite_delay = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -30,11 +34,13 @@
                                  upstream & connections,
                                  store_adapter const & codec,
                                  event_log & events,
+                                 store_era_reader & era_reader,
                                  node_name own_node,
                                  std::function<double()> random_source)
     : store(connections)
     , adapter(codec)
     , log(events)
+    , eras(era_reader)
     , node(std::move(own_node))
     , random(std::move(random_source))
     , timer(loop)
@@ -68,6 +74,8 @@
                                     object_version version)
 {
     this->store_was_read = true;
+    bool const was_restored = this->newest_seen_version.era() != store_era() &&
+                              version.era() > this->newest_seen_version.era();
     this->newest_seen_version = std::max(this->newest_seen_version, version);
     if (version < this->stored_version)
     {
@@ -81,6 +89,11 @@
     }
     this->stored = std::move(stored_entry);
     this->stored_version = this->stored ? version : object_version();
+    if (was_restored && !this->writing && !this->is_published())
+    {
+        this->schedule_write(std::chrono::duration_cast<duration>(
+            max_rewrite_delay * this->random()));
+    }
     this->write();
     this->run_publish_callbacks();
 }
@@ -107,6 +120,14 @@
     {
         return;
     }
+    bool const is_position_lost =
+        this->stored_version.era() < this->eras.newest();
+    if (!this->desired && is_position_lost)
+    {
+        // the revision may have been given out again, to another change
+        this->schedule_retry();
+        return;
+    }
     this->writing = true;
     this->entry_being_written = this->desired;
     request_message message;
@@ -115,8 +136,9 @@
         message =
             this->adapter.remove_request(this->node, this->stored_version);
     }
-    else if (this->stored_version == object_version())
+    else if (this->stored_version == object_version() || is_position_lost)
     {
+        // if the entry exists, the response contains it
         message = this->adapter.create_request(*this->desired);
     }
     else
@@ -151,9 +173,18 @@
         this->schedule_retry();
         return;
     }
+    auto const era = this->eras.read(result.response);
+    if (!era)
+    {
+        // the store has returned from a copy that may lack the write
+        this->log.write("entry_write_failed",
+                        {{"reason", "answer of an earlier era"}});
+        this->schedule_retry();
+        return;
+    }
     failure reason;
     auto const object =
-        this->adapter.read_object(result.response.body(), reason);
+        this->adapter.read_object(result.response.body(), *era, reason);
     if (http::to_status_class(status) != http::status_class::successful)
     {
         if (status == http::status::not_found)
@@ -210,8 +241,14 @@
         initial_retry_delay *
         (1U << std::min(this->consecutive_failures, max_backoff_exponent));
     this->consecutive_failures += 1;
-    this->timer.expires_after(std::chrono::duration_cast<duration>(
+    this->schedule_write(std::chrono::duration_cast<duration>(
         delay * (0.5 + this->random() / 2)));
+}
+
+void entry_publisher::schedule_write(duration delay)
+{
+    this->writing = true;
+    this->timer.expires_after(delay);
     this->timer.async_wait(
         [this](boost::system::error_code error)
         {
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -28,8 +28,10 @@
                           object_changes const & changes,
                           std::string const & source)
 {
+    auto const old_version = this->copy_of(kind).version();
     auto const updates = this->copy_of(kind).apply(changes);
     this->callbacks.versions(this->versions());
+    this->report_restore(kind, old_version, updates, source);
     switch (kind)
     {
     case object_kind::configuration:
@@ -53,6 +55,32 @@
     }
 }
 
+void fleet_replica::report_restore(object_kind kind,
+                                   object_version old_version,
+                                   object_changes const & updates,
+                                   std::string const & source) const
+{
+    if (old_version.era() == store_era() ||
+        updates.version.era() <= old_version.era())
+    {
+        return;
+    }
+    restored_copy report;
+    report.kind = kind;
+    report.old_version = old_version;
+    report.new_version = updates.version;
+    report.source = source;
+    for (auto const & object : updates.objects)
+    {
+        report.missing_objects += object.deleted ? 1U : 0U;
+        report.own_entry_missing =
+            report.own_entry_missing ||
+            (object.deleted && kind == object_kind::targets &&
+             object.name == this->node.value());
+    }
+    this->callbacks.restored(report);
+}
+
 replica_versions fleet_replica::versions() const
 {
     replica_versions versions;
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -1,7 +1,8 @@
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 
-#include <array>  // array, tuple_size_v
-#include <vector> // vector
+#include <algorithm> // count
+#include <array>     // array, tuple_size_v
+#include <vector>    // vector
 
 #include <absl/strings/match.h>     // StartsWith
 #include <absl/strings/numbers.h>   // SimpleAtoi
@@ -114,6 +115,14 @@
         11};
 }
 
+bool replica_exchange::states_eras(request_message const & message)
+{
+    auto const target = std_view(message.target());
+    return static_cast<std::size_t>(
+               std::count(target.begin(), target.end(), ',')) >=
+           std::tuple_size_v<decltype(replica_versions::kinds)>;
+}
+
 replica_versions replica_exchange::read_request(request_message const & message)
 {
     replica_versions known_versions;
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -51,12 +51,15 @@
     : state(shared)
     , adapter(codec)
     , store(shared.io, shared.settings.store, upstream_options{})
+    , eras(codec, shared.log)
+    , restores(shared.log)
     , replica(shared.fleet, codec, shared.log, shared.settings.node)
-    , snapshot(this->store, codec, shared.log, this->replica)
+    , snapshot(this->store, codec, shared.log, this->eras, this->replica)
     , session(shared.io,
               this->store,
               codec,
               shared.log,
+              this->eras,
               this->replica,
               [&shared]
               {
@@ -66,6 +69,7 @@
                 this->store,
                 codec,
                 shared.log,
+                this->eras,
                 shared.settings.node,
                 [&shared]
                 {
@@ -94,7 +98,17 @@
     callbacks.versions = [this](replica_versions const & versions)
     {
         this->state.own_sender.versions = versions;
+        this->learn_eras(versions);
     };
+    callbacks.restored = [this](restored_copy const & copy)
+    {
+        this->restores.record(copy, this->replica.versions());
+    };
+    this->eras.on_rise(
+        [this]
+        {
+            this->on_era_rise();
+        });
     this->replica.on_change(std::move(callbacks));
     this->state.on_peer_versions =
         [this](endpoint const & peer, replica_versions const & versions)
@@ -143,12 +157,17 @@
 
 void replica_sync::serve(exchange & incoming)
 {
-    auto const known_versions =
-        replica_exchange::read_request(incoming.request);
+    auto known_versions = replica_exchange::read_request(incoming.request);
     replica_exchange reply;
     reply.age = this->contact_age();
     reply.in_contact = this->has_store_contact();
     auto const own_versions = this->replica.versions();
+    if (!replica_exchange::states_eras(incoming.request))
+    {
+        // an earlier version compares revisions only; a complete list in each
+        // response would be no use to it
+        known_versions.assume_eras_of(own_versions);
+    }
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
         if (own_versions.kinds[i] > known_versions.kinds[i])
@@ -169,6 +188,44 @@
     incoming.respond(std::move(response));
 }
 
+// ---------------------------------------------------------------------------
+// restores of the store
+// ---------------------------------------------------------------------------
+
+void replica_sync::learn_eras(replica_versions const & versions)
+{
+    for (auto const & version : versions.kinds)
+    {
+        this->eras.learn(version.era());
+    }
+    if (auto const era = this->eras.newest(); era != store_era())
+    {
+        this->state.metrics.set_gauge("store_era",
+                                      static_cast<double>(era.value()));
+    }
+}
+
+void replica_sync::on_era_rise()
+{
+    this->state.metrics.increment("store_restores");
+    this->state.metrics.set_gauge(
+        "store_era", static_cast<double>(this->eras.newest().value()));
+    this->session.resynchronize();
+}
+
+/// @brief whether a reply contains positions that never take the place of
+/// those of this node, e.g. of an earlier version, which knows no eras
+bool replica_sync::follows_earlier_history(replica_exchange const & reply) const
+{
+    return std::any_of(reply.kinds.begin(),
+                       reply.kinds.end(),
+                       [this](object_changes const & changes)
+                       {
+                           return changes.version > object_version() &&
+                                  changes.version.era() < this->eras.newest();
+                       });
+}
+
 // ---------------------------------------------------------------------------
 // selection of the replication source
 // ---------------------------------------------------------------------------
@@ -375,6 +432,12 @@
         this->update_source();
         return;
     }
+    if (this->follows_earlier_history(*reply))
+    {
+        this->mark_failed(peer, "source states no or an earlier era");
+        this->update_source();
+        return;
+    }
     this->source_contact_until = loop_now() + contact_validity;
     this->session.stop();
 }
@@ -461,6 +524,7 @@
             this->replica.find_target(entry->node);
         if (entry->node == this->state.settings.node ||
             stored_object == nullptr ||
+            stored_object->version.era() < this->eras.newest() ||
             this->state.peer(entry->peer).unreachable_duration() <
                 unreachable_removal_age)
         {
@@ -480,7 +544,11 @@
             [this](call_result const & result)
             {
                 // a successful removal arrives through the watch
-                if (result.status != call_status::answered)
+                if (result.status == call_status::answered)
+                {
+                    static_cast<void>(this->eras.read(result.response));
+                }
+                else
                 {
                     this->state.log.write("entry_not_removed",
                                           {{"reason", result.detail}});
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -46,12 +46,14 @@
                              upstream & connections,
                              store_adapter const & codec,
                              event_log & events,
+                             store_era_reader & era_reader,
                              fleet_replica & local_replica,
                              std::function<double()> random_source)
     : io(loop)
     , store(connections)
     , adapter(codec)
     , log(events)
+    , eras(era_reader)
     , replica(local_replica)
     , random(std::move(random_source))
     , retry_timer(loop)
@@ -82,6 +84,19 @@
     this->log.write("store_left", {});
 }
 
+void store_session::resynchronize()
+{
+    if (!this->active)
+    {
+        return;
+    }
+    this->cancel_calls();
+    for (std::size_t i = 0; i < object_kind_count; ++i)
+    {
+        this->synchronize(static_cast<object_kind>(i));
+    }
+}
+
 bool store_session::is_active() const
 {
     return this->active;
@@ -128,12 +143,28 @@
         false,
         [this, kind, on_response, call_generation](call_result const & result)
         {
-            if (call_generation == this->generation)
+            if (call_generation != this->generation)
             {
-                // the connection may be reused for another call
-                this->state_of(kind).connection = nullptr;
-                (this->*on_response)(kind, result);
+                return;
             }
+            // the connection may be reused for another call
+            this->state_of(kind).connection = nullptr;
+            if (result.status == call_status::answered)
+            {
+                auto const era = this->eras.read(result.response);
+                if (call_generation != this->generation)
+                {
+                    // the era rose, and all kinds are being listed again
+                    return;
+                }
+                if (!era)
+                {
+                    this->record_failure(kind, "answer of an earlier era");
+                    return;
+                }
+                this->response_era = *era;
+            }
+            (this->*on_response)(kind, result);
         });
     if (!state.connection)
     {
@@ -178,21 +209,54 @@
         return;
     }
     this->record_success();
+    auto const list_version = pages.version;
     this->replica.apply(kind, std::exchange(pages, {}), "store");
+    if (this->state_of(kind).lost_histories > 0 &&
+        list_version < this->version_of(kind))
+    {
+        // the store has not reached the version of the copy, so that a watch
+        // from there has no history; without an era, only waiting is left
+        this->state_of(kind).lost_histories += 1;
+        this->list_later(kind);
+        return;
+    }
     this->watch(kind);
 }
 
+void store_session::list_all(object_kind kind)
+{
+    this->list(kind, "");
+}
+
+void store_session::list_later(object_kind kind)
+{
+    auto const lost_histories = this->state_of(kind).lost_histories;
+    this->run_later(kind,
+                    lost_histories > 1 ? this->retry_delay(lost_histories - 1)
+                                       : watch_coalescing_delay,
+                    &store_session::list_all);
+}
+
+object_version store_session::version_of(object_kind kind) const
+{
+    return this->replica.versions().kinds[static_cast<std::size_t>(kind)];
+}
+
 void store_session::watch(object_kind kind)
 {
-    auto const versions = this->replica.versions();
+    auto const version = this->version_of(kind);
+    if (version.era() < this->eras.newest())
+    {
+        this->state_of(kind).lost_histories += 1;
+        this->list_later(kind);
+        return;
+    }
     auto const hold_time =
         kind == probe_kind ? probe_watch_hold_time : watch_hold_time;
-    this->send(
-        kind,
-        this->adapter.watch_request(
-            kind, versions.kinds[static_cast<std::size_t>(kind)], hold_time),
-        hold_time + watch_response_margin,
-        &store_session::on_watch_response);
+    this->send(kind,
+               this->adapter.watch_request(kind, version, hold_time),
+               hold_time + watch_response_margin,
+               &store_session::on_watch_response);
 }
 
 void store_session::on_watch_response(object_kind kind,
@@ -201,7 +265,9 @@
     if (result.status == call_status::answered &&
         result.response.result() == http::status::gone)
     {
-        this->list(kind, "");
+        this->last_response = loop_now();
+        this->state_of(kind).lost_histories += 1;
+        this->list_later(kind);
         return;
     }
     auto const page = this->read_page(result);
@@ -211,6 +277,7 @@
         return;
     }
     this->record_success();
+    this->state_of(kind).lost_histories = 0;
     if (page->objects.empty())
     {
         // keeps the old version: a store that has dropped history may end a
@@ -219,15 +286,22 @@
         return;
     }
     this->replica.apply(kind, {page->version, false, page->objects}, "store");
+    this->run_later(kind, watch_coalescing_delay, &store_session::watch);
+}
+
+void store_session::run_later(object_kind kind,
+                              duration delay,
+                              void (store_session::*action)(object_kind))
+{
     auto const timer = std::make_shared<asio::steady_timer>(this->io);
-    timer->expires_after(watch_coalescing_delay);
+    timer->expires_after(delay);
     timer->async_wait(
-        [this, timer, kind, call_generation = this->generation](
+        [this, timer, kind, action, call_generation = this->generation](
             boost::system::error_code error)
         {
             if (!error && call_generation == this->generation)
             {
-                this->watch(kind);
+                (this->*action)(kind);
             }
         });
 }
@@ -246,7 +320,8 @@
         return std::nullopt;
     }
     failure reason;
-    auto page = this->adapter.read_page(result.response.body(), reason);
+    auto page = this->adapter.read_page(
+        result.response.body(), this->response_era, reason);
     if (!page)
     {
         this->log.write("store_unreadable", {{"reason", reason.describe()}});
@@ -283,13 +358,9 @@
     }
     this->connected = false;
     this->cancel_calls();
-    auto const delay = std::min(
-        max_retry_delay,
-        initial_retry_delay *
-            (1U << std::min(this->consecutive_failures, max_backoff_exponent)));
+    this->retry_timer.expires_after(
+        this->retry_delay(this->consecutive_failures));
     this->consecutive_failures += 1;
-    this->retry_timer.expires_after(std::chrono::duration_cast<duration>(
-        delay * (0.5 + this->random() / 2)));
     this->retry_timer.async_wait(
         [this,
          call_generation = this->generation](boost::system::error_code error)
@@ -301,6 +372,15 @@
         });
 }
 
+duration store_session::retry_delay(std::uint32_t failures)
+{
+    auto const delay = std::min(
+        max_retry_delay,
+        initial_retry_delay * (1U << std::min(failures, max_backoff_exponent)));
+    return std::chrono::duration_cast<duration>(delay *
+                                                (0.5 + this->random() / 2));
+}
+
 void store_session::cancel_calls()
 {
     this->generation += 1;
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -37,10 +37,12 @@
 store_snapshot_reader::store_snapshot_reader(upstream & connections,
                                              store_adapter const & codec,
                                              event_log & events,
+                                             store_era_reader & era_reader,
                                              fleet_replica & local_replica)
     : store(connections)
     , adapter(codec)
     , log(events)
+    , eras(era_reader)
     , replica(local_replica)
 {
 }
@@ -91,27 +93,24 @@
 void store_snapshot_reader::on_response(object_kind kind,
                                         call_result const & result)
 {
-    failure reason;
-    reason.detail = result.detail;
-    std::optional<store_page> page;
-    if (result.status == call_status::answered)
+    std::string detail;
+    auto page = this->read_page(result, detail);
+    auto & changes = this->pages[static_cast<std::size_t>(kind)];
+    if (page && !changes.objects.empty() &&
+        page->version.era() != changes.version.era())
     {
-        reason.detail = absl::StrCat("status ", result.response.result_int());
-        if (result.response.result() == http::status::ok)
-        {
-            page = this->adapter.read_page(result.response.body(), reason);
-        }
+        detail = "the store's era rose between two pages";
+        page.reset();
     }
     if (!page)
     {
         this->log.write("snapshot_not_read",
-                        {{"kind", to_string(kind)}, {"reason", reason.detail}});
+                        {{"kind", to_string(kind)}, {"reason", detail}});
         // an incomplete list would hide the objects of the missing pages
-        this->pages[static_cast<std::size_t>(kind)] = {};
+        changes = {};
         this->finish(kind);
         return;
     }
-    auto & changes = this->pages[static_cast<std::size_t>(kind)];
     if (changes.objects.empty())
     {
         changes.version = this->freshness_of(kind) == read_freshness::current
@@ -128,6 +127,32 @@
     this->finish(kind);
 }
 
+std::optional<store_page>
+store_snapshot_reader::read_page(call_result const & result,
+                                 std::string & detail)
+{
+    if (result.status != call_status::answered)
+    {
+        detail = result.detail;
+        return std::nullopt;
+    }
+    auto const era = this->eras.read(result.response);
+    if (!era)
+    {
+        detail = "answer of an earlier era";
+        return std::nullopt;
+    }
+    if (result.response.result() != http::status::ok)
+    {
+        detail = absl::StrCat("status ", result.response.result_int());
+        return std::nullopt;
+    }
+    failure reason;
+    auto page = this->adapter.read_page(result.response.body(), *era, reason);
+    detail = reason.detail;
+    return page;
+}
+
 read_freshness store_snapshot_reader::freshness_of(object_kind kind) const
 {
     // a node that addresses an outdated target is told so
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -173,22 +173,54 @@
     auto const list = store_adapter_under_test.read_page(
         R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},
             {"metadata":{"name":"b"}}, 5],"hasMore":true,"storeRevision":9})",
+        store_era(2),
         reason);
     ASSERT_TRUE(list.has_value());
     ASSERT_EQ(list->objects.size(), 1U)
         << "items without a name or revision must be skipped";
     EXPECT_EQ(list->objects[0].content, R"({"x":1})");
     EXPECT_TRUE(list->has_more);
-    EXPECT_EQ(list->version, object_version(9));
+    EXPECT_EQ(list->version, object_version(store_era(2), 9));
+    EXPECT_EQ(list->objects[0].version, object_version(store_era(2), 3));
     auto const watch = store_adapter_under_test.read_page(
         R"({"events":[{"object":{"metadata":{"name":"a","revision":3}},
             "deleted":true},{}],"storeRevision":10})",
+        store_era(2),
         reason);
     ASSERT_TRUE(watch.has_value());
     ASSERT_EQ(watch->objects.size(), 1U);
     EXPECT_TRUE(watch->objects[0].deleted);
-    EXPECT_FALSE(store_adapter_under_test.read_page("{}", reason).has_value());
-    EXPECT_FALSE(store_adapter_under_test.read_page("", reason).has_value());
+    EXPECT_EQ(watch->objects[0].version, object_version(store_era(2), 3));
+    for (auto const * const bad : {"{}", ""})
+    {
+        EXPECT_FALSE(
+            store_adapter_under_test.read_page(bad, store_era(2), reason)
+                .has_value());
+    }
+}
+
+TEST(platform_store, reads_the_era_of_an_answer_of_any_status)
+{
+    for (auto const status : {http::status::ok,
+                              http::status::gone,
+                              http::status::too_many_requests})
+    {
+        detail::response_message answer{status, 11};
+        EXPECT_FALSE(store_adapter_under_test.read_era(answer).has_value());
+        answer.set("Store-Era", "12");
+        EXPECT_EQ(store_adapter_under_test.read_era(answer), store_era(12));
+    }
+}
+
+TEST(platform_store, era_that_cannot_be_read_counts_as_not_stated)
+{
+    detail::response_message answer{http::status::ok, 11};
+    for (auto const * const bad : {"", "0", "-1", "e3", "1.5"})
+    {
+        answer.set("Store-Era", bad);
+        EXPECT_FALSE(store_adapter_under_test.read_era(answer).has_value())
+            << bad;
+    }
 }
 
 TEST(platform_store, reads_a_configuration)
@@ -258,10 +290,10 @@
         store_adapter_under_test.replace_request(entry, object_version(4));
     EXPECT_EQ(request.method(), http::verb::put);
     failure reason;
-    auto const object =
-        store_adapter_under_test.read_object(request.body(), reason);
+    auto const object = store_adapter_under_test.read_object(
+        request.body(), store_era(2), reason);
     ASSERT_TRUE(object.has_value()) << reason.describe();
-    EXPECT_EQ(object->version, object_version(4));
+    EXPECT_EQ(object->version, object_version(store_era(2), 4));
     auto const restored = store_adapter_under_test.read_target(*object, reason);
     ASSERT_TRUE(restored.has_value()) << reason.describe();
     EXPECT_EQ(*restored, entry);
--- a/tests/src/unit-replica-exchange.cpp
+++ b/tests/src/unit-replica-exchange.cpp
@@ -51,6 +51,23 @@
     EXPECT_EQ(read.configuration_version, 0U);
 }
 
+// a complete list in each response to an earlier version would be sent on and
+// on, because it has no eras to state
+TEST(replica_exchange_eras, revisions_of_an_earlier_version_count_in_own_era)
+{
+    request_message const request{
+        http::verb::get, "/endivehinge/replica/4,0,6", 11};
+    EXPECT_FALSE(replica_exchange::states_eras(request));
+    EXPECT_TRUE(replica_exchange::states_eras(
+        replica_exchange::write_request(replica_versions())));
+    auto known = replica_exchange::read_request(request);
+    known.assume_eras_of(versions_with_eras());
+    EXPECT_EQ(known.kinds,
+              (std::array<object_version, 3>{object_version(store_era(2), 4),
+                                             object_version(),
+                                             object_version(store_era(3), 6)}));
+}
+
 TEST(replica_exchange_eras, invalid_numbers_of_a_request_count_as_unknown)
 {
     auto const read = replica_exchange::read_request(request_message{
