--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -13,6 +13,7 @@
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_view.hpp>
 #include <endivehinge/detail/gateway/replica_versions.hpp>
+#include <endivehinge/detail/gateway/restored_copy.hpp>
 #include <endivehinge/detail/gateway/store_adapter.hpp>
 
 namespace endivehinge::detail
@@ -35,6 +36,8 @@
         std::function<void(std::optional<target_entry>, object_version)> entry;
         // the versions of all copies, after each change
         std::function<void(replica_versions const &)> versions;
+        // a list of a newer era replaced a copy
+        std::function<void(restored_copy const &)> restored;
         // next_settle_time() has changed
         std::function<void()> settling;
     };
@@ -83,11 +86,19 @@
     [[nodiscard]] object_copy & copy_of(object_kind kind);
     [[nodiscard]] object_copy const & copy_of(object_kind kind) const;
     [[nodiscard]] restored_list_merge & merge_of(object_kind kind);
+    /// @brief applies changes to the copy and reports its position
+    [[nodiscard]] object_changes apply_to_copy(object_kind kind,
+                                               object_changes const & changes,
+                                               std::string const & source);
     /// @brief applies changes to the copy
     /// @return those that affect the view
     [[nodiscard]] object_changes update_copy(object_kind kind,
                                              object_changes const & changes,
                                              std::string const & source);
+    void report_restore(object_kind kind,
+                        object_version old_version,
+                        object_changes const & updates,
+                        std::string const & source) const;
     void record_changes(object_kind kind, object_changes const & updates);
     void merge_restored_list(object_kind kind,
                              std::vector<restored_object> objects,
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -81,7 +81,6 @@
     {
         this->callbacks.entry(std::nullopt, this->copy_of(kind).version());
     }
-    this->callbacks.versions(this->versions());
 }
 
 void fleet_replica::settle(time_point now)
@@ -208,6 +207,18 @@
 // lists of a restored store
 // ---------------------------------------------------------------------------
 
+object_changes fleet_replica::apply_to_copy(object_kind kind,
+                                            object_changes const & changes,
+                                            std::string const & source)
+{
+    auto & copy = this->copy_of(kind);
+    auto const old_version = copy.version();
+    auto updates = copy.apply(changes);
+    this->callbacks.versions(this->versions());
+    this->report_restore(kind, old_version, updates, source);
+    return updates;
+}
+
 object_changes fleet_replica::update_copy(object_kind kind,
                                           object_changes const & changes,
                                           std::string const & source)
@@ -221,7 +232,7 @@
     {
         compared = this->compare_with_copy(kind, changes);
     }
-    auto updates = copy.apply(changes);
+    auto updates = this->apply_to_copy(kind, changes, source);
     if (is_restored)
     {
         this->merge_restored_list(kind, std::move(compared), updates, source);
@@ -241,6 +252,32 @@
     return updates;
 }
 
+void fleet_replica::report_restore(object_kind kind,
+                                   object_version old_version,
+                                   object_changes const & updates,
+                                   std::string const & source) const
+{
+    if (old_version.era() == store_era() ||
+        updates.version.era() <= old_version.era())
+    {
+        return;
+    }
+    restored_copy report;
+    report.kind = kind;
+    report.old_version = old_version;
+    report.new_version = updates.version;
+    report.source = source;
+    for (auto const & object : updates.objects)
+    {
+        report.missing_objects += object.deleted ? 1U : 0U;
+        report.own_entry_missing =
+            report.own_entry_missing ||
+            (object.deleted && kind == object_kind::targets &&
+             object.name == this->node.value());
+    }
+    this->callbacks.restored(report);
+}
+
 void fleet_replica::record_changes(object_kind kind,
                                    object_changes const & updates)
 {
@@ -361,8 +398,8 @@
                                         std::string const & source)
 {
     auto newest = this->newest_configuration();
-    auto & copy = this->copy_of(object_kind::configuration);
-    static_cast<void>(copy.apply(changes));
+    static_cast<void>(
+        this->apply_to_copy(object_kind::configuration, changes, source));
     // also at an earlier position: the operators' version decides
     for (auto const & object : changes.objects)
     {
@@ -376,11 +413,13 @@
         }
     }
     this->retained_configuration.reset();
-    auto const * const stored = copy.find(this->configuration_name);
+    auto const * const stored = this->copy_of(object_kind::configuration)
+                                    .find(this->configuration_name);
     if (newest && (stored == nullptr || stored->content != newest->content))
     {
         this->retained_configuration = std::move(newest);
     }
+    this->callbacks.versions(this->versions());
 }
 
 std::optional<replicated_object> fleet_replica::newest_configuration() const
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -57,12 +57,15 @@
     : state(shared)
     , adapter(codec)
     , store(shared.io, shared.settings.store, upstream_options{})
+    , eras(codec, shared.log)
+    , restores(shared.log)
     , replica(shared.fleet, codec, shared.log, shared.settings.node)
-    , snapshot(this->store, codec, shared.log, this->replica)
+    , snapshot(this->store, codec, shared.log, this->eras, this->replica)
     , session(shared.io,
               this->store,
               codec,
               shared.log,
+              this->eras,
               this->replica,
               [&shared]
               {
@@ -72,6 +75,7 @@
                 this->store,
                 codec,
                 shared.log,
+                this->eras,
                 shared.settings.node,
                 [&shared]
                 {
@@ -101,11 +105,21 @@
     callbacks.versions = [this](replica_versions const & versions)
     {
         this->state.own_sender.versions = versions;
+        this->learn_eras(versions);
+    };
+    callbacks.restored = [this](restored_copy const & copy)
+    {
+        this->restores.record(copy, this->replica.versions());
     };
     callbacks.settling = [this]
     {
         this->arm_settle_timer();
     };
+    this->eras.on_rise(
+        [this]
+        {
+            this->on_era_rise();
+        });
     this->replica.on_change(std::move(callbacks));
     this->state.on_peer_versions =
         [this](endpoint const & peer, replica_versions const & versions)
@@ -154,12 +168,18 @@
 
 void replica_sync::serve(exchange & incoming)
 {
-    auto const known_versions =
-        replica_exchange::read_request(incoming.request);
+    auto known_versions = replica_exchange::read_request(incoming.request);
     replica_exchange reply;
     reply.age = this->contact_age();
     reply.in_contact = this->has_store_contact();
     auto const own_versions = this->replica.versions();
+    bool const states_eras = replica_exchange::states_eras(incoming.request);
+    if (!states_eras)
+    {
+        // an earlier version compares revisions only; a complete list in each
+        // response would be no use to it
+        known_versions.assume_eras_of(own_versions);
+    }
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
         if (own_versions.kinds[i] > known_versions.kinds[i])
@@ -168,7 +188,9 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
-    if (this->needs_configuration(known_versions))
+    // the message of an earlier build does not say which configuration it has
+    if (states_eras && known_versions.configuration_version <
+                           own_versions.configuration_version)
     {
         reply.kinds[static_cast<std::size_t>(object_kind::configuration)] =
             this->replica.changes_since(object_kind::configuration,
@@ -189,6 +211,44 @@
     incoming.respond(std::move(response));
 }
 
+// ---------------------------------------------------------------------------
+// restores of the store
+// ---------------------------------------------------------------------------
+
+void replica_sync::learn_eras(replica_versions const & versions)
+{
+    for (auto const & version : versions.kinds)
+    {
+        this->eras.learn(version.era());
+    }
+    if (auto const era = this->eras.newest(); era != store_era())
+    {
+        this->state.metrics.set_gauge("store_era",
+                                      static_cast<double>(era.value()));
+    }
+}
+
+void replica_sync::on_era_rise()
+{
+    this->state.metrics.increment("store_restores");
+    this->state.metrics.set_gauge(
+        "store_era", static_cast<double>(this->eras.newest().value()));
+    this->session.resynchronize();
+}
+
+/// @brief whether a reply contains positions that never take the place of
+/// those of this node, e.g. of an earlier version, which knows no eras
+bool replica_sync::follows_earlier_history(replica_exchange const & reply) const
+{
+    return std::any_of(reply.kinds.begin(),
+                       reply.kinds.end(),
+                       [this](object_changes const & changes)
+                       {
+                           return changes.version > object_version() &&
+                                  changes.version.era() < this->eras.newest();
+                       });
+}
+
 // ---------------------------------------------------------------------------
 // selection of the replication source
 // ---------------------------------------------------------------------------
@@ -398,6 +458,12 @@
         this->update_source();
         return;
     }
+    if (this->follows_earlier_history(*reply))
+    {
+        this->mark_failed(peer, "source states no or an earlier era");
+        this->update_source();
+        return;
+    }
     this->source_contact_until = loop_now() + contact_validity;
     this->session.stop();
 }
@@ -485,6 +551,7 @@
             this->replica.find_target(entry->node);
         if (entry->node == this->state.settings.node ||
             stored_object == nullptr ||
+            stored_object->version.era() < this->eras.newest() ||
             this->state.peer(entry->peer).unreachable_duration() <
                 unreachable_removal_age)
         {
@@ -505,7 +572,8 @@
     for (auto const * const object : this->replica.departures_to_remove(
              this->state.settings.domain, loop_now()))
     {
-        if (removals == max_removals_per_round)
+        if (removals == max_removals_per_round ||
+            object->version.era() < this->eras.newest())
         {
             return;
         }
@@ -563,18 +631,6 @@
     return true;
 }
 
-bool replica_sync::needs_configuration(replica_versions const & requester) const
-{
-    auto const & position =
-        requester.kinds[static_cast<std::size_t>(object_kind::configuration)];
-    // an earlier build states neither era nor configuration
-    bool const states_configuration =
-        requester.configuration_version != 0 || position.era() != store_era();
-    return states_configuration &&
-           requester.configuration_version <
-               this->replica.versions().configuration_version;
-}
-
 void replica_sync::arm_settle_timer()
 {
     auto const time = this->replica.next_settle_time();
