Join the return of the store from an older copy

Change: positions with an era, one resynchronization on a rise, entries written again, and what the nodes keep in use meanwhile (restored_list_merge).

--- a/src/coordination/object_copy.cpp
+++ b/src/coordination/object_copy.cpp
@@ -19,6 +19,13 @@
     {
         return applied;
     }
+    if (!changes.complete &&
+        changes.version.era() != this->current_version.era())
+    {
+        // the changes build on a base that this copy does not have; a complete
+        // list follows
+        return applied;
+    }
     if (changes.complete)
     {
         this->replace(changes, applied);
@@ -37,8 +44,9 @@
 {
     object_changes changes;
     changes.version = this->current_version;
-    changes.complete =
-        older == object_version() || older < this->tombstones_since;
+    changes.complete = older == object_version() ||
+                       older.era() != this->current_version.era() ||
+                       older < this->tombstones_since;
     for (auto const & [name, object] : this->objects)
     {
         if (changes.complete || object.version > older)
@@ -95,12 +103,15 @@
         {
             // the exact version of the deletion is unknown, but it is not later
             // than that of the changes
-            applied.objects.push_back({name, changes.version, "", true});
+            applied.objects.push_back(
+                {name, changes.version, object.content, true});
             this->tombstones[name] = changes.version;
         }
     }
-    if (this->current_version == object_version())
+    if (this->current_version.era() != changes.version.era() ||
+        this->current_version == object_version())
     {
+        // the deletions before the list, in its era, are not known
         this->tombstones_since = changes.version;
     }
     this->objects = std::move(replacement);
@@ -123,6 +134,8 @@
         applied.objects.push_back(object);
         if (object.deleted)
         {
+            applied.objects.back().content =
+                exists ? existing->second.content : "";
             this->objects.erase(object.name);
             this->tombstones[object.name] = changes.version;
         }
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -44,6 +44,12 @@
 // before a pull from another failure domain, so that a node of the local domain
 // can supply the changes first; traffic between domains is charged
 constexpr duration remote_domain_pull_delay = std::chrono::milliseconds(150);
+// between pulls for a newer configuration alone, which a node that cannot read
+// it would repeat with each message
+constexpr duration configuration_pull_interval = std::chrono::milliseconds(200);
+// entries removed in one round, so that a restore does not exceed the
+// platform's rate of writes
+constexpr std::size_t max_removals_per_round = 8;
 
 } // namespace
 
@@ -51,12 +57,15 @@
     : state(shared)
     , adapter(codec)
     , store(shared.io, shared.settings.store, upstream_options{})
+    , eras(codec, shared.log)
+    , restores(shared.log)
     , replica(shared.fleet, codec, shared.log, shared.settings.node)
-    , snapshot(this->store, codec, shared.log, this->replica)
+    , snapshot(this->store, codec, shared.log, this->eras, this->replica)
     , session(shared.io,
               this->store,
               codec,
               shared.log,
+              this->eras,
               this->replica,
               [&shared]
               {
@@ -66,6 +75,7 @@
                 this->store,
                 codec,
                 shared.log,
+                this->eras,
                 shared.settings.node,
                 [&shared]
                 {
@@ -74,6 +84,7 @@
     , seed_timer(shared.io)
     , source_timer(shared.io)
     , remote_pull_timer(shared.io)
+    , settle_timer(shared.io)
 {
 }
 
@@ -94,7 +105,21 @@
     callbacks.versions = [this](replica_versions const & versions)
     {
         this->state.own_sender.versions = versions;
+        this->learn_eras(versions);
     };
+    callbacks.restored = [this](restored_copy const & copy)
+    {
+        this->restores.record(copy, this->replica.versions());
+    };
+    callbacks.settling = [this]
+    {
+        this->arm_settle_timer();
+    };
+    this->eras.on_rise(
+        [this]
+        {
+            this->on_era_rise();
+        });
     this->replica.on_change(std::move(callbacks));
     this->state.on_peer_versions =
         [this](endpoint const & peer, replica_versions const & versions)
@@ -143,12 +168,18 @@
 
 void replica_sync::serve(exchange & incoming)
 {
-    auto const known_versions =
-        replica_exchange::read_request(incoming.request);
+    auto known_versions = replica_exchange::read_request(incoming.request);
     replica_exchange reply;
     reply.age = this->contact_age();
     reply.in_contact = this->has_store_contact();
     auto const own_versions = this->replica.versions();
+    bool const states_eras = replica_exchange::states_eras(incoming.request);
+    if (!states_eras)
+    {
+        // an earlier version compares revisions only; a complete list in each
+        // response would be no use to it
+        known_versions.assume_eras_of(own_versions);
+    }
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
         if (own_versions.kinds[i] > known_versions.kinds[i])
@@ -157,6 +188,17 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
+    // the message of an earlier build does not say which configuration it has
+    if (states_eras && known_versions.configuration_version <
+                           own_versions.configuration_version)
+    {
+        reply.kinds[static_cast<std::size_t>(object_kind::configuration)] =
+            this->replica.changes_since(object_kind::configuration,
+                                        object_version());
+    }
+    this->newest_requester_configuration =
+        std::max(this->newest_requester_configuration,
+                 known_versions.configuration_version);
     if (!this->is_first_start() &&
         !this->budget.try_spend(reply.content_size(), loop_now()))
     {
@@ -169,6 +211,44 @@
     incoming.respond(std::move(response));
 }
 
+// ---------------------------------------------------------------------------
+// restores of the store
+// ---------------------------------------------------------------------------
+
+void replica_sync::learn_eras(replica_versions const & versions)
+{
+    for (auto const & version : versions.kinds)
+    {
+        this->eras.learn(version.era());
+    }
+    if (auto const era = this->eras.newest(); era != store_era())
+    {
+        this->state.metrics.set_gauge("store_era",
+                                      static_cast<double>(era.value()));
+    }
+}
+
+void replica_sync::on_era_rise()
+{
+    this->state.metrics.increment("store_restores");
+    this->state.metrics.set_gauge(
+        "store_era", static_cast<double>(this->eras.newest().value()));
+    this->session.resynchronize();
+}
+
+/// @brief whether a reply contains positions that never take the place of
+/// those of this node, e.g. of an earlier version, which knows no eras
+bool replica_sync::follows_earlier_history(replica_exchange const & reply) const
+{
+    return std::any_of(reply.kinds.begin(),
+                       reply.kinds.end(),
+                       [this](object_changes const & changes)
+                       {
+                           return changes.version > object_version() &&
+                                  changes.version.era() < this->eras.newest();
+                       });
+}
+
 // ---------------------------------------------------------------------------
 // selection of the replication source
 // ---------------------------------------------------------------------------
@@ -233,8 +313,11 @@
         if (this->session.is_connected())
         {
             this->remove_unreachable_entry();
+            this->remove_restored_departures();
         }
-        else if (!this->pulling)
+        if ((!this->session.is_connected() ||
+             this->needs_configuration_check()) &&
+            !this->pulling)
         {
             this->pull_from_random_node();
         }
@@ -375,6 +458,12 @@
         this->update_source();
         return;
     }
+    if (this->follows_earlier_history(*reply))
+    {
+        this->mark_failed(peer, "source states no or an earlier era");
+        this->update_source();
+        return;
+    }
     this->source_contact_until = loop_now() + contact_validity;
     this->session.stop();
 }
@@ -399,7 +488,9 @@
                                          this->last_pull_response - reply->age);
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
-        if (reply->kinds[i].version > object_version())
+        // a configuration counts at any position
+        if (reply->kinds[i].version > object_version() ||
+            !reply->kinds[i].objects.empty())
         {
             this->replica.apply(
                 static_cast<object_kind>(i), reply->kinds[i], peer.to_string());
@@ -411,8 +502,7 @@
 void replica_sync::receive_peer_versions(endpoint const & peer,
                                          replica_versions const & versions)
 {
-    if (this->pulling ||
-        !versions.is_newer_than(this->state.own_sender.versions))
+    if (this->pulling || !this->may_pull_for(versions))
     {
         return;
     }
@@ -461,6 +551,7 @@
             this->replica.find_target(entry->node);
         if (entry->node == this->state.settings.node ||
             stored_object == nullptr ||
+            stored_object->version.era() < this->eras.newest() ||
             this->state.peer(entry->peer).unreachable_duration() <
                 unreachable_removal_age)
         {
@@ -470,24 +561,94 @@
                               {{"node", entry->node.value()},
                                {"target", entry->id.value()},
                                {"peer", entry->peer.to_string()}});
-        call_options options;
-        options.deadline = loop_now() + pull_timeout;
-        // a node that is still alive writes its entry again
-        static_cast<void>(this->store.send(
-            this->adapter.remove_request(entry->node, stored_object->version),
-            options,
-            false,
-            [this](call_result const & result)
+        this->remove_entry(entry->node, stored_object->version);
+        return;
+    }
+}
+
+void replica_sync::remove_restored_departures()
+{
+    std::size_t removals = 0;
+    for (auto const * const object : this->replica.departures_to_remove(
+             this->state.settings.domain, loop_now()))
+    {
+        if (removals == max_removals_per_round ||
+            object->version.era() < this->eras.newest())
+        {
+            return;
+        }
+        removals += 1;
+        this->state.log.write(
+            "restored_entry_removed",
+            {{"node", object->name},
+             {"version", absl::StrCat(object->version.value())}});
+        this->remove_entry(node_name(object->name), object->version);
+    }
+}
+
+void replica_sync::remove_entry(node_name const & node, object_version expected)
+{
+    call_options options;
+    options.deadline = loop_now() + pull_timeout;
+    // a node that is still alive writes its entry again
+    static_cast<void>(this->store.send(
+        this->adapter.remove_request(node, expected),
+        options,
+        false,
+        [this](call_result const & result)
+        {
+            // a successful removal arrives through the watch
+            if (result.status != call_status::answered)
             {
-                // a successful removal arrives through the watch
-                if (result.status != call_status::answered)
-                {
-                    this->state.log.write("entry_not_removed",
-                                          {{"reason", result.detail}});
-                }
-            }));
+                this->state.log.write("entry_not_removed",
+                                      {{"reason", result.detail}});
+            }
+        }));
+}
+
+bool replica_sync::needs_configuration_check() const
+{
+    return this->last_pull_response == this->started_at ||
+           this->newest_requester_configuration >
+               this->replica.versions().configuration_version;
+}
+
+bool replica_sync::may_pull_for(replica_versions const & versions)
+{
+    auto const & own = this->state.own_sender.versions;
+    auto positions = versions;
+    positions.configuration_version = 0;
+    if (positions.is_newer_than(own))
+    {
+        return true;
+    }
+    auto const now = loop_now();
+    if (!versions.is_newer_than(own) || now < this->next_configuration_pull)
+    {
+        return false;
+    }
+    this->next_configuration_pull = now + configuration_pull_interval;
+    return true;
+}
+
+void replica_sync::arm_settle_timer()
+{
+    auto const time = this->replica.next_settle_time();
+    if (!time)
+    {
+        this->settle_timer.cancel();
         return;
     }
+    this->settle_timer.expires_at(std::chrono::steady_clock::time_point(*time));
+    this->settle_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->replica.settle(loop_now());
+                this->arm_settle_timer();
+            }
+        });
 }
 
 bool replica_sync::has_store_contact() const
