Let the store of the fault soak return from older copies

Nothing in the soak took back what the store had acknowledged, so a fleet whose entries or configuration were lost with it was not tested on processes.

No check is weakened and no bound changed; with restores an entry must also name the current run of its target. make soak takes RESTORES=1.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 FAULTS ?= all
 HISTORY ?= $(BUILD)/history.jsonl
 SOAKS ?= 50
+RESTORES ?= 0
 SOURCES = $(shell git ls-files '*.hpp' '*.cpp')
 
 .PHONY: all dependencies build test known-red format format-check lint \
@@ -54,7 +55,7 @@
 
 # the fault soak with seeds SEED to SEED + SOAKS - 1
 soak: build
-	@bash tools/soak $(BUILD) $(SEED) $(SOAKS) $(DURATION_S)
+	@bash tools/soak $(BUILD) $(SEED) $(SOAKS) $(DURATION_S) $(RESTORES)
 
 demo: dependencies build
 	$(BUILD)/bin/demo --deployment $(DEPLOYMENT) --seed $(SEED) \
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,6 +9,7 @@
 #include "soak_checker.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
+#include "soak_restores.hpp"
 #include "soak_target.hpp"
 
 namespace endivehinge::tests
@@ -22,6 +23,7 @@
 
 constexpr milliseconds request_interval(8);
 constexpr milliseconds fault_interval(350);
+constexpr milliseconds restore_interval(2000);
 constexpr milliseconds probe_limit(2000);
 constexpr milliseconds probe_interval(50);
 // for a start; far above what it takes
@@ -129,6 +131,7 @@
     soak_plan plan;
     plan.seed = static_cast<std::uint64_t>(options.number("seed", 1));
     plan.members = static_cast<std::size_t>(options.number("members", 4));
+    plan.restores = options.number("restores", 0) != 0;
     plan.endivehinge = options.text("endivehinge", "");
     plan.soak = program;
     plan.folder = options.text("folder", "soak-" + std::to_string(plan.seed));
@@ -137,6 +140,7 @@
     soak_fleet fleet(plan);
     soak_clients clients(fleet, plan.seed);
     soak_faults faults(fleet, plan.seed + 1);
+    soak_restores restores(fleet, plan.seed + 2);
     if (!serves(fleet, clients, start_patience))
     {
         return 1;
@@ -144,6 +148,10 @@
     auto const calm = clients.requests.size();
     clients.start(request_interval);
     faults.start(fault_interval);
+    if (plan.restores)
+    {
+        restores.start(restore_interval);
+    }
     auto const end = fleet.now() + seconds(options.number("seconds", 10));
     fleet.run_until(start_patience + seconds(options.number("seconds", 10)),
                     [&fleet, end]
@@ -151,6 +159,7 @@
                         return fleet.now() >= end;
                     });
     faults.stop();
+    restores.stop();
     bool const recovered =
         recover(fleet, clients, options.number("timed", 0) != 0);
     clients.stop();
@@ -172,6 +181,7 @@
     }
     std::cout << "soak seed=" << plan.seed << " members=" << plan.members
               << " faults=" << faults.count()
+              << " restores=" << restores.count()
               << " requests=" << clients.requests.size() - calm << " "
               << checker.summary() << "\n";
     return recovered && done && stopped && checker.violations().empty() ? 0 : 1;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -270,9 +270,9 @@
         break;
     }
     this->fleet.after(span,
-                      [&store]
+                      [this, &store]
                       {
-                          store.unresponsive = false;
+                          store.unresponsive = this->fleet.store_is_away;
                           store.status = 0;
                           store.deliver_withheld_events();
                       });
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds own_pause_check(50);
 constexpr char const * service = "web";
 constexpr char const * entries = "targets";
+constexpr char const * evacuations = "evacuations";
 
 // a loopback network for this process, so that runs do not meet
 std::string host_of(std::size_t index)
@@ -43,6 +44,11 @@
            std::to_string(index + 1);
 }
 
+std::string domain_of(std::size_t index)
+{
+    return "zone-" + std::to_string(index % domains);
+}
+
 } // namespace
 
 soak_fleet::soak_fleet(soak_plan chosen)
@@ -119,6 +125,51 @@
 void soak_fleet::configure()
 {
     this->version += 1;
+    if (!this->store_is_away)
+    {
+        this->write_configuration();
+    }
+}
+
+void soak_fleet::evacuate(std::string const & domain)
+{
+    this->evacuated = domain;
+    std::cout << "evacuated at_ms=" << this->now() / milliseconds(1) << " ["
+              << domain << "]\n";
+    if (!this->store_is_away)
+    {
+        this->write_evacuations();
+    }
+}
+
+void soak_fleet::write_again()
+{
+    if (!this->store_is_away)
+    {
+        this->write_configuration();
+        this->write_evacuations();
+    }
+}
+
+void soak_fleet::write_evacuations()
+{
+    for (std::size_t i = 0; i < domains; ++i)
+    {
+        auto const name = domain_of(i);
+        bool const is_stored = !this->store.spec(evacuations, name).is_null();
+        if (name == this->evacuated && !is_stored)
+        {
+            this->store.put(evacuations, name, json::object());
+        }
+        else if (name != this->evacuated && is_stored)
+        {
+            this->store.erase(evacuations, name);
+        }
+    }
+}
+
+void soak_fleet::write_configuration()
+{
     auto const route = [](char const * prefix, char const * type)
     {
         return json{{"hostname", "h.example"},
@@ -172,7 +223,7 @@
         return "\"" + endpoint{member.host, port}.to_string() + "\"\n";
     };
     file << "nodeName = \"node-" << index << "\"\n"
-         << "zone = \"zone-" << index % domains << "\"\n"
+         << "zone = \"" << domain_of(index) << "\"\n"
          << "service = \"" << service << "\"\n"
          << "appAddr = \"" << member.target_link->address().to_string()
          << "\"\nbounds = [\"graceS=3\"]\nseeds = [";
@@ -207,27 +258,33 @@
     member.target_runs += 1;
     auto const name = std::to_string(index);
     member.target = std::make_unique<soak_process>(
-        std::vector<std::string>{
-            this->plan.soak,
-            "--target",
-            "i-" + name + "-" + std::to_string(member.target_runs),
-            "--service",
-            service,
-            "--domain",
-            "zone-" + std::to_string(index % domains),
-            "--listener",
-            endpoint{member.host, target_port}.to_string(),
-            "--announced",
-            member.target_link->address().to_string(),
-            "--reports",
-            endpoint{member.host, report_port}.to_string(),
-            "--events",
-            this->plan.folder + "/target-" + name + ".events",
-            "--seed",
-            std::to_string(this->plan.seed + index)},
+        std::vector<std::string>{this->plan.soak,
+                                 "--target",
+                                 this->target_id(index),
+                                 "--service",
+                                 service,
+                                 "--domain",
+                                 domain_of(index),
+                                 "--listener",
+                                 endpoint{member.host, target_port}.to_string(),
+                                 "--announced",
+                                 member.target_link->address().to_string(),
+                                 "--reports",
+                                 endpoint{member.host, report_port}.to_string(),
+                                 "--events",
+                                 this->plan.folder + "/target-" + name +
+                                     ".events",
+                                 "--seed",
+                                 std::to_string(this->plan.seed + index)},
         this->plan.folder + "/target-" + name + ".log");
 }
 
+std::string soak_fleet::target_id(std::size_t index) const
+{
+    return "i-" + std::to_string(index) + "-" +
+           std::to_string(this->members[index]->target_runs);
+}
+
 void soak_fleet::calm()
 {
     this->store.unresponsive = false;
@@ -244,6 +301,15 @@
         }
         member.node->signal(SIGCONT);
         member.target->signal(SIGCONT);
+    }
+    this->start_ended_processes();
+}
+
+void soak_fleet::start_ended_processes()
+{
+    for (std::size_t i = 0; i < this->members.size(); ++i)
+    {
+        auto & member = *this->members[i];
         if (!member.node->runs())
         {
             this->start_node(i);
@@ -261,7 +327,9 @@
     for (std::size_t i = 0; i < this->members.size(); ++i)
     {
         auto const name = "node-" + std::to_string(i);
-        if (this->store.spec(entries, name).is_null())
+        auto const entry = this->store.spec(entries, name);
+        if (entry.is_null() ||
+            (this->plan.restores && entry.at("target") != this->target_id(i)))
         {
             missing.push_back(name);
         }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -49,6 +49,8 @@
     std::uint64_t seed = 1;
     // the folder of this run's files
     std::string folder;
+    // whether the store returns from older copies
+    bool restores = false;
     // the programs
     std::string endivehinge;
     std::string soak;
@@ -75,9 +77,21 @@
     /// @brief writes the next configuration as an operator does
     void configure();
 
+    /// @brief evacuates a domain as an operator does, and no other one; none
+    /// if empty
+    void evacuate(std::string const & domain);
+
+    /// @brief writes the newest configuration and evacuations again, as an
+    /// operator does after the store's return from a copy; nothing if it has
+    /// gone away again
+    void write_again();
+
     void start_node(std::size_t index);
     void start_target(std::size_t index);
 
+    /// @brief starts each node and target that does not run
+    void start_ended_processes();
+
     /// @brief ends every fault and starts what does not run
     void calm();
 
@@ -88,7 +102,8 @@
     /// @brief a time of the monotonic clock, in milliseconds, since the start
     [[nodiscard]] duration since_start(std::int64_t monotonic_ms) const;
 
-    /// @brief the nodes without an entry in the store
+    /// @brief the nodes without an entry in the store; after restores also
+    /// those whose entry names an earlier target
     [[nodiscard]] std::vector<std::string> missing_entries() const;
 
     /// @brief whether a span touches one of others
@@ -99,16 +114,24 @@
     soak_plan plan;
     boost::asio::io_context io{1};
     store_stand_in store;
+    // no other fault ends the absence of the store
+    bool store_is_away = false;
     std::vector<std::unique_ptr<soak_member>> members;
 
 private:
     // notes where this process itself stood still: it read responses late then
     void watch_own_pauses(duration last);
+    void write_configuration();
+    void write_evacuations();
+    // of the newest run of a member's target
+    [[nodiscard]] std::string target_id(std::size_t index) const;
     void add_member(std::size_t index);
     void write_settings(soak_member const & member, std::size_t index) const;
 
     time_point began;
     int version = 0;
+    // the domain that the operator has evacuated; empty for none
+    std::string evacuated;
     // nodes are not started any more
     bool closing = false;
 };
