Check that all entries come back after a restore, each written once

Cause: no test lost more than one entry, so that neither the spread of the writes nor their number was checked for a fleet.

Change: a test with 12 nodes whose entries are all missing from the restored copy.

--- a/tests/src/system-gateway-store-restore.cpp
+++ b/tests/src/system-gateway-store-restore.cpp
@@ -120,6 +120,38 @@
     EXPECT_EQ(fleet.store.current_revision(), revision + 1);
 }
 
+TEST(gateway_store_restore, all_entries_come_back_each_written_once)
+{
+    constexpr std::size_t member_count = 12;
+    gateway_fleet fleet;
+    fleet.configure(1, "web");
+    auto const revision = fleet.store.current_revision();
+    fleet.start_members(member_count, "web");
+    fleet.run_for(seconds(2));
+    fleet.store.restore(revision);
+    auto const restored_at = detail::loop_now();
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return std::all_of(
+                fleet.members.begin(),
+                fleet.members.end(),
+                [&fleet](auto const & member)
+                {
+                    return has_entry(fleet,
+                                     member->node->state.settings.node.value());
+                });
+        }));
+    auto const elapsed = detail::loop_now() - restored_at;
+    RecordProperty(
+        "entries_back_ms",
+        static_cast<int>(
+            std::chrono::duration_cast<milliseconds>(elapsed).count()));
+    EXPECT_LT(elapsed, entry_return_limit);
+    fleet.run_for(seconds(2));
+    EXPECT_EQ(fleet.store.current_revision(), revision + member_count);
+}
+
 TEST(gateway_store_restore, entry_that_went_back_to_ready_is_written_again)
 {
     gateway_fleet fleet;
