Keep a draining target draining after a return of the store

Cause, from the review of the joined code: a target that nodes knew as draining and that the copy has as ready was taken as ready 2 s after the restored list, although its drain was acknowledged. A deletion that arrived for a name that the copy lacks replaced what was remembered of a departed target, which then returned after 2 s. An unreadable configuration displaced the readable one for nodes that start. Beside nodes of an older build, replies that are ignored for their era kept a new node from following the store; and a node that follows the store asked another one each round until it got a response.

Change: the same incarnation does not go back without a new write; a repeated deletion changes nothing that is remembered; an unreadable configuration is not retained; ignored replies do not count as contact; one pull at the start.

draining_target_that_the_copy_has_as_ready_is_held expected the return after 2 s, against the requirement that such a target gets nothing more; it now expects the drain to hold until the next write.

--- a/include/endivehinge/coordination/restored_list_merge.hpp
+++ b/include/endivehinge/coordination/restored_list_merge.hpp
@@ -33,6 +33,11 @@
     /// @param last the deleted object; its version is that of the deletion
     void record_deletion(std::string const & name, object_digest const & last);
 
+    /// @brief a deletion of an object that the copy of the store lacks; ends
+    /// its
+    ///        hold, and a remembered deletion stays
+    void record_repeated_deletion(std::string const & name);
+
     /// @brief a change of an object that the store reported after the restored
     ///        list; ends its hold
     void record_change(std::string const & name);
--- a/include/endivehinge/coordination/restored_list_options.hpp
+++ b/include/endivehinge/coordination/restored_list_options.hpp
@@ -15,8 +15,9 @@
     duration presence_settle_time{0};
     // for an object that was deleted and that the restored list has again
     duration absence_settle_time{0};
-    // a deleted subject never returns without a new write
-    bool deletions_are_final = false;
+    // a subject never returns to an earlier state, or from its deletion,
+    // without a new write
+    bool states_are_final = false;
     // deletions to remember; bounds memory
     std::size_t max_deletions = 512;
 };
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -120,6 +120,8 @@
     bool pulling = false;
     bool selecting_source = false;
     time_point started_at;
+    // whether any node was asked for its copies
+    bool has_pulled = false;
     // last response of any node to a pull
     time_point last_pull_response;
     // last response of the store to this node or to its replication source
--- a/src/coordination/restored_list_merge.cpp
+++ b/src/coordination/restored_list_merge.cpp
@@ -42,6 +42,11 @@
     this->evict_deletions();
 }
 
+void restored_list_merge::record_repeated_deletion(std::string const & name)
+{
+    this->held.erase(name);
+}
+
 void restored_list_merge::record_change(std::string const & name)
 {
     this->held.erase(name);
@@ -113,7 +118,7 @@
     std::vector<std::string> names;
     for (auto const & [name, entry] : this->held)
     {
-        if (!entry.until)
+        if (!entry.until && this->deletions.contains(name))
         {
             names.push_back(name);
         }
@@ -157,10 +162,15 @@
     if (object.known)
     {
         auto const settle_time = this->options.presence_settle_time;
-        return {settle_time, now + settle_time};
+        // the same incarnation of a target does not return to an earlier state,
+        // e.g. from draining to ready
+        bool const is_final = this->options.states_are_final && object.listed &&
+                              object.known->subject == object.listed->subject;
+        return {settle_time,
+                is_final ? std::nullopt : std::optional(now + settle_time)};
     }
     bool const is_final =
-        this->options.deletions_are_final &&
+        this->options.states_are_final &&
         this->deletions.at(object.name).subject == object.listed->subject;
     auto const settle_time = this->options.absence_settle_time;
     return {settle_time,
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -31,7 +31,7 @@
     {
         options.presence_settle_time = targets_settle_time;
         options.absence_settle_time = targets_settle_time;
-        options.deletions_are_final = true;
+        options.states_are_final = true;
     }
     else if (kind == object_kind::evacuations)
     {
@@ -284,6 +284,11 @@
     auto & merge = this->merge_of(kind);
     for (auto const & object : updates.objects)
     {
+        if (object.deleted && object.content.empty())
+        {
+            merge.record_repeated_deletion(object.name);
+            continue;
+        }
         merge.record_change(object.name);
         if (object.deleted && !this->is_own_entry(kind, object.name))
         {
@@ -442,8 +447,7 @@
     {
         this->log.write("configuration_unreadable",
                         {{"reason", reason.describe()}, {"from", source}});
-        // other nodes may be able to read it
-        return true;
+        return false;
     }
     auto const version = parsed->version;
     if (this->view.set_configuration(
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -429,6 +429,7 @@
         [this, peer, from_source](call_result const & result)
         {
             this->pulling = false;
+            this->has_pulled = true;
             this->on_pull_response(peer, from_source, result);
         });
 }
@@ -483,9 +484,14 @@
         return std::nullopt;
     }
     this->snapshot.read(reply->deferred, read_freshness::current, [] {});
-    this->last_pull_response = loop_now();
-    this->last_store_response = std::max(this->last_store_response,
-                                         this->last_pull_response - reply->age);
+    if (!this->follows_earlier_history(*reply))
+    {
+        // the changes of an earlier history are ignored, so that a node which
+        // receives no others is isolated
+        this->last_pull_response = loop_now();
+        this->last_store_response = std::max(
+            this->last_store_response, this->last_pull_response - reply->age);
+    }
     for (std::size_t i = 0; i < object_kind_count; ++i)
     {
         // a configuration counts at any position
@@ -608,7 +614,7 @@
 
 bool replica_sync::needs_configuration_check() const
 {
-    return this->last_pull_response == this->started_at ||
+    return !this->has_pulled ||
            this->newest_requester_configuration >
                this->replica.versions().configuration_version;
 }
--- a/tests/src/unit-restored-list-merge.cpp
+++ b/tests/src/unit-restored-list-merge.cpp
@@ -43,7 +43,7 @@
         restored_list_options result;
         result.presence_settle_time = seconds(2);
         result.absence_settle_time = seconds(2);
-        result.deletions_are_final = true;
+        result.states_are_final = true;
         result.max_deletions = 3;
         return result;
     }
@@ -154,7 +154,23 @@
         {{"a", before_restore(50, draining), after_restore(30, ready)}},
         this->start);
     EXPECT_TRUE(this->merge.holds("a"));
-    EXPECT_EQ(this->merge.settle(this->start + seconds(2)).size(), 1U);
+    EXPECT_TRUE(this->merge.settle(this->start + seconds(3600)).empty());
+    EXPECT_TRUE(this->merge.holds("a"));
+    EXPECT_TRUE(this->merge.restored_deletions().empty())
+        << "its entry is not removed from the store";
+    this->merge.record_change("a");
+    EXPECT_FALSE(this->merge.holds("a"));
+}
+
+// The deletion of an entry that the copy lacks replaced what was remembered of
+// the departed target, which then returned after 2 s.
+TEST_F(restored_targets, repeated_deletion_keeps_a_departed_target_away)
+{
+    this->merge.record_deletion("a", before_restore(50));
+    this->merge.record_repeated_deletion("a");
+    this->merge.apply({{"a", std::nullopt, after_restore(30)}}, this->start);
+    EXPECT_TRUE(this->merge.settle(this->start + seconds(3600)).empty());
+    EXPECT_TRUE(this->merge.holds("a"));
 }
 
 TEST_F(restored_targets, unchanged_target_is_not_held)
