--- a/include/endivehinge/coordination/byte_budget.hpp
+++ b/include/endivehinge/coordination/byte_budget.hpp
@@ -23,7 +23,7 @@
     {
     }
 
-    /// @brief adds the tokens earned since the last call
+    /// @brief adds the bytes that may be sent for the time since the last call
     /// @param now not earlier than in any previous call
     void refill(time_point now)
     {
--- a/include/endivehinge/detail/control/control_client.hpp
+++ b/include/endivehinge/detail/control/control_client.hpp
@@ -59,7 +59,7 @@
               duration timeout,
               failure & reason);
 
-    /// @brief tells a peer which requests crash targets
+    /// @brief sends a peer the fingerprints of requests that crash targets
     /// @return whether the peer has them
     /// @note as pull
     [[nodiscard]] bool share_marks(endpoint const & peer,
--- a/include/endivehinge/detail/platform/http_object_store.hpp
+++ b/include/endivehinge/detail/platform/http_object_store.hpp
@@ -13,7 +13,7 @@
 {
 public:
     /// @param address where the platform listens
-    /// @param client makes the exchanges; outlives the store
+    /// @param client sends the HTTP requests; must outlive this object
     /// @param call_timeout for each call that does not wait for changes
     http_object_store(endpoint address,
                       http_client & client,
--- a/src/adapters/http/connection_pool.hpp
+++ b/src/adapters/http/connection_pool.hpp
@@ -42,7 +42,8 @@
         return std::make_unique<channel>();
     }
 
-    /// @brief keeps a connection, unless enough are kept
+    /// @brief returns a connection to the pool for reuse; closes it if the pool
+    /// is full
     void give_back(endpoint const & peer, std::unique_ptr<channel> used)
     {
         absl::MutexLock lock(&this->mutex);
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -19,7 +19,8 @@
 // short, since a target responds to probes immediately under any load, and a
 // request waits for the result
 constexpr duration on_demand_timeout = std::chrono::milliseconds(30);
-// the target runs on the same instance
+// for a connection to the target, which runs on the same machine as this
+// process, so that no network delay adds to it
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 
 } // namespace
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -16,7 +16,8 @@
 namespace
 {
 
-// the target runs on the same instance
+// for a connection to the target, which runs on the same machine as this
+// process, so that no network delay adds to it
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // extends the request deadline, so that the target's own response at the
 // deadline arrives first
