Log crashes of the local target and the requests in flight

Cause: the log of serve cannot tell a request that crashes its targets from one whose connection was reset, nor recognise it when it comes again: each attempt has its own ID.

Change: a lost connection leads to a probe on a new one. If the target accepts none, or is another incarnation, target_crashed names the requests in flight by a fingerprint of service, method, path and body. No decision depends on it yet.

--- a/include/endivehinge/detail/gateway/health_prober.hpp
+++ b/include/endivehinge/detail/gateway/health_prober.hpp
@@ -37,6 +37,12 @@
     /// @return whether a probe was sent; otherwise done is not called
     [[nodiscard]] bool probe_now(response_handler done);
 
+    /// @brief sends a probe on a new connection, which shows whether the target
+    /// accepts connections
+    /// @param done called once
+    /// @return whether a probe was sent; otherwise done is not called
+    [[nodiscard]] bool probe_new_connection(response_handler done);
+
     /// @brief records a response that carried the same data as a probe, which
     /// makes the next periodic probe unnecessary
     void record_response(time_point now);
@@ -44,7 +50,8 @@
 private:
     void schedule();
     void probe();
-    [[nodiscard]] bool send(duration timeout, response_handler done);
+    [[nodiscard]] bool
+    send(duration timeout, bool force_new, response_handler done);
 
     upstream & server;
     endpoint address;
--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -39,6 +39,10 @@
     /// @brief stops accepting connections; open connections remain
     void close();
 
+    /// @brief stops accepting connections and closes the open ones; their
+    /// requests get no response
+    void abort();
+
     /// @brief number of requests on all connections whose response has not been
     /// sent
     [[nodiscard]] std::size_t pending_count() const;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -14,6 +14,7 @@
 #include <endivehinge/detail/gateway/health_prober.hpp>
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/report_adapter.hpp>
+#include <endivehinge/detail/gateway/target_crash_monitor.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
 #include <endivehinge/policy/service_properties.hpp>
@@ -106,6 +107,8 @@
     void update_admission();
     void apply_response_head(target_response_head const & head);
     void log_identity(char const * source);
+    void handle_lost_connection(request_state const & state);
+    void check_for_crash();
     void probe_slowdown();
     void handle_probe(call_result const & result);
 
@@ -115,6 +118,8 @@
     event_log & log;
     upstream server;
     health_prober prober;
+    target_crash_monitor crashes;
+    bool crash_check_pending = false;
     target_admission_policy admission;
     target_incarnation_tracker identity;
     std::optional<service_properties> properties;
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -47,7 +47,12 @@
 
 bool health_prober::probe_now(response_handler done)
 {
-    return this->send(on_demand_timeout, std::move(done));
+    return this->send(on_demand_timeout, false, std::move(done));
+}
+
+bool health_prober::probe_new_connection(response_handler done)
+{
+    return this->send(probe_timeout, true, std::move(done));
 }
 
 void health_prober::record_response(time_point now)
@@ -74,11 +79,13 @@
     if (loop_now() - this->last_response >= probe_interval)
     {
         // if no probe can be sent, the next interval retries
-        static_cast<void>(this->send(probe_timeout, this->handler));
+        static_cast<void>(this->send(probe_timeout, false, this->handler));
     }
 }
 
-bool health_prober::send(duration timeout, response_handler done)
+bool health_prober::send(duration timeout,
+                         bool force_new,
+                         response_handler done)
 {
     if (this->path.empty())
     {
@@ -90,7 +97,8 @@
     options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
     return this->server.send(
-               std::move(message), options, false, std::move(done)) != nullptr;
+               std::move(message), options, force_new, std::move(done)) !=
+           nullptr;
 }
 
 } // namespace endivehinge::detail
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -88,6 +88,18 @@
     this->acceptor.close(ignored);
 }
 
+void http_listener::abort()
+{
+    this->close();
+    for (auto const & weak : this->connections)
+    {
+        if (auto const connection = weak.lock())
+        {
+            connection->close();
+        }
+    }
+}
+
 std::size_t http_listener::pending_count() const
 {
     std::size_t sum = 0;
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -48,6 +48,7 @@
     , log(events)
     , server(loop, node_settings.target_address, target_options())
     , prober(loop, this->server, node_settings.target_address)
+    , crashes(node_settings, events)
     , queue_timer(loop)
 {
 }
@@ -228,6 +229,10 @@
     }
     if (result.status != call_status::answered)
     {
+        if (result.status == call_status::connection_lost)
+        {
+            this->handle_lost_connection(*state);
+        }
         outcome.outcome = dispatch_outcome::indeterminate;
         this->finish(ticket, std::move(outcome), true);
         return;
@@ -243,6 +248,7 @@
         outcome.reached_target = !head.from_other_incarnation;
         if (head.from_other_incarnation)
         {
+            this->crashes.confirm_crash(state->request.target);
             this->identity.invalidate(state->request.target);
             this->update_admission();
         }
@@ -358,6 +364,7 @@
     {
         return false;
     }
+    auto const before = this->identity.current();
     auto const change = this->identity.report(status_report);
     if (change == target_incarnation_tracker::change::none)
     {
@@ -365,6 +372,10 @@
     }
     if (change == target_incarnation_tracker::change::new_incarnation)
     {
+        if (before && before->state == target_state::ready)
+        {
+            this->crashes.confirm_crash(before->id);
+        }
         this->server.close_idle();
         this->cold_until = time_point();
     }
@@ -481,6 +492,42 @@
               std::max(this->cold_until - loop_now(), duration(0)))}});
 }
 
+// ---------------------------------------------------------------------------
+// crashes of the target
+// ---------------------------------------------------------------------------
+
+void local_target::handle_lost_connection(request_state const & state)
+{
+    auto const & current = this->identity.current();
+    if (!current || current->state != target_state::ready)
+    {
+        // a target that has announced its end closes its connections
+        return;
+    }
+    this->crashes.record_lost(state.request, false);
+    this->check_for_crash();
+}
+
+void local_target::check_for_crash()
+{
+    if (this->crash_check_pending)
+    {
+        return;
+    }
+    this->crash_check_pending = this->prober.probe_new_connection(
+        [this](call_result const & result)
+        {
+            this->crash_check_pending = false;
+            auto const & current = this->identity.current();
+            if (result.status == call_status::not_sent && current)
+            {
+                this->crashes.confirm_crash(current->id);
+                return;
+            }
+            this->handle_probe(result);
+        });
+}
+
 // ---------------------------------------------------------------------------
 // health probes
 // ---------------------------------------------------------------------------
@@ -527,9 +574,14 @@
     {
         return;
     }
+    auto const before = this->identity.current();
     if (this->identity.record_health_response(*head.id, *head.slots) ==
         target_incarnation_tracker::change::new_incarnation)
     {
+        if (before && before->state == target_state::ready)
+        {
+            this->crashes.confirm_crash(before->id);
+        }
         if (!head.cold_remaining && this->properties)
         {
             // an incarnation that was not announced may have just started
