--- a/tests/src/gateway/target_stand_in.cpp
+++ b/tests/src/gateway/target_stand_in.cpp
@@ -12,21 +12,34 @@
 target_stand_in::target_stand_in(boost::asio::io_context & loop,
                                  std::string name)
     : id(std::move(name))
-    , listener(loop, *this)
+    , io(loop)
 {
-    failure reason;
-    EXPECT_TRUE(this->listener.open({"127.0.0.1", 0}, reason))
-        << reason.describe();
+    this->restart(this->id);
 }
 
 endpoint target_stand_in::address() const
 {
-    return {"127.0.0.1", this->listener.port()};
+    return {"127.0.0.1", this->port};
 }
 
 void target_stand_in::close()
 {
-    this->listener.close();
+    this->listener->close();
+}
+
+void target_stand_in::crash()
+{
+    this->listener->abort();
+}
+
+void target_stand_in::restart(std::string new_id)
+{
+    this->id = std::move(new_id);
+    this->listener = std::make_unique<detail::http_listener>(this->io, *this);
+    failure reason;
+    EXPECT_TRUE(this->listener->open({"127.0.0.1", this->port}, reason))
+        << reason.describe();
+    this->port = this->listener->port();
 }
 
 void target_stand_in::handle(std::shared_ptr<detail::exchange> incoming)
--- a/tests/src/gateway/target_stand_in.hpp
+++ b/tests/src/gateway/target_stand_in.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_TESTS_GATEWAY_TARGET_STAND_IN_HPP
 #define ENDIVEHINGE_TESTS_GATEWAY_TARGET_STAND_IN_HPP
 
+#include <cstdint>    // uint16_t
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <string>     // string
@@ -26,6 +27,14 @@
     /// @brief stops accepting connections; open ones stay open
     void close();
 
+    /// @brief ends as a crashed process does: closes the port and all
+    /// connections
+    void crash();
+
+    /// @brief starts again on the same port
+    /// @pre crash() was called
+    void restart(std::string new_id);
+
     /// @brief responds to a request that request_hook kept
     void respond(detail::exchange & client, unsigned status);
 
@@ -51,7 +60,10 @@
 private:
     void add_fields(detail::response_message & message) const;
 
-    detail::http_listener listener;
+    boost::asio::io_context & io;
+    // replaced by restart()
+    std::unique_ptr<detail::http_listener> listener;
+    std::uint16_t port = 0;
 };
 
 } // namespace endivehinge::tests
