Refuse a request that crashes its targets, in serve

What callers saw: a request under which three targets had ended was sent to targets N times more, and N ended in all; meanwhile the service lost its targets to one request.

Cause: serve recognised no request across client attempts, each of which has its own ID. crash_quarantine was used by node only, so each attempt of the request crashed as many targets as its route has attempts.

Change: the requests in flight at a crash become suspects, by content; suspects run one at a time on a target; the second crash with one as the only suspect quarantines it. The nodes of the service get each report at once, and a node that starts reads the quarantine from the entries of the others. crash_quarantine is one type for both programs; a request that has completed before needs two such crashes. The refusal states the end of the quarantine.

--- a/include/endivehinge/detail/gateway/call_result.hpp
+++ b/include/endivehinge/detail/gateway/call_result.hpp
@@ -26,6 +26,9 @@
     response_message response;
     // whether a byte of the response was received
     bool response_started = false;
+    // whether the server's system refused the connection, which no process
+    // accepts then
+    bool connection_refused = false;
     // error description; empty if a response was received
     std::string detail;
 };
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -92,6 +92,7 @@
     bool send_started = false;
     bool send_completed = false;
     bool response_started = false;
+    bool connection_refused = false;
     duration idle_timeout;
     time_point idle_since;
 };
--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -30,6 +30,8 @@
     request_urgency urgency;
     // whether running the request more than once is safe
     bool idempotent = false;
+    // whether a target's connection was lost while it ran the request
+    bool suspect = false;
     slow_target_action slow_action = slow_target_action::start_or_refuse;
 };
 
--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -34,6 +34,8 @@
         std::function<void()> evacuations;
         // the stored entry of this node's target
         std::function<void(std::optional<target_entry>, object_version)> entry;
+        // called with each entry that was read, the own one included
+        std::function<void(target_entry const &)> any_entry;
         // the versions of all copies, after each change
         std::function<void(replica_versions const &)> versions;
         // a list of a newer era replaced a copy
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
 #include <endivehinge/detail/gateway/client_service.hpp>
+#include <endivehinge/detail/gateway/crash_report_sender.hpp>
 #include <endivehinge/detail/gateway/gateway_adapters.hpp>
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/http_listener.hpp>
@@ -33,6 +34,7 @@
         , replicas(state, *adapters.store)
         , clients(state)
         , peers(state, replicas)
+        , crash_reports(state)
         , readiness(state)
         , reports(state, *adapters.reports, replicas)
         , metrics(state)
@@ -64,6 +66,7 @@
     replica_sync replicas;
     client_service clients;
     peer_service peers;
+    crash_report_sender crash_reports;
     readiness_service readiness;
     report_service reports;
     metrics_service metrics;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -59,6 +59,9 @@
     /// @brief sets the action to run when entry() may have changed
     void on_entry_change(std::function<void()> action);
 
+    /// @brief the crashes of the target and the requests that cause them
+    [[nodiscard]] target_crash_monitor & crash_monitor();
+
     /// @brief entry of the target that is published to other nodes
     /// @return no value if no incarnation of the target is known or if it has
     /// stopped
@@ -81,6 +84,8 @@
         // whether it was resent on a new connection, because the idle one was
         // closed
         bool resent = false;
+        // runs beside no other suspect
+        bool suspect = false;
     };
 
     using state_pointer = std::shared_ptr<request_state>;
@@ -90,6 +95,8 @@
     /// earlier one of the same service
     [[nodiscard]] bool
     address_to_current_incarnation(dispatch_request & request) const;
+    /// @brief decides whether the request may wait for a start
+    [[nodiscard]] target_admission_verdict admit(request_state & state);
     void start(admission_ticket ticket);
     void
     send(admission_ticket ticket, state_pointer const & state, bool force_new);
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REQUEST_DISPATCH_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REQUEST_DISPATCH_HPP
 
+#include <cstdint>  // uint32_t
 #include <memory>   // enable_shared_from_this, shared_ptr
 #include <optional> // optional
 #include <string>   // string
@@ -64,6 +65,7 @@
                         dispatch_result const & result);
     void handle_indeterminate(attempt_ptr const & target_attempt,
                               dispatch_result const & result);
+    void refuse_crashing(dispatch_result const & result);
     [[nodiscard]] bool try_acquire_retry();
     // sends the last answer of a target, or a failure or refusal, unless an
     // attempt is running
@@ -74,7 +76,10 @@
     void handle_cancel();
     void cancel_attempts();
     void respond(response_message message, char const * outcome);
+    // refuses the request; the client may return after the given time and some
+    // jitter
     void reject(std::string const & reason, duration wait);
+    void send_refusal(std::string const & reason, duration retry_after);
     void fail(boost::beast::http::status status, std::string const & reason);
     void log_result(char const * outcome, unsigned status);
 
@@ -93,6 +98,8 @@
     slow_target_rounds placement_rounds;
     request_attempts progress;
     placement_limit placements{time_point(), duration(0)};
+    // attempts during which the connection to the target was lost
+    std::uint32_t lost_connections = 0;
     std::optional<duration> min_retry_after;
     std::string last_reason;
     // failure response of a target, sent if no further attempt succeeds
--- a/include/endivehinge/policy/crash_report.hpp
+++ b/include/endivehinge/policy/crash_report.hpp
@@ -1,7 +1,8 @@
 #ifndef ENDIVEHINGE_POLICY_CRASH_REPORT_HPP
 #define ENDIVEHINGE_POLICY_CRASH_REPORT_HPP
 
-#include <string> // string
+#include <cstdint> // int64_t
+#include <string>  // string
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/ids.hpp>
@@ -18,12 +19,29 @@
 {
     request_fingerprint fingerprint;
     crash_id crash;
-    // no other request was running on the target when it crashed
+    // no other request, or no other suspect, was running on the target when it
+    // crashed
     bool isolated = false;
+    // a request with this fingerprint has completed not long before
+    bool completed_before = false;
     // time until the report expires
     duration remaining{0};
 };
 
+/// @brief a request that crashes targets, as published with a target's entry
+struct quarantined_request
+{
+    request_fingerprint fingerprint;
+    // milliseconds since the Unix epoch
+    std::int64_t expires_ms = 0;
+
+    friend bool operator==(quarantined_request const & a,
+                           quarantined_request const & b)
+    {
+        return a.fingerprint == b.fingerprint && a.expires_ms == b.expires_ms;
+    }
+};
+
 } // namespace endivehinge
 
 #endif
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -34,6 +34,8 @@
 ///   faster.
 /// - A queue longer than the time left allows: requests are refused
 ///   immediately instead of being held.
+/// - Requests that were in flight when a target crashed, of which one may crash
+///   this target too: they run one at a time, so that a crash shows which one.
 /// - Overload for longer than a burst: only requests that can still meet their
 ///   target time run, since late requests would delay the next ones as well.
 /// @note pure; not thread-safe, the owner serialises all calls
@@ -69,13 +71,16 @@
     /// @brief requests admission and queues the request unless it is refused
     /// @param route requests of the same route have similar run times
     /// @param slow_action what to do with the request if the target is slow
+    /// @param is_suspect whether the request must not run beside another
+    /// suspect
     /// @note a waiting request may be able to start immediately: call
     /// take_ready() afterwards
     [[nodiscard]] target_admission_verdict
     offer(std::string const & route,
           request_urgency const & urgency,
           slow_target_action slow_action,
-          time_point now);
+          time_point now,
+          bool is_suspect = false);
 
     /// @brief records the end of a started request
     /// @param failed whether the target failed the request
@@ -105,6 +110,7 @@
         request_urgency urgency;
         slow_target_action slow_action = slow_target_action::start_or_refuse;
         time_point offered_at;
+        bool is_suspect = false;
     };
 
     enum class readiness
@@ -121,9 +127,14 @@
         time_point started_at;
         // slowdown of the target when the request started
         double slowdown = 1;
+        bool is_suspect = false;
     };
 
     [[nodiscard]] std::size_t limit() const;
+    [[nodiscard]] bool is_suspect_running() const;
+    /// @brief expected time until all suspects before a new one have ended
+    [[nodiscard]] duration suspect_wait(request_urgency const & urgency,
+                                        time_point now) const;
     [[nodiscard]] bool can_start(time_point now);
     [[nodiscard]] readiness readiness_of(queued_request const & request,
                                          time_point now) const;
@@ -157,8 +168,7 @@
                                             time_point now) const;
     [[nodiscard]] std::vector<queued_request>::iterator
     next_queued(time_point now);
-    void
-    start(admission_ticket ticket, std::string const & route, time_point now);
+    void start(queued_request const & request, time_point now);
     [[nodiscard]] target_admission_verdict refuse(admission_ticket ticket,
                                                   admission_refusal reason,
                                                   duration wait) const;
--- a/include/endivehinge/policy/target_admission_verdict.hpp
+++ b/include/endivehinge/policy/target_admission_verdict.hpp
@@ -24,6 +24,7 @@
     too_late, // the request cannot finish before its deadline
     // the target is another incarnation than the one that was addressed
     other_incarnation,
+    crashing, // the request crashes its targets
 };
 
 /// @brief the admission decision on one request
--- a/include/endivehinge/policy/target_entry.hpp
+++ b/include/endivehinge/policy/target_entry.hpp
@@ -2,9 +2,11 @@
 #define ENDIVEHINGE_POLICY_TARGET_ENTRY_HPP
 
 #include <cstdint> // uint32_t
+#include <vector>  // vector
 
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/core/ids.hpp>
+#include <endivehinge/policy/crash_report.hpp>
 
 namespace endivehinge
 {
@@ -30,12 +32,15 @@
     target_state state = target_state::ready;
     // requests that the target runs concurrently
     std::uint32_t slots = 0;
+    // requests that crash the targets of the service
+    std::vector<quarantined_request> crashing_requests;
 
     friend bool operator==(target_entry const & a, target_entry const & b)
     {
         return a.node == b.node && a.peer == b.peer && a.id == b.id &&
                a.service == b.service && a.domain == b.domain &&
-               a.state == b.state && a.slots == b.slots;
+               a.state == b.state && a.slots == b.slots &&
+               a.crashing_requests == b.crashing_requests;
     }
 };
 
--- a/src/app/local_executor.cpp
+++ b/src/app/local_executor.cpp
@@ -132,17 +132,17 @@
 outcome local_executor::execute(request const & offered, int caller_socket)
 {
     request_fingerprint const fingerprint = fingerprint_of(offered);
-    auto const [verdict, remaining] = this->quarantine.check(fingerprint);
-    if (verdict == quarantine_verdict::crashing)
+    auto const status = this->quarantine.check(fingerprint);
+    if (status.verdict == quarantine_verdict::crashing)
     {
         return outcome::rejected({failure_id::quarantined,
                                   "admit",
                                   {},
                                   "the request crashes its targets"},
-                                 remaining);
+                                 status.remaining);
     }
     bool const isolated =
-        offered.suspect || verdict == quarantine_verdict::suspect;
+        offered.suspect || status.verdict == quarantine_verdict::suspect;
     return this->admit_and_run(offered, fingerprint, isolated, caller_socket);
 }
 
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -115,6 +115,7 @@
     }
     if (error)
     {
+        this->connection_refused = error == asio::error::connection_refused;
         this->fail(call_status::not_sent, "connect: " + error.message());
         return;
     }
@@ -383,6 +384,7 @@
     call_result result;
     result.status = status;
     result.response_started = this->response_started;
+    result.connection_refused = this->connection_refused;
     result.detail = std::move(detail);
     this->finish(std::move(result));
 }
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -515,6 +515,10 @@
                             {{"reason", reason.describe()}});
         }
     }
+    if (entry)
+    {
+        this->callbacks.any_entry(*entry);
+    }
     if (name == this->node)
     {
         this->callbacks.entry(entry, object.deleted ? version : object.version);
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -80,6 +80,12 @@
         {
             this->replicas.publish();
         });
+    this->state.target.crash_monitor().on_crash(
+        [this](std::vector<crash_report> const & found)
+        {
+            this->crash_reports.send(found);
+            this->replicas.publish();
+        });
     this->replicas.start(
         [this]
         {
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -42,6 +42,10 @@
 // further numbers
 constexpr char const * position_field = "Endivehinge-Position";
 
+// in a request: a target's connection was lost while it ran the request; in a
+// result: the target's connection was lost. Only sent if so
+constexpr char const * suspect_field = "Endivehinge-Suspect";
+
 std::int64_t microsecond_count(duration value)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
@@ -205,6 +209,10 @@
     message.set(caller_field, request.caller.value());
     message.set(request_id_field, request.id);
     message.set(in_flight_id_field, request.in_flight_id);
+    if (request.suspect)
+    {
+        message.set(suspect_field, "1");
+    }
     message.set(
         urgency_field,
         absl::StrCat(microsecond_count(request.urgency.target_time - now),
@@ -248,6 +256,7 @@
     request.caller = service_name(extract_field(message, caller_field));
     request.id = extract_field(message, request_id_field);
     request.in_flight_id = extract_field(message, in_flight_id_field);
+    request.suspect = !extract_field(message, suspect_field).empty();
     if (numbers.size() != 5 || request.target.value().empty() ||
         numbers[4] < 0 ||
         numbers[4] > static_cast<int>(slow_target_action::start_or_refuse))
@@ -294,6 +303,10 @@
                              " ",
                              write_versions(versions)));
     write_position(message, versions);
+    if (result.target_connection_lost)
+    {
+        message.set(suspect_field, "1");
+    }
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
@@ -314,7 +327,7 @@
         numbers[0] < 0 ||
         numbers[0] > static_cast<int>(dispatch_outcome::indeterminate) ||
         numbers[6] < 0 ||
-        numbers[6] > static_cast<int>(admission_refusal::other_incarnation))
+        numbers[6] > static_cast<int>(admission_refusal::crashing))
     {
         return std::nullopt;
     }
@@ -331,6 +344,8 @@
     versions = read_versions(
         numbers, result_number_count, extract_field(message, position_field));
     result.reason = extract_field(message, reason_field);
+    result.target_connection_lost =
+        !extract_field(message, suspect_field).empty();
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
     if (result.load)
@@ -355,7 +370,8 @@
                                     reason_field,
                                     load_field,
                                     cold_field,
-                                    position_field})
+                                    position_field,
+                                    suspect_field})
     {
         fields.erase(name);
     }
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -65,18 +65,7 @@
     state->request = std::move(request);
     state->done = std::move(done);
     state->queued_at = loop_now();
-    target_admission_verdict verdict;
-    if (!this->address_to_current_incarnation(state->request))
-    {
-        verdict.reason = admission_refusal::other_incarnation;
-    }
-    else
-    {
-        verdict = this->admission.offer(state->request.route,
-                                        state->request.urgency,
-                                        state->request.slow_action,
-                                        state->queued_at);
-    }
+    auto const verdict = this->admit(*state);
     auto const ticket = verdict.ticket;
     if (verdict.decision == target_admission_verdict::action::refuse)
     {
@@ -122,6 +111,29 @@
     };
 }
 
+target_admission_verdict local_target::admit(request_state & state)
+{
+    target_admission_verdict refusal;
+    if (!this->address_to_current_incarnation(state.request))
+    {
+        refusal.reason = admission_refusal::other_incarnation;
+        return refusal;
+    }
+    auto const status = this->crashes.check(state.request);
+    if (status.verdict == quarantine_verdict::crashing)
+    {
+        refusal.reason = admission_refusal::crashing;
+        refusal.retry_after = status.remaining;
+        return refusal;
+    }
+    state.suspect = status.verdict == quarantine_verdict::suspect;
+    return this->admission.offer(state.request.route,
+                                 state.request.urgency,
+                                 state.request.slow_action,
+                                 state.queued_at,
+                                 state.suspect);
+}
+
 bool local_target::address_to_current_incarnation(
     dispatch_request & request) const
 {
@@ -229,10 +241,10 @@
     }
     if (result.status != call_status::answered)
     {
-        if (result.status == call_status::connection_lost)
-        {
-            this->handle_lost_connection(*state);
-        }
+        // a target without power resets no connection
+        outcome.target_connection_lost =
+            result.status == call_status::connection_lost;
+        this->handle_lost_connection(*state);
         outcome.outcome = dispatch_outcome::indeterminate;
         this->finish(ticket, std::move(outcome), true);
         return;
@@ -258,6 +270,7 @@
     bool const failed =
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
+    this->crashes.record_answer(state->request);
     outcome.outcome = dispatch_outcome::answered;
     outcome.from_service = head.from_service;
     outcome.response = std::move(result.response);
@@ -422,9 +435,15 @@
     entry.domain = this->settings.domain;
     entry.state = current->state;
     entry.slots = current->slots;
+    entry.crashing_requests = this->crashes.crashing();
     return entry;
 }
 
+target_crash_monitor & local_target::crash_monitor()
+{
+    return this->crashes;
+}
+
 target_load local_target::load() const
 {
     return this->admission.load(loop_now());
@@ -504,7 +523,7 @@
         // a target that has announced its end closes its connections
         return;
     }
-    this->crashes.record_lost(state.request, false);
+    this->crashes.record_lost(state.request, state.suspect);
     this->check_for_crash();
 }
 
@@ -519,7 +538,7 @@
         {
             this->crash_check_pending = false;
             auto const & current = this->identity.current();
-            if (result.status == call_status::not_sent && current)
+            if (result.connection_refused && current)
             {
                 this->crashes.confirm_crash(current->id);
                 return;
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -29,6 +29,11 @@
         configuration ? static_cast<double>(configuration->version) : 0);
     metrics.set_gauge("nodes_known",
                       static_cast<double>(this->state.fleet.node_count()));
+    auto const & crashes = this->state.target.crash_monitor();
+    metrics.set_gauge("target_crashes",
+                      static_cast<double>(crashes.crash_count()));
+    metrics.set_gauge("requests_quarantined",
+                      static_cast<double>(crashes.crashing().size()));
     metrics.set_gauge("log_lines_left_out",
                       static_cast<double>(this->state.log.dropped_count()));
     response_message response{http::status::ok, 11};
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
+#include <endivehinge/detail/gateway/crash_report_exchange.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
@@ -64,6 +65,11 @@
         this->replicas.serve(incoming);
         return true;
     }
+    if (crash_report_exchange::is_request(incoming.request))
+    {
+        this->receive_crash_reports(incoming);
+        return true;
+    }
     if (in_flight_query::is_request(incoming.request))
     {
         incoming.respond(
@@ -75,6 +81,27 @@
     return false;
 }
 
+void peer_service::receive_crash_reports(exchange & incoming)
+{
+    failure reason;
+    auto const reports =
+        crash_report_exchange::read_request(incoming.request, reason);
+    if (reports)
+    {
+        this->state.target.crash_monitor().merge(*reports);
+    }
+    else
+    {
+        this->state.log.write("crash_report_unreadable",
+                              {{"reason", reason.describe()}});
+    }
+    response_message response{
+        reports ? http::status::ok : http::status::bad_request, 11};
+    response.keep_alive(true);
+    response.prepare_payload();
+    incoming.respond(std::move(response));
+}
+
 void peer_service::run(std::shared_ptr<exchange> const & incoming,
                        dispatch_request request)
 {
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -102,6 +102,13 @@
     {
         this->publisher.record_stored(std::move(stored_object), version);
     };
+    callbacks.any_entry = [this](target_entry const & entry)
+    {
+        if (entry.service == this->state.settings.service)
+        {
+            this->state.target.crash_monitor().restore(entry.crashing_requests);
+        }
+    };
     callbacks.versions = [this](replica_versions const & versions)
     {
         this->state.own_sender.versions = versions;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -30,6 +30,9 @@
 constexpr duration max_retry_delay = std::chrono::milliseconds(1000);
 // used if no target gave an estimate
 constexpr duration default_retry_delay = std::chrono::milliseconds(200);
+// a request during which so many targets lost their connection is not retried:
+// it may have crashed them, and their reports may still be on the way
+constexpr std::uint32_t max_lost_connections = 2;
 // a request that arrives within this time before the process ends is accepted
 // only if its deadline is earlier; clients have been notified to leave by then
 constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
@@ -206,6 +209,7 @@
     request.caller = this->state.settings.service;
     request.urgency = this->urgency;
     request.idempotent = this->route->idempotent;
+    request.suspect = this->lost_connections > 0;
     auto const target_attempt = std::make_shared<attempt>();
     target_attempt->candidate = chosen.candidate;
     target_attempt->index = this->progress.start();
@@ -329,6 +333,11 @@
     {
         return;
     }
+    if (result.refusal == admission_refusal::crashing)
+    {
+        this->refuse_crashing(result);
+        return;
+    }
     if (result.reached_target && !this->try_acquire_retry())
     {
         this->finish_without_answer(
@@ -345,6 +354,7 @@
     this->trace.add(target_attempt->candidate, result, "indeterminate");
     this->progress.record_unknown_outcome(target_attempt->index,
                                           result.reached_target);
+    this->lost_connections += result.target_connection_lost ? 1 : 0;
     this->last_reason = result.reason;
     if (this->progress.any_confirmed())
     {
@@ -358,6 +368,17 @@
     this->finish_without_answer(result.reason, default_retry_delay);
 }
 
+void request_dispatch::refuse_crashing(dispatch_result const & result)
+{
+    if (this->progress.may_have_run())
+    {
+        this->finish_without_answer(result.reason, default_retry_delay);
+        return;
+    }
+    // every target refuses the request until its quarantine ends
+    this->send_refusal(result.reason, result.retry_after);
+}
+
 void request_dispatch::finish_without_answer(std::string const & reason,
                                              duration retry_delay)
 {
@@ -376,6 +397,7 @@
 bool request_dispatch::try_acquire_retry()
 {
     return this->progress.arrivals() < this->route->attempts &&
+           this->lost_connections < max_lost_connections &&
            loop_now() + this->state.mean_service_time(*this->route) <
                this->urgency.deadline &&
            this->state.retry_budget_of(this->service)
@@ -474,11 +496,18 @@
         this->fail(http::status::bad_gateway, reason);
         return;
     }
-    response_message message{http::status::service_unavailable, 11};
     auto const bounded = std::clamp(wait, min_retry_delay, max_retry_delay);
-    auto const delay = std::chrono::duration_cast<duration>(
-        bounded * (1 + retry_jitter * this->state.random()));
-    this->state.adapter.write_retry_after(message, delay);
+    this->send_refusal(
+        reason,
+        std::chrono::duration_cast<duration>(
+            bounded * (1 + retry_jitter * this->state.random())));
+}
+
+void request_dispatch::send_refusal(std::string const & reason,
+                                    duration retry_after)
+{
+    response_message message{http::status::service_unavailable, 11};
+    this->state.adapter.write_retry_after(message, retry_after);
     this->last_reason = reason;
     this->respond(std::move(message), "refused");
 }
--- a/src/gateway/target_crash_monitor.cpp
+++ b/src/gateway/target_crash_monitor.cpp
@@ -1,7 +1,9 @@
 #include <endivehinge/detail/gateway/target_crash_monitor.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // min, remove_if
+#include <chrono>    // system_clock
 #include <string>    // string
+#include <utility>   // move
 
 #include <absl/strings/str_cat.h> // Hex, StrAppend, StrCat
 
@@ -13,8 +15,23 @@
 namespace
 {
 
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
 // fingerprints on one log line
 constexpr std::size_t max_logged_requests = 32;
+// crashing requests in the entry of a target; bounds its size
+constexpr std::size_t max_published_requests = 16;
+
+quarantine_options gateway_quarantine_options()
+{
+    quarantine_options options;
+    // bounds memory to some 100 kB
+    options.max_entries = 512;
+    // a client may send the request again after minutes
+    options.suspicion_duration = options.quarantine_duration;
+    return options;
+}
 
 std::string join_fingerprints(std::vector<lost_request> const & requests)
 {
@@ -29,6 +46,13 @@
     return text;
 }
 
+std::int64_t unix_time_ms()
+{
+    return duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 request_fingerprint fingerprint_of(dispatch_request const & request)
@@ -46,9 +70,45 @@
     gateway_settings const & node_settings, event_log & events)
     : settings(node_settings)
     , log(events)
+    , quarantine(gateway_quarantine_options())
 {
 }
 
+void target_crash_monitor::on_crash(reports_handler reports)
+{
+    this->handler = std::move(reports);
+}
+
+quarantine_status target_crash_monitor::check(dispatch_request const & request)
+{
+    quarantine_status status;
+    if (this->quarantine.size() > 0)
+    {
+        auto const fingerprint = fingerprint_of(request);
+        status = this->quarantine.check(fingerprint, loop_now());
+        // a frequent request is often in flight when a target crashes; running
+        // it isolated would delay the others like it
+        bool const is_likely_innocent =
+            status.crashes == 1 && this->completed.contains(fingerprint);
+        if (status.verdict == quarantine_verdict::suspect && is_likely_innocent)
+        {
+            status.verdict = quarantine_verdict::clear;
+        }
+    }
+    if (status.verdict == quarantine_verdict::clear && request.suspect)
+    {
+        status.verdict = quarantine_verdict::suspect;
+    }
+    return status;
+}
+
+void target_crash_monitor::record_answer(dispatch_request const & request)
+{
+    auto const fingerprint = fingerprint_of(request);
+    this->completed.add(fingerprint, loop_now());
+    this->quarantine.finished(fingerprint);
+}
+
 void target_crash_monitor::record_lost(dispatch_request const & request,
                                        bool isolated)
 {
@@ -62,10 +122,114 @@
     {
         return;
     }
+    this->crashes += 1;
     this->log.write("target_crashed",
                     {{"target", target.value()},
                      {"requests", absl::StrCat(lost.size())},
                      {"fingerprints", join_fingerprints(lost)}});
+    crash_id const crash(absl::StrCat(
+        this->settings.node.value(), "/", target.value(), "/", unix_time_ms()));
+    std::vector<crash_report> reports;
+    for (auto const & request : lost)
+    {
+        crash_report report;
+        report.fingerprint = request.fingerprint;
+        report.crash = crash;
+        report.isolated = request.isolated;
+        report.completed_before = this->completed.contains(request.fingerprint);
+        reports.push_back(this->apply(report, true));
+    }
+    if (this->handler)
+    {
+        this->handler(std::move(reports));
+    }
+}
+
+void target_crash_monitor::merge(std::vector<crash_report> const & reports)
+{
+    for (auto const & report : reports)
+    {
+        this->apply(report, false);
+    }
+}
+
+std::uint64_t target_crash_monitor::crash_count() const
+{
+    return this->crashes;
+}
+
+crash_report target_crash_monitor::apply(crash_report const & report,
+                                         bool is_local)
+{
+    auto const now = loop_now();
+    bool const was_crashing =
+        this->quarantine.check(report.fingerprint, now).verdict ==
+        quarantine_verdict::crashing;
+    crash_report applied = report;
+    if (is_local)
+    {
+        applied = this->quarantine.crashed(report, now);
+    }
+    else
+    {
+        this->quarantine.merge(report, now);
+    }
+    auto const status = this->quarantine.check(report.fingerprint, now);
+    if (!was_crashing && status.verdict == quarantine_verdict::crashing)
+    {
+        this->publish(
+            {report.fingerprint,
+             unix_time_ms() +
+                 duration_cast<milliseconds>(status.remaining).count()});
+        this->log.write("request_quarantined",
+                        {{"fingerprint",
+                          absl::StrCat(absl::Hex(report.fingerprint.value()))},
+                         {"crashes", absl::StrCat(status.crashes)},
+                         {"for_ms", format_milliseconds(status.remaining)}});
+    }
+    return applied;
+}
+
+void target_crash_monitor::restore(
+    std::vector<quarantined_request> const & published)
+{
+    for (auto const & request : published)
+    {
+        auto const status =
+            this->quarantine.check(request.fingerprint, loop_now());
+        if (status.verdict != quarantine_verdict::crashing &&
+            request.expires_ms > unix_time_ms())
+        {
+            this->quarantine.restore(
+                request.fingerprint,
+                milliseconds(request.expires_ms - unix_time_ms()),
+                loop_now());
+            this->publish(request);
+        }
+    }
+}
+
+void target_crash_monitor::publish(quarantined_request const & request)
+{
+    if (this->quarantined.size() >= max_published_requests)
+    {
+        this->quarantined.erase(this->quarantined.begin());
+    }
+    this->quarantined.push_back(request);
+}
+
+std::vector<quarantined_request> target_crash_monitor::crashing() const
+{
+    auto requests = this->quarantined;
+    auto const now = unix_time_ms();
+    requests.erase(std::remove_if(requests.begin(),
+                                  requests.end(),
+                                  [now](auto const & request)
+                                  {
+                                      return request.expires_ms <= now;
+                                  }),
+                   requests.end());
+    return requests;
 }
 
 } // namespace endivehinge::detail
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/crash_quarantine.hpp>
 
-#include <algorithm> // find, max, min_element
+#include <algorithm> // find, max, min, min_element
 
 namespace endivehinge
 {
@@ -8,6 +8,11 @@
 {
 
 constexpr std::size_t crashes_to_quarantine = 2;
+// crashes at which the request ran isolated
+constexpr std::size_t isolated_crashes_to_quarantine = 1;
+constexpr std::size_t isolated_crashes_after_completion = 2;
+// crashes counted for a request; bounds memory
+constexpr std::size_t max_recorded_crashes = 4;
 
 } // namespace
 
@@ -31,9 +36,12 @@
     }
     if (found->second.crashing)
     {
-        return {quarantine_verdict::crashing, found->second.expires - now};
+        return {quarantine_verdict::crashing,
+                found->second.expires - now,
+                found->second.crashes.size()};
     }
-    return {quarantine_verdict::suspect, duration(0)};
+    return {
+        quarantine_verdict::suspect, duration(0), found->second.crashes.size()};
 }
 
 crash_report crash_quarantine::crashed(request_fingerprint request,
@@ -41,10 +49,14 @@
                                        bool isolated,
                                        time_point now)
 {
-    crash_report report{
-        request, crash, isolated, this->options.suspicion_duration};
+    return this->crashed({request, crash, isolated, false, duration(0)}, now);
+}
+
+crash_report crash_quarantine::crashed(crash_report report, time_point now)
+{
+    report.remaining = this->options.suspicion_duration;
     this->merge(report, now);
-    if (auto const status = this->check(request, now);
+    if (auto const status = this->check(report.fingerprint, now);
         status.verdict == quarantine_verdict::crashing)
     {
         report.remaining = status.remaining;
@@ -52,6 +64,25 @@
     return report;
 }
 
+void crash_quarantine::restore(request_fingerprint request,
+                               duration remaining,
+                               time_point now)
+{
+    if (remaining <= duration(0))
+    {
+        return;
+    }
+    if (!this->entries.contains(request))
+    {
+        this->evict_if_full();
+    }
+    entry & stored = this->entries[request];
+    stored.crashing = true;
+    stored.expires =
+        std::max(stored.expires,
+                 now + std::min(remaining, this->options.quarantine_duration));
+}
+
 void crash_quarantine::finished(request_fingerprint request)
 {
     auto const found = this->entries.find(request);
@@ -91,14 +122,21 @@
     bool const is_recorded =
         std::find(crashes.begin(), crashes.end(), report.crash) !=
         crashes.end();
-    if (!is_recorded && crashes.size() < crashes_to_quarantine)
+    if (!is_recorded && crashes.size() < max_recorded_crashes)
     {
         crashes.push_back(report.crash);
+        stored.isolated_crashes += report.isolated ? 1 : 0;
     }
+    stored.completed_before =
+        stored.completed_before || report.completed_before;
+    std::size_t const isolated_needed = stored.completed_before
+                                            ? isolated_crashes_after_completion
+                                            : isolated_crashes_to_quarantine;
     // a crash with several requests in flight may be caused by any of them
     stored.crashing =
         stored.crashing ||
-        (report.isolated && crashes.size() >= crashes_to_quarantine);
+        (report.isolated && crashes.size() >= crashes_to_quarantine &&
+         stored.isolated_crashes >= isolated_needed);
 }
 
 void crash_quarantine::evict_if_full()
--- a/src/policy/placement_limit.cpp
+++ b/src/policy/placement_limit.cpp
@@ -50,6 +50,7 @@
     case admission_refusal::closed:
     case admission_refusal::slow:
     case admission_refusal::other_incarnation:
+    case admission_refusal::crashing:
         return;
     }
 }
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/target_admission_policy.hpp>
 
-#include <algorithm> // find_if, max, min, min_element, sort
+#include <algorithm> // any_of, count_if, find_if, max, min, min_element, sort
 #include <iterator>  // make_move_iterator
 
 namespace endivehinge
@@ -31,6 +31,8 @@
         return "slow";
     case admission_refusal::too_late:
         return "too_late";
+    case admission_refusal::crashing:
+        return "crashing";
     case admission_refusal::other_incarnation:
         break;
     }
@@ -84,7 +86,8 @@
 target_admission_policy::offer(std::string const & route,
                                request_urgency const & urgency,
                                slow_target_action slow_action,
-                               time_point now)
+                               time_point now,
+                               bool is_suspect)
 {
     admission_ticket const ticket(++this->last_ticket);
     if (!this->open)
@@ -95,7 +98,9 @@
     {
         return this->refuse(ticket, admission_refusal::too_late, duration(0));
     }
-    auto const wait = this->expected_wait(urgency, now);
+    auto const wait =
+        std::max(this->expected_wait(urgency, now),
+                 is_suspect ? this->suspect_wait(urgency, now) : duration(0));
     auto const usable_time =
         scaled(urgency.deadline - now, this->options.usable_time_share);
     bool const is_late =
@@ -112,7 +117,8 @@
                                 : admission_refusal::busy,
                             wait);
     }
-    this->waiting.push_back({ticket, route, urgency, slow_action, now});
+    this->waiting.push_back(
+        {ticket, route, urgency, slow_action, now, is_suspect});
     return {ticket,
             target_admission_verdict::action::wait,
             admission_refusal::none,
@@ -160,14 +166,16 @@
     std::vector<target_admission_verdict> & verdicts, time_point now)
 {
     bool const is_full = this->running.size() >= this->limit();
+    bool const runs_suspect = this->is_suspect_running();
     for (auto request = this->waiting.begin(); request != this->waiting.end();)
     {
         // with a free slot, the request runs despite a long mean run time,
         // which may stem from a slow period
+        bool const must_wait = is_full || (request->is_suspect && runs_suspect);
         bool const cannot_finish =
             request->urgency.deadline <= now ||
-            (is_full && request->urgency.deadline - now <
-                            this->run_times.mean_for(request->route, now));
+            (must_wait && request->urgency.deadline - now <
+                              this->run_times.mean_for(request->route, now));
         bool const is_late =
             this->is_overloaded(now) &&
             this->misses_target_time(
@@ -215,7 +223,7 @@
         }
         else
         {
-            this->start(next->ticket, next->route, now);
+            this->start(*next, now);
             verdicts.push_back({next->ticket,
                                 target_admission_verdict::action::start,
                                 admission_refusal::none,
@@ -333,6 +341,33 @@
     return std::max<std::size_t>(usable_slots, 1);
 }
 
+bool target_admission_policy::is_suspect_running() const
+{
+    return std::any_of(this->running.begin(),
+                       this->running.end(),
+                       [](auto const & entry)
+                       {
+                           return entry.second.is_suspect;
+                       });
+}
+
+duration target_admission_policy::suspect_wait(request_urgency const & urgency,
+                                               time_point now) const
+{
+    auto const waiting_suspects = std::count_if(this->waiting.begin(),
+                                                this->waiting.end(),
+                                                [](auto const & request)
+                                                {
+                                                    return request.is_suspect;
+                                                });
+    auto const suspects =
+        waiting_suspects + (this->is_suspect_running() ? 1 : 0);
+    auto const mean = this->run_times.overall_mean();
+    auto const run_time =
+        mean > duration(0) ? mean : this->default_run_time(urgency, now);
+    return run_time * suspects;
+}
+
 bool target_admission_policy::can_start(time_point now)
 {
     return this->running.size() < this->limit() &&
@@ -343,7 +378,8 @@
 target_admission_policy::readiness_of(queued_request const & request,
                                       time_point now) const
 {
-    if (!this->slowdown_state.is_usable(now))
+    if (!this->slowdown_state.is_usable(now) ||
+        (request.is_suspect && this->is_suspect_running()))
     {
         return readiness::wait;
     }
@@ -474,12 +510,14 @@
         });
 }
 
-void target_admission_policy::start(admission_ticket ticket,
-                                    std::string const & route,
+void target_admission_policy::start(queued_request const & request,
                                     time_point now)
 {
-    this->running[ticket] = {
-        route, now, std::max(this->slowdown_state.factor(), 1.0)};
+    this->running[request.ticket] = {
+        request.route,
+        now,
+        std::max(this->slowdown_state.factor(), 1.0),
+        request.is_suspect};
     this->cold_limiter.record_start();
 }
 
--- a/tests/src/system-gateway-crashing-request.cpp
+++ b/tests/src/system-gateway-crashing-request.cpp
@@ -38,6 +38,29 @@
             member, crashing_path, "crash-" + std::to_string(number)));
     }
 
+    /// @brief sends requests that targets survive, one every 10 ms
+    void send_other_requests(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            auto const number = std::to_string(this->others.size());
+            this->others.push_back(this->send(
+                *this->members[0], "/safe/other-" + number, "other-" + number));
+            this->run_for(milliseconds(10));
+        }
+    }
+
+    /// @brief adds a node and its target, which is ready at once
+    fleet_member & add_crashing_member()
+    {
+        auto & member = this->add("web");
+        this->crash_on_request(member);
+        EXPECT_EQ(this->report(member, "ready", 1), 200U);
+        return member;
+    }
+
+    // requests that targets survive
+    std::vector<std::shared_ptr<client_call>> others;
     // times of the runs of the crashing request
     std::vector<time_point> crash_times;
     std::vector<std::shared_ptr<client_call>> calls;
@@ -97,5 +120,133 @@
     EXPECT_LE(fleet.crash_times.size(), 3U);
 }
 
+TEST(gateway_crashing_request, other_requests_of_the_service_are_answered)
+{
+    crashing_fleet fleet(3);
+    for (int i = 0; i < 15; ++i)
+    {
+        fleet.send_crashing_request(i);
+        fleet.send_other_requests(20);
+    }
+    std::size_t answered = 0;
+    for (auto const & call : fleet.others)
+    {
+        ASSERT_TRUE(fleet.run_until(
+            [&call]
+            {
+                return call->result.has_value();
+            }));
+        answered += call->result->response.result_int() == 200 ? 1 : 0;
+    }
+    EXPECT_GE(answered * 10, fleet.others.size() * 9);
+}
+
+TEST(gateway_crashing_request, refusal_states_when_the_request_may_return)
+{
+    crashing_fleet fleet(3);
+    fleet.send_crashing_request(0);
+    fleet.run_for(seconds(1));
+    auto const result =
+        fleet.send_and_wait(*fleet.members[1], crashing_path, "again");
+    EXPECT_EQ(result.response.result_int(), 503U);
+    EXPECT_EQ(fleet.execution_count("again"), 0U);
+    EXPECT_GT(std::stod(std::string(result.response["Retry-After"])), 60.0);
+}
+
+// A node that starts has received no crash report. It must not run the request
+// again.
+TEST(gateway_crashing_request, is_refused_by_a_node_that_starts_later)
+{
+    crashing_fleet fleet(3);
+    fleet.send_crashing_request(0);
+    fleet.run_for(seconds(2));
+    auto const crashes = fleet.crash_times.size();
+    ASSERT_GT(crashes, 0U);
+    auto & newcomer = fleet.add_crashing_member();
+    fleet.run_for(seconds(2));
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const result = fleet.send_and_wait(
+            newcomer, crashing_path, "later-" + std::to_string(i));
+        EXPECT_EQ(result.response.result_int(), 503U);
+    }
+    EXPECT_EQ(fleet.crash_times.size(), crashes);
+}
+
+// Targets end for other reasons as well. A request that many clients send is
+// then in flight at each of them.
+TEST(gateway_crashing_request, frequent_request_in_flight_at_crashes_still_runs)
+{
+    gateway_fleet fleet;
+    fleet.start_members(3, "web");
+    std::vector<std::shared_ptr<detail::exchange>> held;
+    for (std::size_t round = 0; round < 2; ++round)
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            auto const id =
+                "before-" + std::to_string(round) + "-" + std::to_string(i);
+            EXPECT_EQ(fleet.send_and_wait(*fleet.members[2], "/safe/a", id)
+                          .response.result_int(),
+                      200U);
+        }
+        auto & crashed = *fleet.members[round];
+        crashed.target->request_hook =
+            [&held](std::shared_ptr<detail::exchange> const & incoming)
+        {
+            held.push_back(incoming);
+        };
+        std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
+        for (int i = 0; i < 5; ++i)
+        {
+            calls.push_back(fleet.send(crashed,
+                                       "/safe/a",
+                                       "held-" + std::to_string(round) + "-" +
+                                           std::to_string(i)));
+        }
+        fleet.run_for(milliseconds(50));
+        crashed.target->crash();
+        fleet.run_for(milliseconds(50));
+    }
+    auto const result =
+        fleet.send_and_wait(*fleet.members[2], "/safe/a", "after");
+    EXPECT_EQ(result.response.result_int(), 200U);
+}
+
+// A reset connection alone is no crash.
+TEST(gateway_crashing_request, reset_connections_do_not_quarantine_a_request)
+{
+    gateway_fleet fleet;
+    fleet.use_target_relays = true;
+    fleet.start_members(2, "web");
+    for (int i = 0; i < 4; ++i)
+    {
+        std::vector<std::shared_ptr<detail::exchange>> held;
+        for (auto const & member : fleet.members)
+        {
+            member->target->request_hook =
+                [&held](std::shared_ptr<detail::exchange> const & incoming)
+            {
+                held.push_back(incoming);
+            };
+        }
+        auto const call =
+            fleet.send(*fleet.members[0], "/safe/a", "id-" + std::to_string(i));
+        fleet.run_for(milliseconds(50));
+        for (auto const & member : fleet.members)
+        {
+            member->target_link->reset_connections();
+        }
+        fleet.run_for(milliseconds(100));
+        for (auto const & member : fleet.members)
+        {
+            member->target->request_hook = nullptr;
+        }
+    }
+    EXPECT_EQ(fleet.send_and_wait(*fleet.members[0], "/safe/a", "after")
+                  .response.result_int(),
+              200U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
--- a/tests/src/unit-crash-quarantine.cpp
+++ b/tests/src/unit-crash-quarantine.cpp
@@ -126,6 +126,48 @@
               quarantine_verdict::crashing);
 }
 
+// One of two crashes may be a coincidence for a request that is nearly always
+// in flight.
+TEST(crash_quarantine, request_that_has_completed_needs_two_isolated_crashes)
+{
+    crash_quarantine quarantine;
+    auto const crash = [&quarantine](char const * id, bool isolated)
+    {
+        static_cast<void>(quarantine.crashed(
+            {crashing_request, crash_id(id), isolated, true, duration(0)},
+            start));
+        return quarantine.check(crashing_request, start).verdict;
+    };
+    EXPECT_EQ(crash("a/1", false), quarantine_verdict::suspect);
+    EXPECT_EQ(crash("b/1", true), quarantine_verdict::suspect);
+    EXPECT_EQ(crash("c/1", true), quarantine_verdict::crashing);
+}
+
+TEST(crash_quarantine, simultaneous_crashes_of_many_targets_quarantine_nothing)
+{
+    crash_quarantine quarantine;
+    for (char const * const id : {"a/1", "b/1", "c/1", "d/1", "e/1"})
+    {
+        static_cast<void>(
+            quarantine.crashed(bystander_request, crash_id(id), false, start));
+    }
+    EXPECT_EQ(quarantine.check(bystander_request, start).verdict,
+              quarantine_verdict::suspect);
+}
+
+TEST(crash_quarantine, restored_quarantine_ends_at_its_time)
+{
+    crash_quarantine quarantine;
+    quarantine.restore(crashing_request, seconds(5), start);
+    EXPECT_EQ(quarantine.check(crashing_request, start).verdict,
+              quarantine_verdict::crashing);
+    EXPECT_EQ(quarantine.check(crashing_request, start + seconds(5)).verdict,
+              quarantine_verdict::clear);
+    quarantine.restore(bystander_request, seconds(-1), start);
+    EXPECT_EQ(quarantine.check(bystander_request, start).verdict,
+              quarantine_verdict::clear);
+}
+
 TEST(crash_quarantine, size_is_limited)
 {
     quarantine_options options;
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -29,6 +29,7 @@
     request.urgency = {
         2, now_time + milliseconds(300), now_time + milliseconds(900)};
     request.idempotent = true;
+    request.suspect = true;
     request.slow_action = slow_target_action::start_or_refuse;
     return request;
 }
@@ -61,6 +62,7 @@
     EXPECT_EQ(read->urgency.rank, 2U);
     EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
     EXPECT_TRUE(read->idempotent);
+    EXPECT_TRUE(read->suspect);
     EXPECT_EQ(read->slow_action, slow_target_action::start_or_refuse);
     std::size_t fields = 0;
     for (auto const & field : read->message)
@@ -107,7 +109,8 @@
         sent.from_service = true;
         sent.reached_target = true;
         sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
-        sent.refusal = admission_refusal::slow;
+        sent.refusal = admission_refusal::crashing;
+        sent.target_connection_lost = true;
         sent.retry_after = milliseconds(70);
         sent.run_time = milliseconds(12);
         target_load load;
@@ -122,10 +125,11 @@
         ASSERT_TRUE(read.has_value());
         EXPECT_EQ(read->outcome, outcome);
         EXPECT_EQ(read->reason, sent.reason);
-        EXPECT_EQ(read->refusal, admission_refusal::slow);
+        EXPECT_EQ(read->refusal, admission_refusal::crashing);
         EXPECT_EQ(read->retry_after, sent.retry_after);
         EXPECT_TRUE(read->from_service);
         EXPECT_TRUE(read->reached_target);
+        EXPECT_TRUE(read->target_connection_lost);
         EXPECT_EQ(versions.kinds, sample_sender().versions.kinds);
         ASSERT_TRUE(read->load.has_value());
         EXPECT_EQ(read->load->running, 3U);
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -286,6 +286,8 @@
     entry.domain = failure_domain("z");
     entry.state = target_state::draining;
     entry.slots = 12;
+    entry.crashing_requests = {{request_fingerprint(~std::uint64_t{0}), 5000},
+                               {request_fingerprint(7), 6000}};
     auto const request =
         store_adapter_under_test.replace_request(entry, object_version(4));
     EXPECT_EQ(request.method(), http::verb::put);
@@ -299,6 +301,26 @@
     EXPECT_EQ(*restored, entry);
 }
 
+TEST(platform_store, ignores_malformed_crashing_requests_of_an_entry)
+{
+    for (auto const * const malformed :
+         {"7", "null", "{}", R"([1, {"fingerprint": -1, "expires_ms": 1}])"})
+    {
+        failure reason;
+        auto const entry = store_adapter_under_test.read_target(
+            {"n",
+             object_version(1),
+             std::string(R"({"peer":"10.0.0.1:1","target":"i","service":"s",
+                             "domain":"z","state":"ready","slots":1,
+                             "crashing":)") +
+                 malformed + "}",
+             false},
+            reason);
+        ASSERT_TRUE(entry.has_value()) << malformed;
+        EXPECT_TRUE(entry->crashing_requests.empty()) << malformed;
+    }
+}
+
 TEST(platform_store, rejects_malformed_target_entries)
 {
     for (auto const * const invalid :
--- a/tests/src/unit-target-admission-policy.cpp
+++ b/tests/src/unit-target-admission-policy.cpp
@@ -76,6 +76,57 @@
     EXPECT_EQ(policy.load(start_time).waiting, 12U);
 }
 
+// A crashing request is found by what was in flight at two crashes. The
+// requests that were beside it at the first must not be beside it again.
+TEST(target_admission_policy, suspects_run_one_at_a_time_beside_other_requests)
+{
+    auto policy = make_open_policy();
+    auto now = start_time;
+    train_run_time(policy, milliseconds(50), now);
+    std::vector<admission_ticket> suspects;
+    for (int i = 0; i < 3; ++i)
+    {
+        suspects.push_back(policy
+                               .offer("route",
+                                      make_urgency(now),
+                                      slow_target_action::wait,
+                                      now,
+                                      true)
+                               .ticket);
+        static_cast<void>(policy.offer(
+            "route", make_urgency(now), slow_target_action::wait, now));
+    }
+    EXPECT_EQ(count_started(policy.take_ready(now)), 4U);
+    policy.finish(suspects[0], false, now);
+    EXPECT_EQ(count_started(policy.take_ready(now)), 1U);
+}
+
+TEST(target_admission_policy, suspect_is_refused_if_others_take_too_long)
+{
+    auto policy = make_open_policy();
+    auto now = start_time;
+    train_run_time(policy, milliseconds(400), now);
+    std::size_t refused = 0;
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const verdict = policy.offer("route",
+                                          make_urgency(now, milliseconds(1000)),
+                                          slow_target_action::wait,
+                                          now,
+                                          true);
+        refused += verdict.decision == target_admission_verdict::action::refuse
+                       ? 1
+                       : 0;
+        static_cast<void>(policy.take_ready(now));
+    }
+    // three of 400 ms end within the usable share of 2 s
+    EXPECT_EQ(refused, 5U);
+    EXPECT_EQ(
+        policy.offer("route", make_urgency(now), slow_target_action::wait, now)
+            .decision,
+        target_admission_verdict::action::wait);
+}
+
 TEST(target_admission_policy, refuses_new_and_waiting_requests_when_closed)
 {
     auto policy = make_open_policy();
