Decode and log the request rate that a target states

Change: the adapter reads the rate; target_limit is written when it changes. A rate that is negative, huge or no number names none and is logged once. No decision depends on it yet.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -113,6 +113,7 @@
     void arm_queue_timer();
     void update_admission();
     void apply_response_head(target_response_head const & head);
+    void apply_rate_limit(target_response_head const & head);
     void log_identity(char const * source);
     void handle_lost_connection(request_state const & state);
     void check_for_crash();
@@ -136,6 +137,9 @@
     absl::flat_hash_map<admission_ticket, state_pointer> requests;
     boost::asio::steady_timer queue_timer;
     time_point last_response;
+    // requests per second that the target states to take
+    std::optional<double> rate_limit;
+    bool logged_invalid_rate_limit = false;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/message_adapter.hpp
+++ b/include/endivehinge/detail/gateway/message_adapter.hpp
@@ -35,6 +35,10 @@
     std::optional<std::uint32_t> slots;
     // current service time relative to the normal one
     std::optional<double> slowdown;
+    // requests per second that the target takes from all nodes together
+    std::optional<double> rate_limit;
+    // the response has a rate limit that cannot be read
+    bool rate_limit_is_invalid = false;
     // time until the target accepts more than its cold start rate
     std::optional<duration> cold_remaining;
 };
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -485,6 +485,7 @@
     {
         this->admission.set_slowdown(*head.slowdown, this->last_response);
     }
+    this->apply_rate_limit(head);
     if (head.cold_remaining)
     {
         this->cold_until = loop_now() + *head.cold_remaining;
@@ -495,6 +496,27 @@
     }
 }
 
+void local_target::apply_rate_limit(target_response_head const & head)
+{
+    if (head.rate_limit_is_invalid && !this->logged_invalid_rate_limit)
+    {
+        this->logged_invalid_rate_limit = true;
+        this->log.write("target_limit_unreadable", {});
+    }
+    // only a response of the service itself shows that there is no limit
+    bool const states_none = head.from_service && !head.rate_limit;
+    if (head.rate_limit == this->rate_limit ||
+        (!head.rate_limit && !states_none))
+    {
+        return;
+    }
+    this->rate_limit = head.rate_limit;
+    this->log.write(
+        "target_limit",
+        {{"requests_per_s",
+          this->rate_limit ? absl::StrCat(*this->rate_limit) : "none"}});
+}
+
 void local_target::log_identity(char const * source)
 {
     auto const & current = this->identity.current();
--- a/tests/src/gateway/target_stand_in.cpp
+++ b/tests/src/gateway/target_stand_in.cpp
@@ -98,6 +98,10 @@
 void target_stand_in::add_fields(detail::response_message & message) const
 {
     message.set("Instance-Id", this->id);
+    for (auto const & [name, value] : this->extra_fields)
+    {
+        message.set(name, value);
+    }
     message.set("Server-Load", "0,0,10," + std::to_string(this->slowdown));
 }
 
--- a/tests/src/gateway/target_stand_in.hpp
+++ b/tests/src/gateway/target_stand_in.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>    // uint16_t
 #include <functional> // function
+#include <map>        // map
 #include <memory>     // shared_ptr
 #include <string>     // string
 #include <vector>     // vector
@@ -48,6 +49,8 @@
     std::string id;
     // the slowdown that it reports, in percent
     int slowdown = 100;
+    // further fields of all responses
+    std::map<std::string, std::string> extra_fields;
     // IDs of the executed requests, in order
     std::vector<std::string> executed_ids;
     // the last executed request
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -276,6 +276,27 @@
     }
 }
 
+TEST(platform_messages, unreadable_rate_limit_names_none)
+{
+    platform_messages const messages;
+    auto const read = [&messages](char const * text)
+    {
+        detail::header_fields fields;
+        fields.set("Server-Limit", text);
+        return messages.read_response(200, fields);
+    };
+    EXPECT_EQ(read("3.2").rate_limit, 3.2);
+    EXPECT_EQ(read("0").rate_limit, 0.0);
+    EXPECT_FALSE(read("3.2").rate_limit_is_invalid);
+    for (auto const * const invalid : {"", "x", "-1", "nan", "inf", "1e300"})
+    {
+        EXPECT_FALSE(read(invalid).rate_limit.has_value()) << invalid;
+        EXPECT_TRUE(read(invalid).rate_limit_is_invalid) << invalid;
+    }
+    EXPECT_FALSE(messages.read_response(200, detail::header_fields())
+                     .rate_limit_is_invalid);
+}
+
 TEST(platform_store, restores_a_target_entry_that_it_wrote)
 {
     target_entry entry;
