Keep to the request rate that a target states

Cause: no part of serve read the limit; admission knew slots and the rate of a cold target only.

Change: stated_rate_limiter beside the cold limiter, both on one token bucket. All requests to a target pass its node, so the limit holds for all nodes together. The wait is part of the estimate at arrival, so what comes too late is refused at once, and part of the published load, so that placement prefers others. A node that starts learns the limit from the requests of nodes that knew it.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -1,7 +1,8 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_DISPATCH_REQUEST_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_DISPATCH_REQUEST_HPP
 
-#include <string> // string
+#include <optional> // optional
+#include <string>   // string
 
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
@@ -30,6 +31,9 @@
     request_urgency urgency;
     // whether running the request more than once is safe
     bool idempotent = false;
+    // the rate that the target stated last, as far as the sender knows;
+    // requests per second
+    std::optional<double> stated_rate;
     // whether a target's connection was lost while it ran the request
     bool suspect = false;
     slow_target_action slow_action = slow_target_action::start_or_refuse;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -114,6 +114,11 @@
     void update_admission();
     void apply_response_head(target_response_head const & head);
     void apply_rate_limit(target_response_head const & head);
+    void set_rate_limit(std::optional<double> limit, char const * source);
+    /// @brief applies what another node knows of the rate that the target
+    /// states, unless this node has a response of the target
+    void adopt_rate_limit(dispatch_request const & request);
+    void handle_replacement(target_id const & ended, target_state last_state);
     void log_identity(char const * source);
     void handle_lost_connection(request_state const & state);
     void check_for_crash();
@@ -140,6 +145,8 @@
     // requests per second that the target states to take
     std::optional<double> rate_limit;
     bool logged_invalid_rate_limit = false;
+    // whether this process has a response of the target, or its replacement
+    bool rate_limit_known = false;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/policy/cold_rate_limiter.hpp
+++ b/include/endivehinge/policy/cold_rate_limiter.hpp
@@ -5,6 +5,7 @@
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/policy/cold_rate_bound.hpp>
+#include <endivehinge/policy/start_rate_bucket.hpp>
 
 namespace endivehinge
 {
@@ -54,13 +55,11 @@
     [[nodiscard]] time_point next_start_time() const;
 
 private:
-    [[nodiscard]] duration refill_time(double requests) const;
-
     double burst;
     time_point cold_until;
+    // 0: unlimited
     double rate = 0;
-    double tokens = 0;
-    time_point last_refill;
+    start_rate_bucket bucket;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -12,6 +12,7 @@
 #include <endivehinge/policy/run_time_estimates.hpp>
 #include <endivehinge/policy/slow_target_action.hpp>
 #include <endivehinge/policy/slowdown_tracker.hpp>
+#include <endivehinge/policy/stated_rate_limiter.hpp>
 #include <endivehinge/policy/target_admission_options.hpp>
 #include <endivehinge/policy/target_admission_verdict.hpp>
 #include <endivehinge/policy/target_load.hpp>
@@ -34,6 +35,8 @@
 ///   faster.
 /// - A queue longer than the time left allows: requests are refused
 ///   immediately instead of being held.
+/// - A target in need that states how many requests a second it takes: requests
+///   wait for the next start at that rate, or are refused if that is too late.
 /// - Requests that were in flight when a target crashed, of which one may crash
 ///   this target too: they run one at a time, so that a crash shows which one.
 /// - Overload for longer than a burst: only requests that can still meet their
@@ -53,6 +56,10 @@
     /// @param bound limit on the requests of any second during the period
     void set_cold(time_point until, double rate, cold_rate_bound const & bound);
 
+    /// @brief sets the request rate that the target states to take from all
+    /// nodes together, in requests per second; no value: none is stated
+    void set_stated_rate(std::optional<double> rate, time_point now);
+
     /// @brief records a slowdown reported by the target: its current run time
     /// relative to the normal one
     void set_slowdown(double factor, time_point now);
@@ -136,6 +143,11 @@
     [[nodiscard]] duration suspect_wait(request_urgency const & urgency,
                                         time_point now) const;
     [[nodiscard]] bool can_start(time_point now);
+    /// @brief time until the rate limits allow a number of starts
+    [[nodiscard]] duration rate_wait(std::size_t requests,
+                                     time_point now) const;
+    /// @brief why a request that would have to wait too long is refused
+    [[nodiscard]] admission_refusal capacity_refusal(time_point now) const;
     [[nodiscard]] readiness readiness_of(queued_request const & request,
                                          time_point now) const;
     [[nodiscard]] readiness readiness_while_slow(queued_request const & request,
@@ -178,6 +190,7 @@
     bool open = false;
     double failure_share = 0;
     cold_rate_limiter cold_limiter;
+    stated_rate_limiter stated_limiter;
     slowdown_tracker slowdown_state;
     run_time_estimates run_times;
     // run times divided by the slowdown at the start of each request
--- a/include/endivehinge/policy/target_admission_verdict.hpp
+++ b/include/endivehinge/policy/target_admission_verdict.hpp
@@ -25,6 +25,7 @@
     // the target is another incarnation than the one that was addressed
     other_incarnation,
     crashing, // the request crashes its targets
+    limited,  // the rate that the target states is used up
 };
 
 /// @brief the admission decision on one request
--- a/include/endivehinge/policy/target_load.hpp
+++ b/include/endivehinge/policy/target_load.hpp
@@ -1,7 +1,8 @@
 #ifndef ENDIVEHINGE_POLICY_TARGET_LOAD_HPP
 #define ENDIVEHINGE_POLICY_TARGET_LOAD_HPP
 
-#include <cstdint> // uint32_t
+#include <cstdint>  // uint32_t
+#include <optional> // optional
 
 #include <endivehinge/core/clock.hpp>
 
@@ -21,10 +22,13 @@
     double failure_share = 0;
     // accepts no new requests: the target is draining, evacuated or unknown
     bool closed = false;
-    // time until another request could start at the rate limit of a cold
-    // target, and between two starts; 0 if the target is not cold
+    // time until another request could start at the rate limit of the target,
+    // and between two starts; 0 if it has none
     duration start_delay{0};
     duration start_interval{0};
+    // requests per second that the target states to take from all nodes
+    // together
+    std::optional<double> stated_rate;
 };
 
 } // namespace endivehinge
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -34,8 +34,8 @@
 constexpr char const * reason_field = "Endivehinge-Reason";
 // running, waiting, limit, slowdown, failure share, closed
 constexpr char const * load_field = "Endivehinge-Load";
-// microseconds until a cold target may start another request, and between two
-// starts; only sent by cold targets
+// microseconds until a target with a rate limit may start another request, and
+// between two starts; only sent for such targets
 constexpr char const * cold_field = "Endivehinge-Cold";
 // eras of the sender's replicas, version of its active configuration. A field
 // of its own, because earlier versions reject sender and outcome fields with
@@ -46,6 +46,10 @@
 // result: the target's connection was lost. Only sent if so
 constexpr char const * suspect_field = "Endivehinge-Suspect";
 
+// requests per second that the target states: in a request as the sender knows
+// it, in a result as it is. Only sent if there is such a rate
+constexpr char const * stated_rate_field = "Endivehinge-Rate";
+
 std::int64_t microsecond_count(duration value)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
@@ -119,6 +123,14 @@
                         microsecond_count(load.start_interval));
 }
 
+std::optional<double> read_stated_rate(std::string const & text)
+{
+    auto const numbers = read_numbers(text);
+    // also false for a value that is no number
+    bool const is_valid = numbers.size() == 1 && numbers[0] >= 0;
+    return is_valid ? std::optional(numbers[0]) : std::nullopt;
+}
+
 std::string write_load(target_load const & load)
 {
     return absl::StrCat(load.running,
@@ -209,6 +221,10 @@
     message.set(caller_field, request.caller.value());
     message.set(request_id_field, request.id);
     message.set(in_flight_id_field, request.in_flight_id);
+    if (request.stated_rate)
+    {
+        message.set(stated_rate_field, absl::StrCat(*request.stated_rate));
+    }
     if (request.suspect)
     {
         message.set(suspect_field, "1");
@@ -256,6 +272,8 @@
     request.caller = service_name(extract_field(message, caller_field));
     request.id = extract_field(message, request_id_field);
     request.in_flight_id = extract_field(message, in_flight_id_field);
+    request.stated_rate =
+        read_stated_rate(extract_field(message, stated_rate_field));
     request.suspect = !extract_field(message, suspect_field).empty();
     if (numbers.size() != 5 || request.target.value().empty() ||
         numbers[4] < 0 ||
@@ -310,6 +328,11 @@
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
+        if (result.load->stated_rate)
+        {
+            message.set(stated_rate_field,
+                        absl::StrCat(*result.load->stated_rate));
+        }
         if (result.load->start_interval > duration(0))
         {
             message.set(cold_field, write_cold(*result.load));
@@ -327,7 +350,7 @@
         numbers[0] < 0 ||
         numbers[0] > static_cast<int>(dispatch_outcome::indeterminate) ||
         numbers[6] < 0 ||
-        numbers[6] > static_cast<int>(admission_refusal::crashing))
+        numbers[6] > static_cast<int>(admission_refusal::limited))
     {
         return std::nullopt;
     }
@@ -348,8 +371,10 @@
         !extract_field(message, suspect_field).empty();
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
+    auto const stated_rate = extract_field(message, stated_rate_field);
     if (result.load)
     {
+        result.load->stated_rate = read_stated_rate(stated_rate);
         read_cold(cold, *result.load);
     }
     result.response = std::move(message);
@@ -371,7 +396,8 @@
                                     load_field,
                                     cold_field,
                                     position_field,
-                                    suspect_field})
+                                    suspect_field,
+                                    stated_rate_field})
     {
         fields.erase(name);
     }
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -119,6 +119,7 @@
         refusal.reason = admission_refusal::other_incarnation;
         return refusal;
     }
+    this->adopt_rate_limit(state.request);
     auto const status = this->crashes.check(state.request);
     if (status.verdict == quarantine_verdict::crashing)
     {
@@ -385,9 +386,9 @@
     }
     if (change == target_incarnation_tracker::change::new_incarnation)
     {
-        if (before && before->state == target_state::ready)
+        if (before)
         {
-            this->crashes.confirm_crash(before->id);
+            this->handle_replacement(before->id, before->state);
         }
         this->server.close_idle();
         this->cold_until = time_point();
@@ -503,18 +504,45 @@
         this->logged_invalid_rate_limit = true;
         this->log.write("target_limit_unreadable", {});
     }
+    this->rate_limit_known = this->rate_limit_known || head.from_service;
     // only a response of the service itself shows that there is no limit
-    bool const states_none = head.from_service && !head.rate_limit;
-    if (head.rate_limit == this->rate_limit ||
-        (!head.rate_limit && !states_none))
+    if (head.rate_limit || head.from_service)
+    {
+        this->set_rate_limit(head.rate_limit, "response");
+    }
+}
+
+void local_target::set_rate_limit(std::optional<double> limit,
+                                  char const * source)
+{
+    if (limit == this->rate_limit)
     {
         return;
     }
-    this->rate_limit = head.rate_limit;
-    this->log.write(
-        "target_limit",
-        {{"requests_per_s",
-          this->rate_limit ? absl::StrCat(*this->rate_limit) : "none"}});
+    this->rate_limit = limit;
+    this->admission.set_stated_rate(limit, loop_now());
+    this->log.write("target_limit",
+                    {{"requests_per_s", limit ? absl::StrCat(*limit) : "none"},
+                     {"by", source}});
+}
+
+void local_target::adopt_rate_limit(dispatch_request const & request)
+{
+    if (!this->rate_limit_known && request.stated_rate)
+    {
+        this->set_rate_limit(request.stated_rate, "node");
+    }
+}
+
+void local_target::handle_replacement(target_id const & ended,
+                                      target_state last_state)
+{
+    if (last_state == target_state::ready)
+    {
+        this->crashes.confirm_crash(ended);
+    }
+    this->rate_limit_known = true;
+    this->set_rate_limit(std::nullopt, "replacement");
 }
 
 void local_target::log_identity(char const * source)
@@ -619,9 +647,9 @@
     if (this->identity.record_health_response(*head.id, *head.slots) ==
         target_incarnation_tracker::change::new_incarnation)
     {
-        if (before && before->state == target_state::ready)
+        if (before)
         {
-            this->crashes.confirm_crash(before->id);
+            this->handle_replacement(before->id, before->state);
         }
         if (!head.cold_remaining && this->properties)
         {
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -20,6 +20,7 @@
     metrics.set_gauge("target_limit", load.limit);
     metrics.set_gauge("target_slowdown", load.slowdown);
     metrics.set_gauge("target_failure_share", load.failure_share);
+    metrics.set_gauge("target_stated_rate", load.stated_rate.value_or(0));
     metrics.set_gauge("target_open", load.closed ? 0 : 1);
     metrics.set_gauge(
         "target_connections_opened",
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -74,6 +74,10 @@
 {
     auto const sequence = ++this->last_sequence;
     request.in_flight_id = this->in_flight_id_of(sequence);
+    if (this->last_load)
+    {
+        request.stated_rate = this->last_load->stated_rate;
+    }
     write_hop_request(request, this->sender, loop_now());
     request.message.version(11);
     request.message.keep_alive(true);
--- a/src/policy/cold_rate_limiter.cpp
+++ b/src/policy/cold_rate_limiter.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/cold_rate_limiter.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // max
 
 namespace endivehinge
 {
@@ -32,6 +32,7 @@
             requests_per_second * bound.factor + bound.slack - unused_requests;
         this->rate = std::max(requests_in_any_second - this->burst, min_rate);
     }
+    this->bucket.set(this->rate, this->burst);
 }
 
 bool cold_rate_limiter::is_cold(time_point now) const
@@ -41,47 +42,30 @@
 
 bool cold_rate_limiter::can_start(time_point now)
 {
-    double const elapsed_seconds =
-        to_milliseconds(now - this->last_refill) / 1000;
-    this->last_refill = now;
-    this->tokens =
-        std::min(this->burst, this->tokens + elapsed_seconds * this->rate);
-    return !this->is_cold(now) || this->tokens >= 1;
+    this->bucket.refill(now);
+    return !this->is_cold(now) || this->bucket.has_token();
 }
 
 void cold_rate_limiter::record_start()
 {
-    this->tokens = std::max(0.0, this->tokens - 1);
+    this->bucket.take();
 }
 
 duration cold_rate_limiter::time_until_start(std::size_t requests,
                                              time_point now) const
 {
-    if (!this->is_cold(now))
-    {
-        return duration(0);
-    }
-    return this->refill_time(static_cast<double>(requests) - this->tokens);
+    return this->is_cold(now) ? this->bucket.time_until(requests, now)
+                              : duration(0);
 }
 
 duration cold_rate_limiter::start_interval(time_point now) const
 {
-    return this->is_cold(now) ? this->refill_time(1) : duration(0);
+    return this->is_cold(now) ? this->bucket.interval() : duration(0);
 }
 
 time_point cold_rate_limiter::next_start_time() const
 {
-    if (this->rate <= 0 || this->tokens >= 1)
-    {
-        return time_point();
-    }
-    return this->last_refill + this->refill_time(1 - this->tokens);
-}
-
-duration cold_rate_limiter::refill_time(double requests) const
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(std::max(requests, 0.0) / this->rate));
+    return this->rate > 0 ? this->bucket.next_start() : time_point();
 }
 
 } // namespace endivehinge
--- a/src/policy/placement_limit.cpp
+++ b/src/policy/placement_limit.cpp
@@ -44,6 +44,7 @@
     case admission_refusal::cold:
     case admission_refusal::busy:
     case admission_refusal::too_late:
+    case admission_refusal::limited:
         this->capacity_refusals += 1;
         return;
     case admission_refusal::none:
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -33,6 +33,8 @@
         return "too_late";
     case admission_refusal::crashing:
         return "crashing";
+    case admission_refusal::limited:
+        return "limited";
     case admission_refusal::other_incarnation:
         break;
     }
@@ -61,6 +63,12 @@
     this->cold_limiter.set(until, rate, bound);
 }
 
+void target_admission_policy::set_stated_rate(std::optional<double> rate,
+                                              time_point now)
+{
+    this->stated_limiter.set(rate, now);
+}
+
 void target_admission_policy::set_slowdown(double factor, time_point now)
 {
     this->slowdown_state.update(factor, this->cold_limiter.is_cold(now), now);
@@ -111,11 +119,7 @@
     if (misses_deadline || (is_late && this->is_overloaded(now)) ||
         this->waiting.size() >= this->options.max_waiting)
     {
-        return this->refuse(ticket,
-                            this->cold_limiter.is_cold(now)
-                                ? admission_refusal::cold
-                                : admission_refusal::busy,
-                            wait);
+        return this->refuse(ticket, this->capacity_refusal(now), wait);
     }
     this->waiting.push_back(
         {ticket, route, urgency, slow_action, now, is_suspect});
@@ -240,11 +244,11 @@
 
 void target_admission_policy::update_queueing_since(time_point now)
 {
-    bool const within_cold_rate = this->cold_limiter.time_until_start(
-                                      this->waiting.size(), now) == duration(0);
+    bool const within_rate =
+        this->rate_wait(this->waiting.size(), now) == duration(0);
     bool const queueing =
         !this->waiting.empty() &&
-        (this->running.size() >= this->limit() || !within_cold_rate);
+        (this->running.size() >= this->limit() || !within_rate);
     if (queueing)
     {
         this->queueing_since = this->queueing_since.value_or(now);
@@ -305,9 +309,11 @@
     current_load.slowdown = this->slowdown_state.factor();
     current_load.failure_share = this->failure_share;
     current_load.closed = !this->open;
-    current_load.start_delay =
-        this->cold_limiter.time_until_start(this->waiting.size() + 1, now);
-    current_load.start_interval = this->cold_limiter.start_interval(now);
+    current_load.start_delay = this->rate_wait(this->waiting.size() + 1, now);
+    current_load.start_interval =
+        std::max(this->cold_limiter.start_interval(now),
+                 this->stated_limiter.start_interval());
+    current_load.stated_rate = this->stated_limiter.limit();
     return current_load;
 }
 
@@ -326,10 +332,13 @@
     {
         next = std::min(*next, this->slowdown_state.next_review());
     }
-    if (auto const review_time = this->cold_limiter.next_start_time();
-        next && review_time > time_point())
+    for (auto const review_time : {this->cold_limiter.next_start_time(),
+                                   this->stated_limiter.next_start_time()})
     {
-        next = std::min(*next, review_time);
+        if (next && review_time > time_point())
+        {
+            next = std::min(*next, review_time);
+        }
     }
     return next;
 }
@@ -371,7 +380,26 @@
 bool target_admission_policy::can_start(time_point now)
 {
     return this->running.size() < this->limit() &&
-           this->cold_limiter.can_start(now);
+           this->cold_limiter.can_start(now) &&
+           this->stated_limiter.can_start(now);
+}
+
+duration target_admission_policy::rate_wait(std::size_t requests,
+                                            time_point now) const
+{
+    return std::max(this->cold_limiter.time_until_start(requests, now),
+                    this->stated_limiter.time_until_start(requests, now));
+}
+
+admission_refusal
+target_admission_policy::capacity_refusal(time_point now) const
+{
+    if (this->stated_limiter.limit())
+    {
+        return admission_refusal::limited;
+    }
+    return this->cold_limiter.is_cold(now) ? admission_refusal::cold
+                                           : admission_refusal::busy;
 }
 
 target_admission_policy::readiness
@@ -445,9 +473,8 @@
     {
         requests_ahead += this->runs_before(candidate, request, now) ? 0 : 1;
     }
-    return std::max(
-        this->slot_wait(requests_ahead, now),
-        this->cold_limiter.time_until_start(this->waiting.size() + 1, now));
+    return std::max(this->slot_wait(requests_ahead, now),
+                    this->rate_wait(this->waiting.size() + 1, now));
 }
 
 duration target_admission_policy::slot_wait(std::size_t requests_ahead,
@@ -519,6 +546,7 @@
         std::max(this->slowdown_state.factor(), 1.0),
         request.is_suspect};
     this->cold_limiter.record_start();
+    this->stated_limiter.record_start();
 }
 
 target_admission_verdict target_admission_policy::refuse(
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -30,6 +30,7 @@
         2, now_time + milliseconds(300), now_time + milliseconds(900)};
     request.idempotent = true;
     request.suspect = true;
+    request.stated_rate = 3.25;
     request.slow_action = slow_target_action::start_or_refuse;
     return request;
 }
@@ -63,6 +64,7 @@
     EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
     EXPECT_TRUE(read->idempotent);
     EXPECT_TRUE(read->suspect);
+    EXPECT_EQ(read->stated_rate, 3.25);
     EXPECT_EQ(read->slow_action, slow_target_action::start_or_refuse);
     std::size_t fields = 0;
     for (auto const & field : read->message)
@@ -118,6 +120,7 @@
         load.limit = 14;
         load.slowdown = 4.5;
         load.closed = true;
+        load.stated_rate = 7.1;
         sent.load = load;
         replica_versions versions;
         auto const read = read_hop_result(
@@ -134,6 +137,7 @@
         ASSERT_TRUE(read->load.has_value());
         EXPECT_EQ(read->load->running, 3U);
         EXPECT_DOUBLE_EQ(read->load->slowdown, 4.5);
+        EXPECT_EQ(read->load->stated_rate, 7.1);
         EXPECT_TRUE(read->load->closed);
         if (outcome == dispatch_outcome::answered)
         {
--- a/tests/src/unit-target-admission-policy.cpp
+++ b/tests/src/unit-target-admission-policy.cpp
@@ -127,6 +127,60 @@
         target_admission_verdict::action::wait);
 }
 
+// A target in need has slots free, but takes a few requests a second.
+TEST(target_admission_policy,
+     starts_requests_at_the_rate_that_the_target_states)
+{
+    auto policy = make_open_policy();
+    auto now = start_time;
+    train_run_time(policy, milliseconds(5), now);
+    policy.set_stated_rate(4.0, now);
+    std::vector<time_point> starts;
+    auto const end = now + seconds(20);
+    std::size_t refused = 0;
+    for (; now < end; now += milliseconds(10))
+    {
+        auto const verdict = policy.offer(
+            "route", make_urgency(now), slow_target_action::wait, now);
+        if (verdict.decision == target_admission_verdict::action::refuse)
+        {
+            EXPECT_EQ(verdict.reason, admission_refusal::limited);
+            refused += 1;
+        }
+        for (auto const & ready : policy.take_ready(now))
+        {
+            if (ready.decision == target_admission_verdict::action::start)
+            {
+                starts.push_back(now);
+                policy.finish(ready.ticket, false, now + milliseconds(5));
+            }
+        }
+    }
+    EXPECT_GE(starts.size(), 78U);
+    EXPECT_GT(refused, 1500U);
+    for (std::size_t i = 20; i < starts.size(); ++i)
+    {
+        // five seconds' worth at the rate and the burst of one second
+        EXPECT_GE(starts[i] - starts[i - 20], milliseconds(3900));
+    }
+    policy.set_stated_rate(std::nullopt, now);
+    EXPECT_EQ(policy.load(now).start_delay, duration(0));
+}
+
+TEST(target_admission_policy, stated_rate_of_zero_still_starts_a_request)
+{
+    auto policy = make_open_policy();
+    policy.set_stated_rate(0.0, start_time);
+    auto const offered =
+        policy.offer("route",
+                     make_urgency(start_time, seconds(60), seconds(60)),
+                     slow_target_action::wait,
+                     start_time);
+    EXPECT_EQ(offered.decision, target_admission_verdict::action::wait);
+    EXPECT_EQ(count_started(policy.take_ready(start_time)), 0U);
+    EXPECT_EQ(count_started(policy.take_ready(start_time + seconds(5))), 1U);
+}
+
 TEST(target_admission_policy, refuses_new_and_waiting_requests_when_closed)
 {
     auto policy = make_open_policy();
