Drain a target whose responses say that it is leaving

What callers would see: requests at a target that is about to end, since its report of it comes late or not at all.

Cause: no part of serve read the field with which a leaving target marks all its responses.

Change: the first such response of the current incarnation, to a request or a probe, closes the target at its node and publishes it as draining. A late report does not open it again; the next incarnation does.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -118,6 +118,8 @@
     /// @brief applies what another node knows of the rate that the target
     /// states, unless this node has a response of the target
     void adopt_rate_limit(dispatch_request const & request);
+    /// @brief closes the target after it responded that it is leaving
+    void drain(target_id const & target);
     void handle_replacement(target_id const & ended, target_state last_state);
     void log_identity(char const * source);
     void handle_lost_connection(request_state const & state);
--- a/include/endivehinge/detail/gateway/message_adapter.hpp
+++ b/include/endivehinge/detail/gateway/message_adapter.hpp
@@ -28,6 +28,8 @@
     bool from_other_incarnation = false;
     // the response was produced by the target's service
     bool from_service = false;
+    // the target is leaving and must get no new requests
+    bool leaving = false;
     // the incarnation that responded, if the response names it
     std::optional<target_id> id;
     std::optional<std::uint32_t> running;
--- a/include/endivehinge/policy/target_incarnation_tracker.hpp
+++ b/include/endivehinge/policy/target_incarnation_tracker.hpp
@@ -36,6 +36,10 @@
     /// @param slots number of slots that the target returned
     change record_health_response(target_id const & id, std::uint32_t slots);
 
+    /// @brief records that an incarnation responded that it is leaving
+    /// @return whether it is the current one and was ready
+    bool drain(target_id const & id);
+
     /// @brief records that an incarnation has ended
     /// @return whether it was the current one
     bool leave(target_id const & id);
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -253,6 +253,10 @@
     auto const head = this->adapter.read_response(result.response.result_int(),
                                                   result.response);
     this->apply_response_head(head);
+    if (head.leaving && !head.from_other_incarnation)
+    {
+        this->drain(state->request.target);
+    }
     if (head.not_run)
     {
         outcome.outcome = dispatch_outcome::refused;
@@ -534,6 +538,15 @@
     }
 }
 
+void local_target::drain(target_id const & target)
+{
+    if (this->identity.drain(target))
+    {
+        this->log_identity("response");
+        this->update_admission();
+    }
+}
+
 void local_target::handle_replacement(target_id const & ended,
                                       target_state last_state)
 {
@@ -638,6 +651,10 @@
     auto const head = this->adapter.read_response(result.response.result_int(),
                                                   result.response);
     this->apply_response_head(head);
+    if (head.leaving && head.id)
+    {
+        this->drain(*head.id);
+    }
     bool const healthy = result.response.result() == http::status::ok;
     if (!healthy || !head.id || !head.slots)
     {
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -90,6 +90,17 @@
     return change::new_incarnation;
 }
 
+bool target_incarnation_tracker::drain(target_id const & id)
+{
+    if (!this->current_report || this->current_report->id != id ||
+        this->current_report->state != target_state::ready)
+    {
+        return false;
+    }
+    this->current_report->state = target_state::draining;
+    return true;
+}
+
 bool target_incarnation_tracker::leave(target_id const & id)
 {
     if (!this->current_report || this->current_report->id != id)
--- a/tests/src/unit-target-incarnation-tracker.cpp
+++ b/tests/src/unit-target-incarnation-tracker.cpp
@@ -93,5 +93,24 @@
     EXPECT_EQ(tracker.record_health_response(target_id("c"), 0), change::none);
 }
 
+TEST(target_incarnation_tracker, drained_incarnation_stays_so_until_the_next)
+{
+    target_incarnation_tracker tracker;
+    target_status_report report;
+    report.id = target_id("i-1");
+    report.sequence = 5;
+    tracker.report(report);
+    EXPECT_FALSE(tracker.drain(target_id("i-0")));
+    EXPECT_TRUE(tracker.drain(report.id));
+    EXPECT_FALSE(tracker.drain(report.id));
+    report.sequence = 6;
+    tracker.report(report);
+    EXPECT_EQ(tracker.current()->state, target_state::draining);
+    report.id = target_id("i-2");
+    report.sequence = 1;
+    tracker.report(report);
+    EXPECT_EQ(tracker.current()->state, target_state::ready);
+}
+
 } // namespace
 } // namespace endivehinge
