Do not quarantine a request that has completed lately; soak with crashing requests

Cause: being the only suspect does not show that a request crashed a target if the one that did is not known as suspect yet. Behind a relay, requests that were sent after the crash counted as in flight, too.

Requests sent after the first lost connection are left out, and all of them if the target then answers.

--- a/include/endivehinge/detail/gateway/target_crash_monitor.hpp
+++ b/include/endivehinge/detail/gateway/target_crash_monitor.hpp
@@ -44,7 +44,13 @@
 
     /// @brief records that the connection of a running request was lost
     /// @param isolated whether no other suspect was running on the target
-    void record_lost(dispatch_request const & request, bool isolated);
+    void record_lost(dispatch_request const & request,
+                     bool isolated,
+                     time_point started_at);
+
+    /// @brief records that the target still runs, so that no loss of a
+    /// connection was a crash
+    void dismiss_losses();
 
     /// @brief records that the target accepts no connection or is another
     /// incarnation
@@ -65,10 +71,13 @@
     [[nodiscard]] std::uint64_t crash_count() const;
 
 private:
-    /// @brief applies a report and logs a new quarantine
-    /// @return the report with the time until the quarantine or suspicion ends
-    crash_report apply(crash_report const & report, bool is_local);
-
+    /// @brief logs and publishes the request if it is crashing now
+    /// @pre it was not before
+    void announce_quarantine(request_fingerprint request);
+    /// @brief whether the request has completed lately, so that it cannot crash
+    /// every target
+    [[nodiscard]] bool has_completed(request_fingerprint request) const;
+    [[nodiscard]] bool is_crashing(request_fingerprint request);
     void publish(quarantined_request const & request);
 
     gateway_settings const & settings;
--- a/include/endivehinge/policy/crash_evidence.hpp
+++ b/include/endivehinge/policy/crash_evidence.hpp
@@ -16,6 +16,7 @@
     request_fingerprint fingerprint;
     // no other suspect request was running on the target
     bool isolated = false;
+    time_point started_at;
     time_point lost_at;
 };
 
@@ -29,13 +30,18 @@
 class crash_evidence
 {
 public:
-    /// @brief records that the connection of a running request was lost
+    /// @brief records that the connection of a running request was lost;
+    /// ignores one that started after the first of these losses, which the
+    /// target may not have received any more
     void add(lost_request const & request);
 
     /// @brief removes and returns the requests that were lost recently enough
     /// to have been in flight at a crash that is confirmed now
     [[nodiscard]] std::vector<lost_request> take(time_point now);
 
+    /// @brief discards the requests, since the target still runs
+    void clear();
+
 private:
     std::vector<lost_request> requests;
 };
--- a/include/endivehinge/policy/crash_quarantine.hpp
+++ b/include/endivehinge/policy/crash_quarantine.hpp
@@ -37,17 +37,14 @@
 {
     quarantine_verdict verdict = quarantine_verdict::clear;
     duration remaining{0};
-    // crashes that the request was in flight at, as far as they are counted
-    std::size_t crashes = 0;
 };
 
 /// @brief identifies requests that crash targets
 ///
 /// Every request in flight when a target crashes becomes suspect and runs
 /// isolated from then on. A request that was in flight at two or more crashes
-/// and ran isolated at the last is crashing. If the same request has completed
-/// before, as frequent requests have, it must have run isolated at two crashes:
-/// one may be a coincidence. A suspect that completes is clear again. Entries
+/// and ran isolated at the last is crashing. A suspect that completes is clear
+/// again. Entries
 /// expire; when the table is full, the entry with the earliest expiry is
 /// evicted.
 /// @note thread safety: none; hold a lock
@@ -68,10 +65,6 @@
                                        bool isolated,
                                        time_point now);
 
-    /// @brief records a crash of the local target
-    /// @return the report to send to the other nodes of the service
-    [[nodiscard]] crash_report crashed(crash_report report, time_point now);
-
     /// @brief restores a quarantine that an earlier process or another node has
     /// stored
     void
@@ -89,11 +82,8 @@
 private:
     struct entry
     {
-        // limited in number
+        // at most two; a second crash is enough evidence
         std::vector<crash_id> crashes;
-        // how many of them the request ran isolated at
-        std::size_t isolated_crashes = 0;
-        bool completed_before = false;
         bool crashing = false;
         time_point expires;
     };
--- a/include/endivehinge/policy/crash_report.hpp
+++ b/include/endivehinge/policy/crash_report.hpp
@@ -22,8 +22,6 @@
     // no other request, or no other suspect, was running on the target when it
     // crashed
     bool isolated = false;
-    // a request with this fingerprint has completed not long before
-    bool completed_before = false;
     // time until the report expires
     duration remaining{0};
 };
--- a/src/app/crash_report_broadcaster.cpp
+++ b/src/app/crash_report_broadcaster.cpp
@@ -37,7 +37,6 @@
     return {request_fingerprint(message.fingerprint()),
             crash_id(message.crash()),
             message.alone(),
-            false, // not known to the sender
             milliseconds(message.remaining_ms())};
 }
 
--- a/src/gateway/crash_report_exchange.cpp
+++ b/src/gateway/crash_report_exchange.cpp
@@ -22,7 +22,6 @@
     return {{"fingerprint", report.fingerprint.value()},
             {"crash", report.crash.value()},
             {"isolated", report.isolated},
-            {"completed_before", report.completed_before},
             {"remaining_ms", report.remaining / milliseconds(1)}};
 }
 
@@ -33,7 +32,6 @@
         request_fingerprint(value.at("fingerprint").get<std::uint64_t>());
     report.crash = crash_id(value.at("crash").get<std::string>());
     report.isolated = value.at("isolated").get<bool>();
-    report.completed_before = value.at("completed_before").get<bool>();
     report.remaining =
         milliseconds(value.at("remaining_ms").get<std::uint32_t>());
     return report;
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -586,7 +586,7 @@
         // a target that has announced its end closes its connections
         return;
     }
-    this->crashes.record_lost(state.request, state.suspect);
+    this->crashes.record_lost(state.request, state.suspect, state.started_at);
     this->check_for_crash();
 }
 
@@ -607,6 +607,10 @@
                 return;
             }
             this->handle_probe(result);
+            if (result.status == call_status::answered)
+            {
+                this->crashes.dismiss_losses();
+            }
         });
 }
 
--- a/src/gateway/target_crash_monitor.cpp
+++ b/src/gateway/target_crash_monitor.cpp
@@ -84,16 +84,7 @@
     quarantine_status status;
     if (this->quarantine.size() > 0)
     {
-        auto const fingerprint = fingerprint_of(request);
-        status = this->quarantine.check(fingerprint, loop_now());
-        // a frequent request is often in flight when a target crashes; running
-        // it isolated would delay the others like it
-        bool const is_likely_innocent =
-            status.crashes == 1 && this->completed.contains(fingerprint);
-        if (status.verdict == quarantine_verdict::suspect && is_likely_innocent)
-        {
-            status.verdict = quarantine_verdict::clear;
-        }
+        status = this->quarantine.check(fingerprint_of(request), loop_now());
     }
     if (status.verdict == quarantine_verdict::clear && request.suspect)
     {
@@ -110,9 +101,16 @@
 }
 
 void target_crash_monitor::record_lost(dispatch_request const & request,
-                                       bool isolated)
+                                       bool isolated,
+                                       time_point started_at)
 {
-    this->evidence.add({fingerprint_of(request), isolated, loop_now()});
+    this->evidence.add(
+        {fingerprint_of(request), isolated, started_at, loop_now()});
+}
+
+void target_crash_monitor::dismiss_losses()
+{
+    this->evidence.clear();
 }
 
 void target_crash_monitor::confirm_crash(target_id const & target)
@@ -132,14 +130,19 @@
     std::vector<crash_report> reports;
     for (auto const & request : lost)
     {
-        crash_report report;
-        report.fingerprint = request.fingerprint;
-        report.crash = crash;
-        report.isolated = request.isolated;
-        report.completed_before = this->completed.contains(request.fingerprint);
-        reports.push_back(this->apply(report, true));
+        if (this->has_completed(request.fingerprint))
+        {
+            continue;
+        }
+        bool const was_crashing = this->is_crashing(request.fingerprint);
+        reports.push_back(this->quarantine.crashed(
+            request.fingerprint, crash, request.isolated, loop_now()));
+        if (!was_crashing)
+        {
+            this->announce_quarantine(request.fingerprint);
+        }
     }
-    if (this->handler)
+    if (this->handler && !reports.empty())
     {
         this->handler(std::move(reports));
     }
@@ -149,45 +152,48 @@
 {
     for (auto const & report : reports)
     {
-        this->apply(report, false);
+        if (this->has_completed(report.fingerprint))
+        {
+            continue;
+        }
+        bool const was_crashing = this->is_crashing(report.fingerprint);
+        this->quarantine.merge(report, loop_now());
+        if (!was_crashing)
+        {
+            this->announce_quarantine(report.fingerprint);
+        }
     }
 }
 
-std::uint64_t target_crash_monitor::crash_count() const
+bool target_crash_monitor::has_completed(request_fingerprint request) const
 {
-    return this->crashes;
+    return this->completed.contains(request);
 }
 
-crash_report target_crash_monitor::apply(crash_report const & report,
-                                         bool is_local)
+bool target_crash_monitor::is_crashing(request_fingerprint request)
 {
-    auto const now = loop_now();
-    bool const was_crashing =
-        this->quarantine.check(report.fingerprint, now).verdict ==
-        quarantine_verdict::crashing;
-    crash_report applied = report;
-    if (is_local)
-    {
-        applied = this->quarantine.crashed(report, now);
-    }
-    else
-    {
-        this->quarantine.merge(report, now);
-    }
-    auto const status = this->quarantine.check(report.fingerprint, now);
-    if (!was_crashing && status.verdict == quarantine_verdict::crashing)
+    return this->quarantine.check(request, loop_now()).verdict ==
+           quarantine_verdict::crashing;
+}
+
+void target_crash_monitor::announce_quarantine(request_fingerprint request)
+{
+    auto const status = this->quarantine.check(request, loop_now());
+    if (status.verdict != quarantine_verdict::crashing)
     {
-        this->publish(
-            {report.fingerprint,
-             unix_time_ms() +
-                 duration_cast<milliseconds>(status.remaining).count()});
-        this->log.write("request_quarantined",
-                        {{"fingerprint",
-                          absl::StrCat(absl::Hex(report.fingerprint.value()))},
-                         {"crashes", absl::StrCat(status.crashes)},
-                         {"for_ms", format_milliseconds(status.remaining)}});
+        return;
     }
-    return applied;
+    this->publish({request,
+                   unix_time_ms() +
+                       duration_cast<milliseconds>(status.remaining).count()});
+    this->log.write("request_quarantined",
+                    {{"fingerprint", absl::StrCat(absl::Hex(request.value()))},
+                     {"for_ms", format_milliseconds(status.remaining)}});
+}
+
+std::uint64_t target_crash_monitor::crash_count() const
+{
+    return this->crashes;
 }
 
 void target_crash_monitor::restore(
--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -18,11 +18,25 @@
 
 void crash_evidence::add(lost_request const & request)
 {
-    if (this->requests.size() >= max_requests)
+    bool const is_outdated =
+        !this->requests.empty() &&
+        request.lost_at - this->requests.front().lost_at > max_evidence_age;
+    if (is_outdated)
     {
-        this->requests.erase(this->requests.begin());
+        this->requests.clear();
     }
-    this->requests.push_back(request);
+    bool const started_later =
+        !this->requests.empty() &&
+        request.started_at > this->requests.front().lost_at;
+    if (!started_later && this->requests.size() < max_requests)
+    {
+        this->requests.push_back(request);
+    }
+}
+
+void crash_evidence::clear()
+{
+    this->requests.clear();
 }
 
 std::vector<lost_request> crash_evidence::take(time_point now)
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -8,11 +8,6 @@
 {
 
 constexpr std::size_t crashes_to_quarantine = 2;
-// crashes at which the request ran isolated
-constexpr std::size_t isolated_crashes_to_quarantine = 1;
-constexpr std::size_t isolated_crashes_after_completion = 2;
-// crashes counted for a request; bounds memory
-constexpr std::size_t max_recorded_crashes = 4;
 
 } // namespace
 
@@ -36,12 +31,9 @@
     }
     if (found->second.crashing)
     {
-        return {quarantine_verdict::crashing,
-                found->second.expires - now,
-                found->second.crashes.size()};
+        return {quarantine_verdict::crashing, found->second.expires - now};
     }
-    return {
-        quarantine_verdict::suspect, duration(0), found->second.crashes.size()};
+    return {quarantine_verdict::suspect, duration(0)};
 }
 
 crash_report crash_quarantine::crashed(request_fingerprint request,
@@ -49,14 +41,10 @@
                                        bool isolated,
                                        time_point now)
 {
-    return this->crashed({request, crash, isolated, false, duration(0)}, now);
-}
-
-crash_report crash_quarantine::crashed(crash_report report, time_point now)
-{
-    report.remaining = this->options.suspicion_duration;
+    crash_report report{
+        request, crash, isolated, this->options.suspicion_duration};
     this->merge(report, now);
-    if (auto const status = this->check(report.fingerprint, now);
+    if (auto const status = this->check(request, now);
         status.verdict == quarantine_verdict::crashing)
     {
         report.remaining = status.remaining;
@@ -122,21 +110,14 @@
     bool const is_recorded =
         std::find(crashes.begin(), crashes.end(), report.crash) !=
         crashes.end();
-    if (!is_recorded && crashes.size() < max_recorded_crashes)
+    if (!is_recorded && crashes.size() < crashes_to_quarantine)
     {
         crashes.push_back(report.crash);
-        stored.isolated_crashes += report.isolated ? 1 : 0;
     }
-    stored.completed_before =
-        stored.completed_before || report.completed_before;
-    std::size_t const isolated_needed = stored.completed_before
-                                            ? isolated_crashes_after_completion
-                                            : isolated_crashes_to_quarantine;
     // a crash with several requests in flight may be caused by any of them
     stored.crashing =
         stored.crashing ||
-        (report.isolated && crashes.size() >= crashes_to_quarantine &&
-         stored.isolated_crashes >= isolated_needed);
+        (report.isolated && crashes.size() >= crashes_to_quarantine);
 }
 
 void crash_quarantine::evict_if_full()
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -8,6 +8,7 @@
 
 #include "soak_checker.hpp"
 #include "soak_clients.hpp"
+#include "soak_crashes.hpp"
 #include "soak_faults.hpp"
 #include "soak_restores.hpp"
 #include "soak_target.hpp"
@@ -24,6 +25,7 @@
 constexpr milliseconds request_interval(8);
 constexpr milliseconds fault_interval(350);
 constexpr milliseconds restore_interval(2000);
+constexpr milliseconds crash_interval(200);
 constexpr milliseconds probe_limit(2000);
 constexpr milliseconds probe_interval(50);
 // for a start; far above what it takes
@@ -141,13 +143,21 @@
     soak_clients clients(fleet, plan.seed);
     soak_faults faults(fleet, plan.seed + 1);
     soak_restores restores(fleet, plan.seed + 2);
+    soak_crashes crashes(fleet, clients, plan.seed + 3);
     if (!serves(fleet, clients, start_patience))
     {
         return 1;
     }
     auto const calm = clients.requests.size();
     clients.start(request_interval);
-    faults.start(fault_interval);
+    if (options.number("faults", 1) != 0)
+    {
+        faults.start(fault_interval);
+    }
+    if (options.number("crashes", 0) != 0)
+    {
+        crashes.start(crash_interval);
+    }
     if (plan.restores)
     {
         restores.start(restore_interval);
@@ -159,6 +169,7 @@
                         return fleet.now() >= end;
                     });
     faults.stop();
+    crashes.stop();
     restores.stop();
     bool const recovered =
         recover(fleet, clients, options.number("timed", 0) != 0);
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -1,7 +1,8 @@
 #include "soak_checker.hpp"
 
-#include <algorithm> // find_if, max
+#include <algorithm> // count_if, find_if, max, sort
 #include <fstream>   // ifstream
+#include <iostream>  // cout
 
 #include <absl/strings/match.h>       // StrContains
 #include <absl/strings/numbers.h>     // SimpleAtoi
@@ -18,6 +19,11 @@
 
 // attempts of the safe route, see soak_fleet::configure
 constexpr std::uint32_t attempts = 2;
+// the users' bound for a request that crashes its targets: after three crashes
+// and the time in which the nodes must know, three more
+constexpr std::size_t crashes_before_bound = 3;
+constexpr std::chrono::seconds crash_report_time(3);
+constexpr std::ptrdiff_t max_late_crashes = 3;
 
 /// @brief the text of a field of a log line, up to a space; without quotes
 std::string field_of(std::string const & line, std::string const & name)
@@ -47,6 +53,46 @@
     {
         this->check(*one);
     }
+    this->check_crashes(sent, "/safe/crash");
+    this->check_crashes(sent, "/unsafe/crash");
+}
+
+void soak_checker::check_crashes(soak_clients const & sent,
+                                 std::string const & path)
+{
+    std::vector<duration> crashes;
+    for (auto const & one : sent.requests)
+    {
+        auto const ran = this->run_times.find(one->id);
+        if (one->path == path && ran != this->run_times.end())
+        {
+            crashes.insert(
+                crashes.end(), ran->second.begin(), ran->second.end());
+        }
+    }
+    std::sort(crashes.begin(), crashes.end());
+    this->crashes_seen += crashes.size();
+    if (crashes.size() < crashes_before_bound)
+    {
+        return;
+    }
+    auto const bound_start =
+        crashes[crashes_before_bound - 1] + crash_report_time;
+    auto const late = std::count_if(crashes.begin(),
+                                    crashes.end(),
+                                    [bound_start](duration at)
+                                    {
+                                        return at > bound_start;
+                                    });
+    if (late > max_late_crashes)
+    {
+        this->found.push_back(absl::StrCat(path,
+                                           " crashed ",
+                                           crashes.size(),
+                                           " targets, ",
+                                           late,
+                                           " of them late"));
+    }
 }
 
 std::vector<std::string> const & soak_checker::violations() const
@@ -64,6 +110,8 @@
                         this->unknown,
                         " no_response=",
                         this->missing,
+                        " crashes=",
+                        this->crashes_seen,
                         " violations=",
                         this->found.size());
 }
@@ -86,6 +134,7 @@
         if (event == "ran")
         {
             this->runs[id] += 1;
+            this->run_times[id].push_back(this->fleet.since_start(at));
         }
         else
         {
@@ -196,6 +245,11 @@
 void soak_checker::check_missing(soak_request const & one)
 {
     this->missing += 1;
+    std::cout << "no_response " << one.id << " path=" << one.path
+              << " node=" << one.member
+              << " sent_ms=" << one.sent / milliseconds(1)
+              << " ended_ms=" << *one.ended / milliseconds(1) << " ["
+              << one.detail << "]\n";
     if (!soak_fleet::touches(
             this->fleet.members[one.member]->troubles, one.sent, *one.ended))
     {
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -22,6 +22,8 @@
 ///   route allows
 /// - a target gets no request after its node has confirmed that it drains; one
 ///   that was on its way, since the target or its link stood still, may come
+/// - a request that has crashed three targets crashes at most three more later
+///   than 3 s after the third
 /// - a node never goes back to an earlier configuration
 /// - the log of its node has the reason of each request that was not served
 /// @note thread safety: none
@@ -44,6 +46,7 @@
                     duration at,
                     soak_clients const & sent);
     void read_log(std::size_t member);
+    void check_crashes(soak_clients const & sent, std::string const & path);
     void check(soak_request const & one);
     void check_answer(soak_request const & one, std::uint32_t ran);
     void check_missing(soak_request const & one);
@@ -52,6 +55,8 @@
 
     soak_fleet const & fleet;
     absl::flat_hash_map<std::string, std::uint32_t> runs;
+    // when each request ran
+    absl::flat_hash_map<std::string, std::vector<duration>> run_times;
     // requests for whose end some log has a reason
     absl::flat_hash_set<std::string> explained;
     std::vector<std::string> found;
@@ -59,6 +64,7 @@
     std::size_t refused = 0;
     std::size_t unknown = 0;
     std::size_t missing = 0;
+    std::size_t crashes_seen = 0;
 };
 
 } // namespace endivehinge::tests
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -255,6 +255,10 @@
 void soak_fleet::start_target(std::size_t index)
 {
     auto & member = *this->members[index];
+    if (member.target && member.target->runs())
+    {
+        return;
+    }
     member.target_runs += 1;
     auto const name = std::to_string(index);
     member.target = std::make_unique<soak_process>(
--- a/tests/soak/soak_request.hpp
+++ b/tests/soak/soak_request.hpp
@@ -14,6 +14,7 @@
 {
     std::string id;
     bool idempotent = false;
+    std::string path;
     // the member whose node it was sent to
     std::size_t member = 0;
     // since the start of the soak
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -1,9 +1,11 @@
 #include "soak_target.hpp"
 
 #include <csignal>  // SIGTERM
+#include <cstdlib>  // _Exit, EXIT_FAILURE
 #include <iostream> // cerr
 
-#include <nlohmann/json.hpp> // json
+#include <absl/strings/match.h> // EndsWith
+#include <nlohmann/json.hpp>    // json
 
 #include <endivehinge/detail/gateway/loop_time.hpp>
 
@@ -24,6 +26,8 @@
 constexpr milliseconds report_patience(400);
 // a drained target ends so long after its last request
 constexpr milliseconds idle_before_end(200);
+// the end of the path of a request that crashes its target
+constexpr char const * crashing_path = "/crash";
 constexpr int shortest_run_ms = 2;
 constexpr int longest_run_ms = 60;
 
@@ -87,6 +91,10 @@
         this->note("late " + id);
     }
     this->note("ran " + id);
+    if (absl::EndsWith(std::string(incoming->request.target()), crashing_path))
+    {
+        std::_Exit(EXIT_FAILURE);
+    }
     this->running += 1;
     std::uniform_int_distribution<int> run_time(shortest_run_ms,
                                                 longest_run_ms);
