Bound the memory of responses in progress

What callers would see: a target in trouble answers with bytes without end, in a head or a body; its node buffers 64 MiB of each response and is killed for its memory, with all other requests.

Cause: max_response_bytes limits each response, nothing limited their sum; a server that sends informational responses, or responses to other requests, without end held the request until its deadline.

After 16 dropped responses a call fails. A probe reads at most 64 KiB.

Left: a response of more than a sixteenth of the memory limit fails, also one that is whole; bodies would have to be passed on as they come.

--- a/include/endivehinge/detail/gateway/call_options.hpp
+++ b/include/endivehinge/detail/gateway/call_options.hpp
@@ -1,7 +1,9 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_CALL_OPTIONS_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_CALL_OPTIONS_HPP
 
-#include <string> // string
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
 
 #include <endivehinge/core/clock.hpp>
 
@@ -20,6 +22,9 @@
     // dropped. An empty name disables the check
     std::string id_field;
     std::string id_value;
+    // body size, instead of the limit in the connection's options; a larger
+    // response fails the call
+    std::optional<std::uint64_t> max_response_bytes;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -66,6 +66,10 @@
     void handle_read(boost::system::error_code error, std::size_t size);
     void parse();
     void start_parser();
+    /// @brief accounts for the memory of the response in progress
+    /// @return false if the response was given up for it
+    [[nodiscard]] bool record_memory();
+    void release_memory();
     void handle_response();
     [[nodiscard]] bool
     matches_request_id(response_message const & message) const;
@@ -93,6 +97,9 @@
     bool send_completed = false;
     bool response_started = false;
     bool connection_refused = false;
+    // received during the request in progress, before its own response
+    std::size_t dropped_responses = 0;
+    std::optional<response_id> memory_id;
     duration idle_timeout;
     time_point idle_since;
 };
--- a/include/endivehinge/detail/gateway/gateway_settings.hpp
+++ b/include/endivehinge/detail/gateway/gateway_settings.hpp
@@ -49,6 +49,9 @@
     // whether the whole fleet starts for the first time
     bool first_start = false;
     service_bounds bounds;
+    // memory that the process may use, in bytes; beyond it the platform kills
+    // the process
+    std::size_t memory_limit = std::size_t{256} * 1024 * 1024;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -36,7 +36,8 @@
     local_target(boost::asio::io_context & loop,
                  gateway_settings const & node_settings,
                  message_adapter const & message_codec,
-                 event_log & events);
+                 event_log & events,
+                 response_registry & responses);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
                                     result_handler done,
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -39,7 +39,8 @@
               endpoint const & address,
               hop_sender const & self,
               versions_handler on_versions,
-              event_log & log);
+              event_log & log,
+              response_registry & responses);
 
     [[nodiscard]] cancel_action run(dispatch_request request,
                                     result_handler done,
--- a/include/endivehinge/detail/gateway/upstream_options.hpp
+++ b/include/endivehinge/detail/gateway/upstream_options.hpp
@@ -5,6 +5,7 @@
 #include <cstdint> // uint64_t
 
 #include <endivehinge/core/clock.hpp>
+#include <endivehinge/detail/gateway/response_registry.hpp>
 
 namespace endivehinge::detail
 {
@@ -21,6 +22,9 @@
     std::size_t max_connections = 128;
     // body size; a larger response fails the call
     std::uint64_t max_response_bytes = 67108864;
+    // limits the memory of responses in progress on all connections of the
+    // process; null: not limited. Must outlive the connections
+    response_registry * responses = nullptr;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -35,6 +35,9 @@
 constexpr int keepalive_interval_s = 1;
 // unanswered keep-alive probes after which the kernel closes the connection
 constexpr int keepalive_probe_count = 2;
+// informational responses and responses to earlier requests; a server that
+// sends more before the response is faulty
+constexpr std::size_t max_dropped_responses = 16;
 // subtracted from the server's keep-alive timeout, so that a request arrives
 // before the server closes the connection
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1000);
@@ -64,6 +67,7 @@
     this->send_started = false;
     this->send_completed = false;
     this->response_started = false;
+    this->dropped_responses = 0;
     if (this->established)
     {
         this->arm_timer(options.deadline);
@@ -155,6 +159,8 @@
 {
     this->send_started = true;
     this->parser->skip(this->request.method() == http::verb::head);
+    this->parser->body_limit(this->request_options.max_response_bytes.value_or(
+        this->connection_options.max_response_bytes));
     http::async_write(this->socket,
                       this->request,
                       [self = this->shared_from_this()](
@@ -250,6 +256,10 @@
         std::size_t const consumed =
             this->parser->put(this->buffer.data(), error);
         this->buffer.consume(consumed);
+        if (!this->record_memory())
+        {
+            return;
+        }
         if (error == http::error::need_more)
         {
             break;
@@ -278,6 +288,39 @@
     this->read();
 }
 
+bool client_connection::record_memory()
+{
+    auto * const responses = this->connection_options.responses;
+    if (responses == nullptr)
+    {
+        return true;
+    }
+    if (!this->memory_id)
+    {
+        this->memory_id = responses->add(
+            [weak = this->weak_from_this()]
+            {
+                if (auto const self = weak.lock())
+                {
+                    self->release_memory();
+                    self->fail(call_status::connection_lost,
+                               "response too large for the memory left");
+                }
+            });
+    }
+    responses->resize(*this->memory_id, this->parser->get().body().capacity());
+    return !this->closed;
+}
+
+void client_connection::release_memory()
+{
+    if (this->memory_id)
+    {
+        this->connection_options.responses->remove(*this->memory_id);
+        this->memory_id.reset();
+    }
+}
+
 void client_connection::start_parser()
 {
     this->parser.emplace();
@@ -295,7 +338,8 @@
                                http::status_class::informational;
     if (informational || !this->matches_request_id(message))
     {
-        if (!keep_alive)
+        this->dropped_responses += 1;
+        if (!keep_alive || this->dropped_responses > max_dropped_responses)
         {
             this->fail(call_status::connection_lost,
                        "response of another request");
@@ -391,6 +435,7 @@
 
 void client_connection::finish(call_result result)
 {
+    this->release_memory();
     this->request_active = false;
     this->idle_since = loop_now();
     if (!this->closed)
@@ -409,6 +454,7 @@
 void client_connection::close()
 {
     this->closed = true;
+    this->release_memory();
     boost::system::error_code ignored; // the socket may be closed already
     this->socket.close(ignored);
     this->timer.cancel();
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -18,6 +18,9 @@
 constexpr double newest_sample_weight = 0.05;
 // routes with a recorded mean; bounds memory
 constexpr std::size_t max_tracked_routes = 256;
+// part of the memory limit that responses in progress may use; their buffers
+// are copied while they grow, and the rest of the process needs memory, too
+constexpr std::size_t response_memory_divisor = 16;
 // requests that wait for the first configuration of this process and are woken
 // by it; bounds memory
 constexpr std::size_t max_configuration_callbacks = 1024;
@@ -31,7 +34,8 @@
     , settings(std::move(initial_settings))
     , adapter(codec)
     , log(this->settings.node.value(), STDOUT_FILENO)
-    , target(loop, this->settings, codec, this->log)
+    , responses(this->settings.memory_limit / response_memory_divisor)
+    , target(loop, this->settings, codec, this->log, this->responses)
     , generator(std::random_device{}())
 {
     this->own_sender.peer = this->settings.peer_listener;
@@ -55,7 +59,8 @@
                     this->on_peer_versions(from, versions);
                 }
             },
-            this->log);
+            this->log,
+            this->responses);
     }
     return *entry;
 }
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -19,6 +19,8 @@
 // short, since a target responds to probes immediately under any load, and a
 // request waits for the result
 constexpr duration on_demand_timeout = std::chrono::milliseconds(30);
+// the content is not used
+constexpr std::uint64_t max_probe_response_bytes = 65536;
 // for a connection to the target, which runs on the same machine as this
 // process, so that no network delay adds to it
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
@@ -96,6 +98,7 @@
     call_options options;
     options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
+    options.max_response_bytes = max_probe_response_bytes;
     return this->server.send(
                std::move(message), options, force_new, std::move(done)) !=
            nullptr;
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -29,9 +29,10 @@
 // used if no estimate is available
 constexpr duration default_retry_after = std::chrono::milliseconds(100);
 
-upstream_options target_options()
+upstream_options target_options(response_registry & responses)
 {
     upstream_options options;
+    options.responses = &responses;
     options.max_connections = max_target_connections;
     return options;
 }
@@ -41,12 +42,13 @@
 local_target::local_target(asio::io_context & loop,
                            gateway_settings const & node_settings,
                            message_adapter const & message_codec,
-                           event_log & events)
+                           event_log & events,
+                           response_registry & responses)
     : io(loop)
     , settings(node_settings)
     , adapter(message_codec)
     , log(events)
-    , server(loop, node_settings.target_address, target_options())
+    , server(loop, node_settings.target_address, target_options(responses))
     , prober(loop, this->server, node_settings.target_address)
     , crashes(node_settings, events)
     , queue_timer(loop)
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -35,6 +35,8 @@
                       static_cast<double>(crashes.crash_count()));
     metrics.set_gauge("requests_quarantined",
                       static_cast<double>(crashes.crashing().size()));
+    metrics.set_gauge("response_bytes",
+                      static_cast<double>(this->state.responses.total()));
     metrics.set_gauge("log_lines_left_out",
                       static_cast<double>(this->state.log.dropped_count()));
     response_message response{http::status::ok, 11};
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -42,9 +42,10 @@
 // weight of the latest outcome in the moving average of failures
 constexpr double failure_share_weight = 0.1;
 
-upstream_options peer_options()
+upstream_options peer_options(response_registry & responses)
 {
     upstream_options options;
+    options.responses = &responses;
     options.idle_timeout = idle_timeout;
     options.max_connections = max_peer_connections;
     return options;
@@ -56,11 +57,12 @@
                      endpoint const & address,
                      hop_sender const & self,
                      versions_handler on_versions,
-                     event_log & log)
+                     event_log & log,
+                     response_registry & responses)
     : io(loop)
     , peer(address)
     , sender(self)
-    , connections(loop, address, peer_options())
+    , connections(loop, address, peer_options(responses))
     , versions_callback(std::move(on_versions))
     , events(log)
     , check_timer(loop)
