Account only for responses of 16 KiB and more

Cause: each response, however small, made an entry in the table of responses in progress. Result: gateway_endless_response and response_memory pass; the cost of an ordinary response was not measured.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -35,6 +35,9 @@
 constexpr int keepalive_interval_s = 1;
 // unanswered keep-alive probes after which the kernel closes the connection
 constexpr int keepalive_probe_count = 2;
+// smaller responses are not accounted for; the number of connections bounds
+// their sum
+constexpr std::size_t min_accounted_bytes = 16384;
 // informational responses and responses to earlier requests; a server that
 // sends more before the response is faulty
 constexpr std::size_t max_dropped_responses = 16;
@@ -291,7 +294,8 @@
 bool client_connection::record_memory()
 {
     auto * const responses = this->connection_options.responses;
-    if (responses == nullptr)
+    auto const bytes = this->parser->get().body().capacity();
+    if (responses == nullptr || bytes < min_accounted_bytes)
     {
         return true;
     }
@@ -308,7 +312,7 @@
                 }
             });
     }
-    responses->resize(*this->memory_id, this->parser->get().body().capacity());
+    responses->resize(*this->memory_id, bytes);
     return !this->closed;
 }
 
