Mark a retry as suspect only if its target crashed

What callers would see: with a target that resets connections while it runs, the retries of all its requests ran one at a time on the other targets, and most of them late.

Cause: a lost connection alone made the retry suspect, since the crash is known a moment later.

Change: the result of a lost request is held until a probe on a new connection shows whether the target crashed, 20 ms at most; a refused connection shows it within 1 ms. A router stops after two crashed targets, not after two lost connections.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -34,7 +34,7 @@
     // the rate that the target stated last, as far as the sender knows;
     // requests per second
     std::optional<double> stated_rate;
-    // whether a target's connection was lost while it ran the request
+    // whether a target crashed while it ran the request
     bool suspect = false;
     slow_target_action slow_action = slow_target_action::start_or_refuse;
 };
--- a/include/endivehinge/detail/gateway/dispatch_result.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_result.hpp
@@ -36,8 +36,8 @@
     duration retry_after{0};
     // whether the request reached the target and counts as an attempt there
     bool reached_target = false;
-    // whether the connection to the target was lost during the request
-    bool target_connection_lost = false;
+    // whether the target crashed during the request, as far as its node knows
+    bool target_crashed = false;
     // load of the target at the time of the result
     std::optional<target_load> load;
     duration queue_time{0};
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -4,6 +4,7 @@
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <optional>   // optional
+#include <vector>     // vector
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 #include <boost/asio/io_context.hpp>      // io_context
@@ -123,8 +124,14 @@
     void drain(target_id const & target);
     void handle_replacement(target_id const & ended, target_state last_state);
     void log_identity(char const * source);
-    void handle_lost_connection(request_state const & state);
-    void check_for_crash();
+    /// @brief whether the target may have crashed; then the result is held
+    /// until finish_lost_requests()
+    [[nodiscard]] bool hold_lost_request(admission_ticket ticket,
+                                         request_state const & state,
+                                         dispatch_result const & result);
+    [[nodiscard]] bool check_for_crash();
+    void arm_lost_result_timer();
+    void finish_lost_requests(bool crashed);
     void probe_slowdown();
     void handle_probe(call_result const & result);
 
@@ -136,6 +143,15 @@
     health_prober prober;
     target_crash_monitor crashes;
     bool crash_check_pending = false;
+
+    struct lost_result
+    {
+        admission_ticket ticket;
+        dispatch_result result;
+    };
+
+    std::vector<lost_result> lost_results;
+    boost::asio::steady_timer lost_result_timer;
     target_admission_policy admission;
     target_incarnation_tracker identity;
     std::optional<service_properties> properties;
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -98,8 +98,8 @@
     slow_target_rounds placement_rounds;
     request_attempts progress;
     placement_limit placements{time_point(), duration(0)};
-    // attempts during which the connection to the target was lost
-    std::uint32_t lost_connections = 0;
+    // attempts during which the target crashed
+    std::uint32_t crashed_targets = 0;
     std::optional<duration> min_retry_after;
     std::string last_reason;
     // failure response of a target, sent if no further attempt succeeds
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -42,8 +42,8 @@
 // further numbers
 constexpr char const * position_field = "Endivehinge-Position";
 
-// in a request: a target's connection was lost while it ran the request; in a
-// result: the target's connection was lost. Only sent if so
+// in a request: a target crashed while it ran the request; in a result: the
+// target crashed. Only sent if so
 constexpr char const * suspect_field = "Endivehinge-Suspect";
 
 // requests per second that the target states: in a request as the sender knows
@@ -321,7 +321,7 @@
                              " ",
                              write_versions(versions)));
     write_position(message, versions);
-    if (result.target_connection_lost)
+    if (result.target_crashed)
     {
         message.set(suspect_field, "1");
     }
@@ -367,8 +367,7 @@
     versions = read_versions(
         numbers, result_number_count, extract_field(message, position_field));
     result.reason = extract_field(message, reason_field);
-    result.target_connection_lost =
-        !extract_field(message, suspect_field).empty();
+    result.target_crashed = !extract_field(message, suspect_field).empty();
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
     auto const stated_rate = extract_field(message, stated_rate_field);
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -26,6 +26,9 @@
 constexpr duration min_queue_delay = std::chrono::milliseconds(1);
 // below the smallest number of connections that any target supports
 constexpr std::size_t max_target_connections = 200;
+// a lost request is retried after this at the latest, although it is not known
+// yet whether the target crashed; a refused connection shows it within 1 ms
+constexpr duration max_lost_result_delay = std::chrono::milliseconds(20);
 // used if no estimate is available
 constexpr duration default_retry_after = std::chrono::milliseconds(100);
 
@@ -51,6 +54,7 @@
     , server(loop, node_settings.target_address, target_options(responses))
     , prober(loop, this->server, node_settings.target_address)
     , crashes(node_settings, events)
+    , lost_result_timer(loop)
     , queue_timer(loop)
 {
 }
@@ -244,12 +248,12 @@
     }
     if (result.status != call_status::answered)
     {
-        // a target without power resets no connection
-        outcome.target_connection_lost =
-            result.status == call_status::connection_lost;
-        this->handle_lost_connection(*state);
         outcome.outcome = dispatch_outcome::indeterminate;
-        this->finish(ticket, std::move(outcome), true);
+        if (result.status != call_status::connection_lost ||
+            !this->hold_lost_request(ticket, *state, outcome))
+        {
+            this->finish(ticket, std::move(outcome), true);
+        }
         return;
     }
     auto const head = this->adapter.read_response(result.response.result_int(),
@@ -580,40 +584,80 @@
 // crashes of the target
 // ---------------------------------------------------------------------------
 
-void local_target::handle_lost_connection(request_state const & state)
+bool local_target::hold_lost_request(admission_ticket ticket,
+                                     request_state const & state,
+                                     dispatch_result const & result)
 {
     auto const & current = this->identity.current();
     if (!current || current->state != target_state::ready)
     {
         // a target that has announced its end closes its connections
-        return;
+        return false;
     }
     this->crashes.record_lost(state.request, state.suspect, state.started_at);
-    this->check_for_crash();
+    if (!this->check_for_crash())
+    {
+        return false;
+    }
+    this->lost_results.push_back({ticket, result});
+    if (this->lost_results.size() == 1)
+    {
+        this->arm_lost_result_timer();
+    }
+    return true;
 }
 
-void local_target::check_for_crash()
+void local_target::arm_lost_result_timer()
+{
+    this->lost_result_timer.expires_after(max_lost_result_delay);
+    this->lost_result_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->finish_lost_requests(false);
+            }
+        });
+}
+
+bool local_target::check_for_crash()
 {
     if (this->crash_check_pending)
     {
-        return;
+        return true;
     }
     this->crash_check_pending = this->prober.probe_new_connection(
         [this](call_result const & result)
         {
             this->crash_check_pending = false;
             auto const & current = this->identity.current();
-            if (result.connection_refused && current)
+            bool const crashed = result.connection_refused && current;
+            if (crashed)
             {
                 this->crashes.confirm_crash(current->id);
-                return;
             }
             this->handle_probe(result);
             if (result.status == call_status::answered)
             {
                 this->crashes.dismiss_losses();
             }
+            this->finish_lost_requests(crashed);
         });
+    return this->crash_check_pending;
+}
+
+void local_target::finish_lost_requests(bool crashed)
+{
+    this->lost_result_timer.cancel();
+    for (auto & lost : std::exchange(this->lost_results, {}))
+    {
+        // cancelled meanwhile otherwise
+        if (this->requests.contains(lost.ticket))
+        {
+            lost.result.target_crashed = crashed;
+            this->finish(lost.ticket, std::move(lost.result), true);
+        }
+    }
 }
 
 // ---------------------------------------------------------------------------
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -30,9 +30,9 @@
 constexpr duration max_retry_delay = std::chrono::milliseconds(1000);
 // used if no target gave an estimate
 constexpr duration default_retry_delay = std::chrono::milliseconds(200);
-// a request during which so many targets lost their connection is not retried:
-// it may have crashed them, and their reports may still be on the way
-constexpr std::uint32_t max_lost_connections = 2;
+// a request during which so many targets crashed is not retried; their reports
+// may still be on the way
+constexpr std::uint32_t max_crashed_targets = 2;
 // a request that arrives within this time before the process ends is accepted
 // only if its deadline is earlier; clients have been notified to leave by then
 constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
@@ -209,7 +209,7 @@
     request.caller = this->state.settings.service;
     request.urgency = this->urgency;
     request.idempotent = this->route->idempotent;
-    request.suspect = this->lost_connections > 0;
+    request.suspect = this->crashed_targets > 0;
     auto const target_attempt = std::make_shared<attempt>();
     target_attempt->candidate = chosen.candidate;
     target_attempt->index = this->progress.start();
@@ -354,7 +354,7 @@
     this->trace.add(target_attempt->candidate, result, "indeterminate");
     this->progress.record_unknown_outcome(target_attempt->index,
                                           result.reached_target);
-    this->lost_connections += result.target_connection_lost ? 1 : 0;
+    this->crashed_targets += result.target_crashed ? 1 : 0;
     this->last_reason = result.reason;
     if (this->progress.any_confirmed())
     {
@@ -397,7 +397,7 @@
 bool request_dispatch::try_acquire_retry()
 {
     return this->progress.arrivals() < this->route->attempts &&
-           this->lost_connections < max_lost_connections &&
+           this->crashed_targets < max_crashed_targets &&
            loop_now() + this->state.mean_service_time(*this->route) <
                this->urgency.deadline &&
            this->state.retry_budget_of(this->service)
--- a/tests/src/system-gateway-crashing-request.cpp
+++ b/tests/src/system-gateway-crashing-request.cpp
@@ -248,5 +248,44 @@
               200U);
 }
 
+// A target that resets connections while it runs does so to many requests. If
+// their retries ran one at a time, most would be late.
+TEST(gateway_crashing_request, retries_after_resets_do_not_wait_for_each_other)
+{
+    gateway_fleet fleet;
+    fleet.use_target_relays = true;
+    fleet.start_members(2, "web");
+    std::vector<std::shared_ptr<detail::exchange>> held;
+    auto const hold =
+        [&held](std::shared_ptr<detail::exchange> const & incoming)
+    {
+        held.push_back(incoming);
+    };
+    fleet.members[0]->target->request_hook = hold;
+    fleet.members[1]->target->request_hook = hold;
+    std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
+    for (int i = 0; i < 4; ++i)
+    {
+        calls.push_back(fleet.send(*fleet.members[0],
+                                   "/safe/" + std::to_string(i),
+                                   "id-" + std::to_string(i)));
+    }
+    ASSERT_TRUE(fleet.run_until(
+        [&held]
+        {
+            return held.size() == 4;
+        }));
+    for (auto const & member : fleet.members)
+    {
+        member->target_link->reset_connections();
+    }
+    // all retries run at the same time
+    EXPECT_TRUE(fleet.run_until(
+        [&held]
+        {
+            return held.size() == 8;
+        }));
+}
+
 } // namespace
 } // namespace endivehinge::tests
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -112,7 +112,7 @@
         sent.reached_target = true;
         sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
         sent.refusal = admission_refusal::crashing;
-        sent.target_connection_lost = true;
+        sent.target_crashed = true;
         sent.retry_after = milliseconds(70);
         sent.run_time = milliseconds(12);
         target_load load;
@@ -132,7 +132,7 @@
         EXPECT_EQ(read->retry_after, sent.retry_after);
         EXPECT_TRUE(read->from_service);
         EXPECT_TRUE(read->reached_target);
-        EXPECT_TRUE(read->target_connection_lost);
+        EXPECT_TRUE(read->target_crashed);
         EXPECT_EQ(versions.kinds, sample_sender().versions.kinds);
         ASSERT_TRUE(read->load.has_value());
         EXPECT_EQ(read->load->running, 3U);
