--- a/tests/src/system-gateway-crashing-request.cpp
+++ b/tests/src/system-gateway-crashing-request.cpp
@@ -197,6 +197,7 @@
             held.push_back(incoming);
         };
         std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
+        calls.reserve(5);
         for (int i = 0; i < 5; ++i)
         {
             calls.push_back(fleet.send(crashed,
@@ -264,6 +265,7 @@
     fleet.members[0]->target->request_hook = hold;
     fleet.members[1]->target->request_hook = hold;
     std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
+    calls.reserve(4);
     for (int i = 0; i < 4; ++i)
     {
         calls.push_back(fleet.send(*fleet.members[0],
--- a/tests/src/system-gateway-endless-response.cpp
+++ b/tests/src/system-gateway-endless-response.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 // a quarter of the memory limit of a node
-constexpr long max_growth_kib = 64 * 1024;
+constexpr long max_growth_kib = 64L * 1024;
 
 // of this process, since its start
 long peak_memory_kib()
@@ -46,6 +46,7 @@
     endless_server server(
         fleet.io, target.address(), GetParam().beginning, GetParam().repeated);
     std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
+    calls.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         calls.push_back(fleet.send(
