Add the settings and types of client accounts and roll-outs

The next deployments state limits for client accounts (quotaWindowS, quotaOverage, quotaSlack, strictRevoke, revokeS) and for versions on trial (exposeShare, exposeSlack, rollbackS); serve read none of them.

--- a/include/endivehinge/core/ids.hpp
+++ b/include/endivehinge/core/ids.hpp
@@ -37,6 +37,12 @@
 /// @brief a generation of the assignment of key owners; never decreases
 using epoch = strong_type<struct epoch_tag, std::uint64_t>;
 
+/// @brief a client account in the operators' configuration
+using account_name = strong_type<struct account_name_tag, std::string>;
+
+/// @brief the version of the software that a target runs
+using software_version = strong_type<struct software_version_tag, std::string>;
+
 /// @brief a digest of a request's content, to recognise crashing requests
 using request_fingerprint =
     strong_type<struct request_fingerprint_tag, std::uint64_t>;
--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -28,6 +28,8 @@
     std::string route;
     // service of the node that received the request from its client
     service_name caller;
+    // the client account of the request; empty if it has none
+    account_name account;
     request_urgency urgency;
     // whether running the request more than once is safe
     bool idempotent = false;
--- a/include/endivehinge/detail/gateway/gateway_settings.hpp
+++ b/include/endivehinge/detail/gateway/gateway_settings.hpp
@@ -26,6 +26,32 @@
     cold_rate_bound cold_rate;
 };
 
+/// @brief limits on the use of client accounts that the operators configure
+struct account_bounds
+{
+    // window in which the requests of an account are counted
+    duration window = std::chrono::seconds(5);
+    // tolerated excess over the allotment in one window, as a share of it
+    double overage_share = 0;
+    // tolerated requests beyond that in one window
+    double overage_slack = 0;
+    // whether a node without recent contact to the store refuses all keys
+    bool strict_revocation = false;
+    // time from the withdrawal of a key until no node accepts it
+    duration revocation_delay = std::chrono::seconds(5);
+};
+
+/// @brief limits on the exposure of a version on trial
+struct rollout_bounds
+{
+    // share of a service's requests that the version may receive
+    double exposed_share = 0;
+    // requests that it may receive beyond the share
+    double exposed_slack = 0;
+    // time from the evidence of a fault until no request is sent to the version
+    duration rollback_delay = std::chrono::seconds(5);
+};
+
 /// @brief the settings of one gateway process
 struct gateway_settings
 {
@@ -49,6 +75,11 @@
     // whether the whole fleet starts for the first time
     bool first_start = false;
     service_bounds bounds;
+    account_bounds accounts;
+    // no roll-outs if empty
+    std::optional<rollout_bounds> rollouts;
+    // time from the confirmation of a change until it is in force everywhere
+    duration configuration_delay = std::chrono::milliseconds(2500);
     // memory that the process may use, in bytes; beyond it the platform kills
     // the process
     std::size_t memory_limit = std::size_t{256} * 1024 * 1024;
--- a/include/endivehinge/policy/routing_configuration.hpp
+++ b/include/endivehinge/policy/routing_configuration.hpp
@@ -5,6 +5,7 @@
 #include <string_view> // string_view
 #include <vector>      // vector
 
+#include <endivehinge/policy/client_account.hpp>
 #include <endivehinge/policy/client_limits.hpp>
 #include <endivehinge/policy/service_properties.hpp>
 #include <endivehinge/policy/service_route.hpp>
@@ -21,6 +22,9 @@
     std::vector<service_route> routes;
     std::vector<service_properties> services;
     client_limits limits;
+    // if not empty, requests need the key of an account, unless their route is
+    // public
+    std::vector<client_account> accounts;
 
     /// @brief finds the route of the host with the longest matching path prefix
     /// @param host without a port
--- a/include/endivehinge/policy/service_route.hpp
+++ b/include/endivehinge/policy/service_route.hpp
@@ -38,6 +38,8 @@
     std::uint32_t rank = 0;
     // maximum number of targets on which one request may run
     std::uint32_t attempts = 1;
+    // requests need no key of a client account
+    bool is_public = false;
 };
 
 } // namespace endivehinge
