Keep the departure of a target over a restart of its node

Cause: a process of a node that started beside a target took it for ready if its health response was good, although an earlier process had confirmed that the target drains; and it removed the stored entry until its first probe, so that the other nodes did without the target for a quarter of a second.

The state of the stored entry now binds the new process until the target reports a new start, and a missing entry is published only after 1.5 s without a target. gateway_leaving_target.gets_no_request_after_its_node_restarted and entry_stays_while_its_node_restarts failed without the change and pass with it; gateway_start, gateway, restored_view and gateway_crashing_request: 55 tests pass. A target that leaves without draining first is not covered, since its entry is removed.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -54,6 +54,10 @@
     /// @brief sets whether the target's failure domain is evacuated
     void set_evacuated(bool is_evacuated);
 
+    /// @brief takes over from the stored entry that the target is leaving,
+    /// which an earlier process of this node may have confirmed to it
+    void restore(target_entry const & stored);
+
     /// @brief starts periodic health probes
     /// @pre called once
     void start_probing();
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -96,6 +96,8 @@
     [[nodiscard]] bool
     needs_configuration(replica_versions const & requester) const;
     void arm_settle_timer();
+    /// @brief publishes again when the time to find the target has passed
+    void arm_discovery_timer();
     [[nodiscard]] bool has_store_contact() const;
     [[nodiscard]] bool is_in_local_domain(endpoint const & peer) const;
     [[nodiscard]] duration contact_age() const;
@@ -116,6 +118,10 @@
     boost::asio::steady_timer remote_pull_timer;
     // ends the holds of a restored list
     boost::asio::steady_timer settle_timer;
+    boost::asio::steady_timer discovery_timer;
+    bool discovery_pending = false;
+    // whether this process has known a target beside it
+    bool has_had_target = false;
     bool remote_pull_pending = false;
     bool pulling = false;
     bool selecting_source = false;
--- a/include/endivehinge/policy/target_incarnation_tracker.hpp
+++ b/include/endivehinge/policy/target_incarnation_tracker.hpp
@@ -40,6 +40,14 @@
     /// @return whether it is the current one and was ready
     bool drain(target_id const & id);
 
+    /// @brief records that an earlier process of this node knew an incarnation
+    /// as leaving
+    ///
+    /// Has no effect on an incarnation that has reported its start to this
+    /// process, since a target may start again under the id that it had.
+    /// @return whether it is the current one and was ready
+    bool restore_leaving(target_id const & id);
+
     /// @brief records that an incarnation has ended
     /// @return whether it was the current one
     bool leave(target_id const & id);
@@ -56,6 +64,7 @@
                                  std::int64_t started_ms,
                                  bool is_startup) const;
     void record_ended(target_id const & id, std::int64_t started_ms);
+    void apply_restored_state();
 
     struct ended_incarnation
     {
@@ -64,6 +73,10 @@
     };
 
     std::optional<target_status_report> current_report;
+    // known as leaving to an earlier process of this node
+    std::optional<target_id> restored_leaving_id;
+    // whether the current incarnation was first known by its startup report
+    bool start_was_reported = false;
     std::deque<ended_incarnation> ended_incarnations;
 };
 
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -80,6 +80,16 @@
     this->update_admission();
 }
 
+void local_target::restore(target_entry const & stored)
+{
+    if (stored.state != target_state::ready &&
+        this->identity.restore_leaving(stored.id))
+    {
+        this->log_identity("stored entry");
+        this->update_admission();
+    }
+}
+
 void local_target::on_entry_change(std::function<void()> action)
 {
     this->entry_change_action = std::move(action);
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -47,6 +47,11 @@
 // between pulls for a newer configuration alone, which a node that cannot read
 // it would repeat with each message
 constexpr duration configuration_pull_interval = std::chrono::milliseconds(200);
+// a node that starts beside a running target learns of it by a health probe
+// within this time. Until then it keeps the stored entry of its last process:
+// removing and writing it again cost two calls of the store, and the other
+// nodes did without the target in between
+constexpr duration target_discovery_time = std::chrono::milliseconds(1500);
 // entries removed in one round, so that a restore does not exceed the
 // platform's rate of writes
 constexpr std::size_t max_removals_per_round = 8;
@@ -85,6 +90,7 @@
     , source_timer(shared.io)
     , remote_pull_timer(shared.io)
     , settle_timer(shared.io)
+    , discovery_timer(shared.io)
 {
 }
 
@@ -100,6 +106,10 @@
     callbacks.entry = [this](std::optional<target_entry> stored_object,
                              object_version version)
     {
+        if (stored_object)
+        {
+            this->state.target.restore(*stored_object);
+        }
         this->publisher.record_stored(std::move(stored_object), version);
     };
     callbacks.any_entry = [this](target_entry const & entry)
@@ -165,9 +175,35 @@
     {
         this->state.fleet.remove_target(this->state.settings.node);
     }
+    this->has_had_target = this->has_had_target || entry;
+    if (!this->has_had_target &&
+        loop_now() - this->started_at < target_discovery_time)
+    {
+        this->arm_discovery_timer();
+        return;
+    }
     this->publisher.publish(entry);
 }
 
+void replica_sync::arm_discovery_timer()
+{
+    if (this->discovery_pending)
+    {
+        return;
+    }
+    this->discovery_pending = true;
+    this->discovery_timer.expires_at(std::chrono::steady_clock::time_point(
+        this->started_at + target_discovery_time));
+    this->discovery_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                this->publish();
+            }
+        });
+}
+
 void replica_sync::when_published(std::function<void()> callback)
 {
     this->publisher.when_published(std::move(callback));
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -20,6 +20,11 @@
 {
     bool const is_startup = received.sequence <= last_startup_sequence &&
                             received.state == target_state::ready;
+    if (is_startup && this->restored_leaving_id == received.id)
+    {
+        // a new incarnation under the same id
+        this->restored_leaving_id.reset();
+    }
     if (this->has_ended(received.id, received.started_ms, is_startup))
     {
         return change::none;
@@ -41,6 +46,8 @@
                                this->current_report->started_ms);
         }
         this->current_report = received;
+        this->start_was_reported = is_startup;
+        this->apply_restored_state();
         return change::new_incarnation;
     }
     if (received.sequence <= this->current_report->sequence &&
@@ -87,6 +94,8 @@
     inferred.id = id;
     inferred.slots = slots;
     this->current_report = inferred;
+    this->start_was_reported = false;
+    this->apply_restored_state();
     return change::new_incarnation;
 }
 
@@ -101,6 +110,25 @@
     return true;
 }
 
+bool target_incarnation_tracker::restore_leaving(target_id const & id)
+{
+    this->restored_leaving_id = id;
+    bool const was_ready = this->current_report &&
+                           this->current_report->state == target_state::ready;
+    this->apply_restored_state();
+    return was_ready && this->current_report->state != target_state::ready;
+}
+
+void target_incarnation_tracker::apply_restored_state()
+{
+    if (this->current_report && !this->start_was_reported &&
+        this->restored_leaving_id == this->current_report->id &&
+        this->current_report->state == target_state::ready)
+    {
+        this->current_report->state = target_state::draining;
+    }
+}
+
 bool target_incarnation_tracker::leave(target_id const & id)
 {
     if (!this->current_report || this->current_report->id != id)
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -56,20 +56,37 @@
             this->io, endpoint{"127.0.0.1", 0}, settings.target_address);
         settings.target_address = member->target_link->address();
     }
+    settings.store = this->store.address();
+    settings.seeds = this->seeds;
+    settings.bounds.retry_burst = 100;
+    this->start_node(*member, std::move(settings));
+    this->members.push_back(std::move(member));
+    return *this->members.back();
+}
+
+void gateway_fleet::start_node(fleet_member & member,
+                               detail::gateway_settings settings)
+{
     settings.client_listener = this->reserve_address();
     settings.peer_listener = this->reserve_address();
     settings.readiness_listener = this->reserve_address();
     settings.report_listener = this->reserve_address();
-    settings.store = this->store.address();
-    settings.seeds = this->seeds;
-    settings.bounds.retry_burst = 100;
     auto adapters = platform::make_adapters(settings);
-    member->node = std::make_unique<detail::gateway_parts>(
+    member.node = std::make_unique<detail::gateway_parts>(
         this->io, std::move(settings), std::move(adapters));
     failure reason;
-    EXPECT_TRUE(member->node->open(reason)) << reason.describe();
-    this->members.push_back(std::move(member));
-    return *this->members.back();
+    EXPECT_TRUE(member.node->open(reason)) << reason.describe();
+}
+
+void gateway_fleet::restart_node(fleet_member & member)
+{
+    auto settings = member.node->state.settings;
+    member.node->client_listener.abort();
+    member.node->peer_listener.abort();
+    member.node->readiness_listener.abort();
+    member.node->report_listener.abort();
+    this->ended_nodes.push_back(std::move(member.node));
+    this->start_node(member, std::move(settings));
 }
 
 void gateway_fleet::configure(int version, std::string const & service)
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -37,6 +37,10 @@
     fleet_member & add(std::string const & service,
                        std::string const & domain = "d1");
 
+    /// @brief replaces a member's node by a new process, which knows nothing of
+    /// before; the target keeps running
+    void restart_node(fleet_member & member);
+
     /// @brief writes a configuration that routes /safe/ as safe and /unsafe/ as
     /// unsafe to a service
     void configure(int version, std::string const & service);
@@ -93,8 +97,12 @@
     /// outgoing connection gets the port before the listener opens
     endpoint reserve_address();
 
+    void start_node(fleet_member & member, detail::gateway_settings settings);
+
     std::vector<boost::asio::ip::tcp::socket> reserved_ports;
     std::vector<std::unique_ptr<detail::upstream>> clients;
+    // replaced nodes, whose pending operations refer to them
+    std::vector<std::unique_ptr<detail::gateway_parts>> ended_nodes;
 };
 
 } // namespace endivehinge::tests
--- a/tests/src/system-gateway-leaving-target.cpp
+++ b/tests/src/system-gateway-leaving-target.cpp
@@ -94,5 +94,72 @@
     EXPECT_EQ(fleet.execution_count("id-2"), 0U);
 }
 
+// A target that has reported its departure may run on for seconds and answer
+// health probes as before. A new process of its node took it for ready.
+TEST(gateway_leaving_target, gets_no_request_after_its_node_restarted)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    EXPECT_EQ(fleet.report(member, "draining", 2), 200U);
+    EXPECT_EQ(fleet.store.spec("targets", "node-0").value("state", ""),
+              "draining");
+    fleet.restart_node(member);
+    auto const probes = member.target->probe_count;
+    EXPECT_TRUE(fleet.run_until(
+        [&member, probes]
+        {
+            return member.target->probe_count > probes + 2;
+        }));
+    EXPECT_EQ(
+        fleet.send_and_wait(member, "/safe/a", "id-1").response.result_int(),
+        503U);
+    EXPECT_EQ(fleet.execution_count("id-1"), 0U);
+    EXPECT_EQ(fleet.store.spec("targets", "node-0").value("state", ""),
+              "draining");
+}
+
+// A node that started beside a running target removed the stored entry and
+// wrote it again: other nodes did without the target meanwhile.
+TEST(gateway_leaving_target, entry_stays_while_its_node_restarts)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    auto const is_stored = [&fleet]
+    {
+        return !fleet.store.spec("targets", "node-0").is_null();
+    };
+    EXPECT_TRUE(fleet.run_until(is_stored));
+    fleet.restart_node(member);
+    bool stays_stored = true;
+    EXPECT_TRUE(fleet.run_until(
+        [&member, &is_stored, &stays_stored]
+        {
+            stays_stored = stays_stored && is_stored();
+            return member.node->state.target.entry().has_value();
+        }));
+    EXPECT_TRUE(stays_stored);
+}
+
+// The target that starts next may have the same id.
+TEST(gateway_leaving_target, next_incarnation_is_used_after_a_node_restart)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    EXPECT_EQ(fleet.report(member, "draining", 2), 200U);
+    fleet.restart_node(member);
+    EXPECT_TRUE(fleet.run_until(
+        [&member]
+        {
+            return member.node->state.fleet.configuration() != nullptr;
+        }));
+    EXPECT_EQ(fleet.report(member, "ready", 1), 200U);
+    EXPECT_EQ(
+        fleet.send_and_wait(member, "/safe/a", "id-1").response.result_int(),
+        200U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
