Read client accounts and decide on their keys

Cause: the configuration's accounts (tenants) and public routes were ignored, so that a request could run on any key or none.

A number that is not finite no longer makes a whole list of the store unreadable.

--- a/include/endivehinge/core/ids.hpp
+++ b/include/endivehinge/core/ids.hpp
@@ -40,6 +40,10 @@
 /// @brief a client account in the operators' configuration
 using account_name = strong_type<struct account_name_tag, std::string>;
 
+/// @brief identifies the key of a client account without revealing it
+using account_key_digest =
+    strong_type<struct account_key_digest_tag, std::uint64_t>;
+
 /// @brief the version of the software that a target runs
 using software_version = strong_type<struct software_version_tag, std::string>;
 
--- a/include/endivehinge/detail/gateway/message_adapter.hpp
+++ b/include/endivehinge/detail/gateway/message_adapter.hpp
@@ -7,6 +7,7 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
+#include <endivehinge/policy/client_credentials.hpp>
 
 namespace endivehinge::detail
 {
@@ -67,6 +68,19 @@
     [[nodiscard]] virtual client_request_head
     read_request(header_fields const & fields) const = 0;
 
+    /// @brief reads the key that identifies the client's account
+    [[nodiscard]] virtual client_credentials
+    read_credentials(header_fields const & fields) const = 0;
+
+    /// @brief removes credentials and any account that the client stated, and
+    /// sets the account for the target
+    /// @param account no field is set if empty
+    virtual void write_account(header_fields & fields,
+                               account_name const & account) const = 0;
+
+    /// @brief sets the fields of a response that asks the client for a key
+    virtual void write_key_required(header_fields & fields) const = 0;
+
     /// @brief sets the fields that a target requires
     virtual void write_dispatch(header_fields & fields,
                                 dispatch_fields const & values) const = 0;
--- a/include/endivehinge/policy/client_account.hpp
+++ b/include/endivehinge/policy/client_account.hpp
@@ -15,7 +15,7 @@
 struct client_account
 {
     account_name name;
-    // each identifies the account in a client's request
+    // each identifies the account in a client's request; secret, never logged
     std::vector<std::string> keys;
     // takes precedence over the rank of a route
     std::optional<std::uint32_t> rank;
--- a/src/policy/routing_configuration.cpp
+++ b/src/policy/routing_configuration.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/policy/routing_configuration.hpp>
 
-#include <algorithm> // find_if
+#include <algorithm> // find_if, lower_bound, sort
+#include <utility>   // move
 
 #include <absl/strings/match.h> // EqualsIgnoreCase
 
@@ -48,4 +49,51 @@
     return found == this->services.end() ? nullptr : &*found;
 }
 
+bool routing_configuration::set_accounts(
+    std::vector<client_account> new_accounts, failure & reason)
+{
+    std::sort(new_accounts.begin(),
+              new_accounts.end(),
+              [](auto const & a, auto const & b)
+              {
+                  return a.name < b.name;
+              });
+    auto built = account_directory::build(new_accounts, reason);
+    if (!built)
+    {
+        return false;
+    }
+    this->directory = std::move(*built);
+    this->accounts = std::move(new_accounts);
+    this->requires_accounts = true;
+    return true;
+}
+
+client_account const *
+routing_configuration::find_account_of_key(std::string const & key) const
+{
+    return this->directory.find(this->accounts, key);
+}
+
+client_account const *
+routing_configuration::find_account_of_key(account_key_digest digest) const
+{
+    return this->directory.find(this->accounts, digest);
+}
+
+client_account const *
+routing_configuration::find_account(account_name const & name) const
+{
+    auto const found =
+        std::lower_bound(this->accounts.begin(),
+                         this->accounts.end(),
+                         name,
+                         [](auto const & account, account_name const & wanted)
+                         {
+                             return account.name < wanted;
+                         });
+    return found == this->accounts.end() || found->name != name ? nullptr
+                                                                : &*found;
+}
+
 } // namespace endivehinge
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -276,6 +276,176 @@
     }
 }
 
+std::optional<routing_configuration> read_tenants(std::string const & tenants,
+                                                  failure & reason)
+{
+    return store_adapter_under_test.read_configuration(
+        {"main",
+         object_version(1),
+         R"({"version":"r1","routes":{"a":{"hostname":"h","pathPrefix":"/p/",
+            "routeType":"safe","service":"s","public":true}},"services":{},
+            "tenants":)" +
+             tenants + "}",
+         false},
+        reason);
+}
+
+TEST(platform_store, reads_accounts_and_public_routes)
+{
+    failure reason;
+    auto const configuration = read_tenants(
+        R"({"b":{"apiKeys":["k1","k2"],"priority":0,"ratePerS":306.5,
+            "burst":1e9},"a":{"apiKeys":[]}})",
+        reason);
+    ASSERT_TRUE(configuration.has_value()) << reason.describe();
+    EXPECT_TRUE(configuration->requires_accounts);
+    EXPECT_TRUE(configuration->routes[0].is_public);
+    auto const * const account = configuration->find_account_of_key("k2");
+    ASSERT_NE(account, nullptr);
+    EXPECT_EQ(account->name, account_name("b"));
+    EXPECT_EQ(account->rank, 0U);
+    EXPECT_DOUBLE_EQ(account->requests_per_second, 306.5);
+    EXPECT_DOUBLE_EQ(account->burst, 1e9);
+    EXPECT_FALSE(configuration->find_account(account_name("a"))->rank);
+    EXPECT_TRUE(read_tenants("{}", reason)->requires_accounts);
+}
+
+// A configuration with an account that cannot be read must not come into force
+// in part: its limits or its keys would be missing.
+TEST(platform_store, rejects_invalid_accounts)
+{
+    for (auto const * const invalid :
+         {"null",
+          "[]",
+          "7",
+          R"({"a":null})",
+          R"({"a":[]})",
+          R"({"a":{}})",
+          R"({"":{"apiKeys":[]}})",
+          R"({"a\r\nX: y":{"apiKeys":[]}})",
+          R"({"a":{"apiKeys":"k"}})",
+          R"({"a":{"apiKeys":[""]}})",
+          R"({"a":{"apiKeys":[7]}})",
+          R"({"a":{"apiKeys":["k"]},"b":{"apiKeys":["k"]}})",
+          R"({"a":{"apiKeys":["k"],"ratePerS":-1}})",
+          R"({"a":{"apiKeys":["k"],"ratePerS":"7"}})",
+          R"({"a":{"apiKeys":["k"],"ratePerS":null}})",
+          R"({"a":{"apiKeys":["k"],"burst":-0.5}})",
+          R"({"a":{"apiKeys":["k"],"burst":true}})",
+          R"({"a":{"apiKeys":["k"],"ratePerS":1e999}})",
+          R"({"a":{"apiKeys":["k"],"ratePerS":NaN}})",
+          R"({"a":{"apiKeys":["k"],"priority":-1}})",
+          R"({"a":{"apiKeys":["k"],"priority":4294967296}})"})
+    {
+        failure reason;
+        EXPECT_FALSE(read_tenants(invalid, reason).has_value()) << invalid;
+        EXPECT_EQ(reason.id, failure_id::invalid_configuration) << invalid;
+    }
+}
+
+// A number that is not finite, in one object, made the whole list of the store
+// unreadable, so that nodes lost all later changes.
+TEST(platform_store, number_that_is_not_finite_hides_no_other_object)
+{
+    for (auto const * const number :
+         {"NaN", "Infinity", "-Infinity", "1e999", "-1E+999"})
+    {
+        failure reason;
+        auto const page = store_adapter_under_test.read_page(
+            std::string(R"({"storeRevision":7,"items":[
+                {"metadata":{"name":"a","revision":1},
+                 "spec":{"rate":)") +
+                number + R"(,"text":"NaN \" 1e999"}},
+                {"metadata":{"name":"b","revision":2},"spec":{"rate":1e9}}]})",
+            store_era(1),
+            reason);
+        ASSERT_TRUE(page.has_value()) << number << reason.describe();
+        EXPECT_EQ(page->objects.size(), 2U) << number;
+    }
+    failure reason;
+    EXPECT_FALSE(store_adapter_under_test.read_page(
+        R"({"storeRevision":nan,"items":[]})", store_era(1), reason));
+}
+
+// A quadratic pass over the accounts would take minutes.
+TEST(platform_store, reads_100000_accounts)
+{
+    std::string tenants = "{";
+    for (int i = 0; i < 100000; ++i)
+    {
+        auto const number = std::to_string(i);
+        tenants += (i == 0 ? "\"t" : ",\"t") + number + R"(":{"apiKeys":["x)" +
+                   number + R"(","y)" + number + R"("],"ratePerS":1})";
+    }
+    failure reason;
+    auto const configuration = read_tenants(tenants + "}", reason);
+    ASSERT_TRUE(configuration.has_value()) << reason.describe();
+    EXPECT_EQ(configuration->find_account_of_key("y99999")->name,
+              account_name("t99999"));
+}
+
+// Credentials that are read wrongly let a request run without or with another
+// account.
+TEST(platform_messages, reads_one_key_of_the_known_scheme)
+{
+    platform_messages const messages;
+    EXPECT_EQ(messages.read_credentials({}).kind, credentials_kind::absent);
+    std::string const long_key(16384, 'k');
+    for (auto const & [value, expected] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"Token abc", "abc"},
+             {"token \t abc ", "abc"},
+             {"Token " + long_key, long_key},
+             {"Token a b", "a b"}})
+    {
+        detail::header_fields fields;
+        fields.set("authorization", value);
+        auto const credentials = messages.read_credentials(fields);
+        EXPECT_EQ(credentials.kind, credentials_kind::key) << value;
+        EXPECT_EQ(credentials.key, expected);
+    }
+    for (auto const * const other : {"", "Basic abc", "Tokenabc", "Bearer abc"})
+    {
+        detail::header_fields fields;
+        fields.set("Authorization", other);
+        EXPECT_EQ(messages.read_credentials(fields).kind,
+                  credentials_kind::absent)
+            << other;
+    }
+    for (auto const * const empty : {"Token", "Token  "})
+    {
+        detail::header_fields fields;
+        fields.set("Authorization", empty);
+        EXPECT_EQ(messages.read_credentials(fields).kind,
+                  credentials_kind::ambiguous)
+            << empty;
+    }
+    detail::header_fields fields;
+    fields.insert("Authorization", "Token abc");
+    fields.insert("AUTHORIZATION", "Basic abc");
+    EXPECT_EQ(messages.read_credentials(fields).kind,
+              credentials_kind::ambiguous);
+}
+
+// A target that trusts the name of an account must not get one that a client
+// wrote, and never the key.
+TEST(platform_messages, account_replaces_what_the_client_stated)
+{
+    platform_messages const messages;
+    for (auto const * const name : {"pulo780", ""})
+    {
+        detail::header_fields fields;
+        fields.insert("Authorization", "Token abc");
+        fields.insert("authorization", "Basic abc");
+        fields.insert("Tenant-Id", "forged");
+        fields.insert("tenant-id", "twice");
+        messages.write_account(fields, account_name(name));
+        EXPECT_EQ(fields.count("Authorization"), 0U);
+        EXPECT_EQ(fields.count("Tenant-Id"), *name == 0 ? 0U : 1U);
+        EXPECT_EQ(fields["Tenant-Id"], name);
+    }
+}
+
 TEST(platform_messages, unreadable_rate_limit_names_none)
 {
     platform_messages const messages;
