Check the account of each request and refuse withdrawn keys

Cause: serve passed the keys of clients to targets and let each request run.

Change: request_dispatch authenticates after the route is known and again before each placement; the node beside the target checks again at the start, since requests wait there. The account's name travels in a hop field, replaces what the client stated, and its rank that of the route. Nodes know how old their configuration is: from the store's list or watch, or from a pull; a node that starts refuses keys (503) until then, and after a restore of the store until another node has responded. With strictRevoke, old knowledge refuses all keys. Without accounts there is no further call and no further byte between nodes.

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_DISPATCH_REQUEST_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_DISPATCH_REQUEST_HPP
 
+#include <cstdint>  // uint64_t
 #include <optional> // optional
 #include <string>   // string
 
@@ -30,6 +31,10 @@
     service_name caller;
     // the client account of the request; empty if it has none
     account_name account;
+    // the key of the account that the client sent
+    std::optional<account_key_digest> account_key;
+    // version of the configuration in which the key was found, or a later one
+    std::uint64_t account_version = 0;
     request_urgency urgency;
     // whether running the request more than once is safe
     bool idempotent = false;
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -18,6 +18,7 @@
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/peer_node.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
+#include <endivehinge/policy/account_check.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
 #include <endivehinge/policy/stop_schedule.hpp>
 #include <endivehinge/policy/target_selector.hpp>
@@ -58,6 +59,13 @@
     /// @brief runs and removes the callbacks of on_next_configuration()
     void notify_configuration();
 
+    /// @brief limits on the age of this node's knowledge of accounts
+    [[nodiscard]] account_check_bounds account_bounds() const;
+
+    /// @brief why the account of a request forbids its start at the target of
+    /// this node, or null
+    [[nodiscard]] char const * start_refusal(dispatch_request const & request);
+
     /// @brief a uniformly distributed random number in [0, 1)
     [[nodiscard]] double random();
 
@@ -73,6 +81,12 @@
     local_target target;
     // called when another node sends the versions of its store copies
     peer_node::versions_handler on_peer_versions;
+    // time since the active configuration was known to be the store's current
+    // one; empty if it was not since this process started
+    std::function<std::optional<duration>()> configuration_age = []
+    {
+        return std::optional<duration>();
+    };
     // describes this node in requests to other nodes
     hop_sender own_sender;
     bool stopping = false;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -58,6 +58,13 @@
     /// @pre called once
     void start_probing();
 
+    /// @brief why a request must not start any more, or null
+    using start_check = std::function<char const *(dispatch_request const &)>;
+
+    /// @brief sets the check of each request at its start at the target, which
+    /// may be long after its arrival
+    void set_start_check(start_check new_check);
+
     /// @brief sets the action to run when entry() may have changed
     void on_entry_change(std::function<void()> action);
 
@@ -100,6 +107,8 @@
     /// @brief decides whether the request may wait for a start
     [[nodiscard]] target_admission_verdict admit(request_state & state);
     void start(admission_ticket ticket);
+    /// @brief refuses a request that was about to start
+    void abandon(admission_ticket ticket, char const * reason);
     void
     send(admission_ticket ticket, state_pointer const & state, bool force_new);
     void handle_call_result(admission_ticket ticket, call_result result);
@@ -142,6 +151,10 @@
     upstream server;
     health_prober prober;
     target_crash_monitor crashes;
+    start_check check_start = [](dispatch_request const &)
+    {
+        return static_cast<char const *>(nullptr);
+    };
     bool crash_check_pending = false;
 
     struct lost_result
--- a/include/endivehinge/detail/gateway/replica_exchange.hpp
+++ b/include/endivehinge/detail/gateway/replica_exchange.hpp
@@ -22,6 +22,11 @@
     // replicates from
     duration age{0};
     // whether this node, or the node that it replicates from, reaches the store
+    // whether configuration_age is stated; only if there are client accounts
+    bool states_configuration_age = false;
+    // age of the node's knowledge that its configuration is the current one;
+    // empty if it has none
+    std::optional<duration> configuration_age;
     bool in_contact = false;
     // kinds whose changes this node has no capacity to send; the requester
     // reads them from the store
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -20,6 +20,7 @@
 #include <endivehinge/detail/gateway/store_restore_log.hpp>
 #include <endivehinge/detail/gateway/store_session.hpp>
 #include <endivehinge/detail/gateway/store_snapshot_reader.hpp>
+#include <endivehinge/policy/configuration_freshness.hpp>
 #include <endivehinge/policy/transfer_budget.hpp>
 
 namespace endivehinge::detail
@@ -77,9 +78,11 @@
     void pull(endpoint const & peer, bool from_source);
     void on_pull_response(endpoint const & peer,
                           bool from_source,
+                          boot_time sent,
                           call_result const & result);
     [[nodiscard]] std::optional<replica_exchange>
     apply_pull_response(endpoint const & peer,
+                        boot_time sent,
                         call_result const & result,
                         std::string & detail);
     void pull_from_random_node();
@@ -99,6 +102,15 @@
     [[nodiscard]] bool has_store_contact() const;
     [[nodiscard]] bool is_in_local_domain(endpoint const & peer) const;
     [[nodiscard]] duration contact_age() const;
+    /// @brief what the reply of a node says about the configuration
+    void record_configuration_age(replica_exchange const & reply,
+                                  boot_time sent);
+    /// @brief wakes the requests that waited for the first confirmation
+    void report_confirmation(bool was_unconfirmed);
+    /// @brief whether the store may have lost a configuration that other nodes
+    /// still have, and none was asked yet
+    [[nodiscard]] bool may_miss_lost_configuration() const;
+    [[nodiscard]] std::optional<duration> configuration_age() const;
 
     gateway_state & state;
     store_adapter const & adapter;
@@ -122,6 +134,9 @@
     time_point started_at;
     // whether any node was asked for its copies
     bool has_pulled = false;
+    // whether any node with a confirmed configuration has responded
+    bool has_confirmed_reply = false;
+    configuration_freshness freshness;
     // last response of any node to a pull
     time_point last_pull_response;
     // last response of the store to this node or to its replication source
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -13,6 +13,8 @@
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/placement_trace.hpp>
 #include <endivehinge/detail/gateway/target_chooser.hpp>
+#include <endivehinge/policy/account_check.hpp>
+#include <endivehinge/policy/client_credentials.hpp>
 #include <endivehinge/policy/placement_limit.hpp>
 #include <endivehinge/policy/request_attempts.hpp>
 #include <endivehinge/policy/slow_target_rounds.hpp>
@@ -50,10 +52,18 @@
 
     using attempt_ptr = std::shared_ptr<attempt>;
 
-    void wait_for_configuration();
+    /// @brief whether there is a configuration, confirmed if it has accounts
+    [[nodiscard]] bool has_configuration() const;
+    void wait_for_configuration(time_point end);
     void route_request();
     [[nodiscard]] bool outlives_shutdown() const;
     void prepare_message();
+    /// @brief whether the request may run under the active configuration;
+    /// refuses it otherwise. Sets its account
+    [[nodiscard]] bool authenticate();
+    void refuse_account(account_decision const & decision);
+    // the account is known and the request was not placed yet
+    void admit();
     void place();
     void start_attempt(chosen_target const & chosen);
     void handle_result(attempt_ptr const & target_attempt,
@@ -88,6 +98,12 @@
     target_chooser chooser;
     fleet_view::configuration_pointer configuration;
     service_route const * route = nullptr;
+    // set once the active configuration requires accounts
+    std::optional<client_credentials> credentials;
+    // contains the account
+    fleet_view::configuration_pointer account_configuration;
+    // null if the request has no account
+    client_account const * account = nullptr;
     service_name service;
     std::string id;
     // until the client stops waiting, from the arrival of the request
--- a/include/endivehinge/detail/gateway/store_session.hpp
+++ b/include/endivehinge/detail/gateway/store_session.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
 
+#include <endivehinge/core/boot_clock.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 #include <endivehinge/detail/gateway/store_era_reader.hpp>
@@ -34,6 +35,15 @@
                   fleet_replica & local_replica,
                   std::function<double()> random_source);
 
+    /// @brief called when the store has returned the current configuration
+    /// @note its parameters: when the request was sent, and how long the store
+    /// was asked to hold it without a change; 0 unless there was none
+    using confirmation_handler = std::function<void(boot_time, duration)>;
+
+    /// @brief sets the action to run when the replica has the configuration
+    /// that the store had confirmed
+    void on_current_configuration(confirmation_handler new_callback);
+
     /// @brief starts replicating; does nothing if already active
     void start();
 
@@ -61,6 +71,9 @@
     {
         std::shared_ptr<client_connection> connection;
         object_changes pages;
+        // of the last request, and of that for the first page
+        boot_time sent_at;
+        boot_time list_sent_at;
         bool synchronizing = false;
         // consecutive responses that the history since the version is gone
         std::uint32_t lost_histories = 0;
@@ -89,6 +102,7 @@
     read_page(call_result const & result);
     void record_success();
     void record_failure(object_kind kind, std::string const & reason);
+    void confirm(object_kind kind, boot_time sent, duration hold) const;
     void cancel_calls();
 
     boost::asio::io_context & io;
@@ -98,6 +112,7 @@
     store_era_reader & eras;
     fleet_replica & replica;
     std::function<double()> random;
+    confirmation_handler configuration_callback = [](boot_time, duration) {};
     boost::asio::steady_timer retry_timer;
     std::array<kind_state, object_kind_count> kinds;
     // incremented when calls are cancelled, so that late callbacks are ignored
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -6,6 +6,7 @@
 #include <optional>   // optional
 #include <string>     // string
 
+#include <endivehinge/core/boot_clock.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 #include <endivehinge/detail/gateway/store_adapter.hpp>
@@ -30,6 +31,10 @@
                           store_era_reader & era_reader,
                           fleet_replica & local_replica);
 
+    /// @brief sets the action to run when the replica has the configuration
+    /// that the store had when the request was sent
+    void on_current_configuration(std::function<void(boot_time)> new_callback);
+
     /// @brief reads objects into the replica; does nothing if a read is in
     /// progress
     /// @param wanted_kinds indexed by object_kind
@@ -58,6 +63,9 @@
     std::array<object_changes, object_kind_count> pages;
     read_freshness wanted_freshness = read_freshness::current;
     std::size_t pending_kinds = 0;
+    std::function<void(boot_time)> configuration_callback = [](boot_time) {};
+    // when the first page of the configuration was requested
+    boot_time configuration_sent_at;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -75,6 +75,11 @@
                           {{"service", settings.service.value()},
                            {"domain", settings.domain.value()},
                            {"target", settings.target_address.to_string()}});
+    this->state.target.set_start_check(
+        [this](dispatch_request const & request)
+        {
+            return this->state.start_refusal(request);
+        });
     this->state.target.on_entry_change(
         [this]
         {
@@ -111,6 +116,7 @@
 void gateway_parts::reload(gateway_settings const & new_settings)
 {
     this->state.settings.bounds = new_settings.bounds;
+    this->state.settings.accounts = new_settings.accounts;
     this->state.settings.seeds = new_settings.seeds;
     this->state.log.write("reload", {});
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -2,7 +2,8 @@
 
 #include <unistd.h> // STDOUT_FILENO
 
-#include <utility> // exchange, move
+#include <algorithm> // max
+#include <utility>   // exchange, move
 
 #include <absl/strings/str_cat.h> // Hex, StrCat
 
@@ -24,6 +25,9 @@
 // requests that wait for the first configuration of this process and are woken
 // by it; bounds memory
 constexpr std::size_t max_configuration_callbacks = 1024;
+// from the check of a key to the start at the target, which may need a new
+// connection (250 ms at most)
+constexpr duration target_start_margin = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -123,6 +127,42 @@
     }
 }
 
+account_check_bounds gateway_state::account_bounds() const
+{
+    auto const & limits = this->settings.accounts;
+    account_check_bounds bounds;
+    bounds.unknown_key_age =
+        std::max(bounds.unknown_key_age, this->settings.configuration_delay);
+    if (limits.strict_revocation)
+    {
+        bounds.revocation_age = std::max(
+            limits.revocation_delay - target_start_margin, duration(0));
+    }
+    return bounds;
+}
+
+char const * gateway_state::start_refusal(dispatch_request const & request)
+{
+    auto const & active = this->fleet.configuration();
+    if (!active || !request.account_key)
+    {
+        return nullptr;
+    }
+    auto const decision = check_admitted_account(*active,
+                                                 request.account,
+                                                 *request.account_key,
+                                                 request.account_version,
+                                                 this->configuration_age(),
+                                                 this->account_bounds());
+    if (decision.verdict == account_verdict::admitted)
+    {
+        return nullptr;
+    }
+    auto const * const cause = to_string(decision.cause);
+    this->metrics.increment(absl::StrCat("account_start_refused_", cause));
+    return cause;
+}
+
 double gateway_state::random()
 {
     return std::uniform_real_distribution<double>(0, 1)(this->generator);
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -3,7 +3,7 @@
 #include <array>  // array
 #include <vector> // vector
 
-#include <absl/strings/numbers.h>   // SimpleAtod, SimpleAtoi
+#include <absl/strings/numbers.h>   // SimpleAtod, SimpleAtoi, SimpleHexAtoi
 #include <absl/strings/str_cat.h>   // StrCat
 #include <absl/strings/str_split.h> // StrSplit
 
@@ -50,6 +50,11 @@
 // it, in a result as it is. Only sent if there is such a rate
 constexpr char const * stated_rate_field = "Endivehinge-Rate";
 
+// name of the client account and digest of its key. Only sent if there is an
+// account; earlier versions ignore them, and the message names the account, too
+constexpr char const * account_field = "Endivehinge-Account";
+constexpr char const * account_key_field = "Endivehinge-Key";
+
 std::int64_t microsecond_count(duration value)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
@@ -229,6 +234,15 @@
     {
         message.set(suspect_field, "1");
     }
+    if (!request.account.value().empty())
+    {
+        message.set(account_field, request.account.value());
+    }
+    if (request.account_key)
+    {
+        message.set(account_key_field,
+                    absl::StrCat(absl::Hex(request.account_key->value())));
+    }
     message.set(
         urgency_field,
         absl::StrCat(microsecond_count(request.urgency.target_time - now),
@@ -275,6 +289,12 @@
     request.stated_rate =
         read_stated_rate(extract_field(message, stated_rate_field));
     request.suspect = !extract_field(message, suspect_field).empty();
+    request.account = account_name(extract_field(message, account_field));
+    if (std::uint64_t digest = 0;
+        absl::SimpleHexAtoi(extract_field(message, account_key_field), &digest))
+    {
+        request.account_key = account_key_digest(digest);
+    }
     if (numbers.size() != 5 || request.target.value().empty() ||
         numbers[4] < 0 ||
         numbers[4] > static_cast<int>(slow_target_action::start_or_refuse))
@@ -396,7 +416,9 @@
                                     cold_field,
                                     position_field,
                                     suspect_field,
-                                    stated_rate_field})
+                                    stated_rate_field,
+                                    account_field,
+                                    account_key_field})
     {
         fields.erase(name);
     }
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -157,10 +157,41 @@
 void local_target::start(admission_ticket ticket)
 {
     auto const state = this->requests.at(ticket);
+    if (auto const * const reason = this->check_start(state->request))
+    {
+        this->abandon(ticket, reason);
+        return;
+    }
     state->started_at = loop_now();
     this->send(ticket, state, false);
 }
 
+void local_target::set_start_check(start_check new_check)
+{
+    this->check_start = std::move(new_check);
+}
+
+void local_target::abandon(admission_ticket ticket, char const * reason)
+{
+    auto const state = this->requests.at(ticket);
+    this->requests.erase(ticket);
+    this->admission.cancel(ticket);
+    dispatch_result result;
+    result.outcome = dispatch_outcome::refused;
+    result.reason = reason;
+    result.queue_time = loop_now() - state->queued_at;
+    result.load = this->admission.load(loop_now());
+    asio::post(this->io,
+               [this, state, result]
+               {
+                   if (auto const done = std::exchange(state->done, nullptr))
+                   {
+                       done(result);
+                   }
+                   this->process_queue();
+               });
+}
+
 void local_target::send(admission_ticket ticket,
                         state_pointer const & state,
                         bool force_new)
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -28,6 +28,12 @@
     metrics.set_gauge(
         "configuration_version",
         configuration ? static_cast<double>(configuration->version) : 0);
+    if (configuration && configuration->requires_accounts)
+    {
+        auto const age = this->state.configuration_age();
+        metrics.set_gauge("configuration_age_seconds",
+                          age ? to_milliseconds(*age) / 1000 : -1);
+    }
     metrics.set_gauge("nodes_known",
                       static_cast<double>(this->state.fleet.node_count()));
     auto const & crashes = this->state.target.crash_monitor();
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -26,7 +26,8 @@
     {
         return;
     }
-    if (auto const sender = read_hop_sender(incoming->request))
+    auto const sender = read_hop_sender(incoming->request);
+    if (sender)
     {
         this->replicas.receive_peer_versions(sender->peer, sender->versions);
     }
@@ -40,6 +41,8 @@
         incoming->respond(std::move(response));
         return;
     }
+    request->account_version =
+        sender ? sender->versions.configuration_version : 0;
     if (!this->in_flight_requests.begin(request->in_flight_id))
     {
         this->state.log.write("flight_fenced", {{"id", request->id}});
@@ -55,6 +58,13 @@
         return;
     }
     remove_connection_fields(request->message);
+    if (auto const & configuration = this->state.fleet.configuration();
+        configuration && configuration->requires_accounts)
+    {
+        // the node where the request began may not know of accounts yet, and
+        // then passes on what its client sent
+        this->state.adapter.write_account(request->message, request->account);
+    }
     this->run(incoming, std::move(*request));
 }
 
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -24,6 +24,7 @@
 // active configuration, separated by commas; earlier versions send and read the
 // revisions only
 constexpr char const * request_path_prefix = "/endivehinge/replica/";
+constexpr char const * configuration_age_field = "configuration_age_us";
 constexpr char const * read_step = "parse a replica response of another node";
 
 /// @param era of the changes that contain the object; not repeated per object
@@ -179,13 +180,24 @@
     {
         kinds_json.push_back(write_changes(changes));
     }
-    json const document = {
+    json document = {
         {"age_us",
          std::chrono::duration_cast<std::chrono::microseconds>(this->age)
              .count()},
         {"in_contact", this->in_contact},
         {"deferred", this->deferred},
         {"kinds", std::move(kinds_json)}};
+    if (this->states_configuration_age)
+    {
+        document[configuration_age_field] = nullptr;
+    }
+    if (this->states_configuration_age && this->configuration_age)
+    {
+        document[configuration_age_field] =
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                *this->configuration_age)
+                .count();
+    }
     return document.dump();
 }
 
@@ -200,6 +212,17 @@
             std::chrono::microseconds(parsed.at("age_us").get<std::int64_t>());
         exchange.in_contact = parsed.at("in_contact").get<bool>();
         // earlier versions do not send it
+        if (auto const age = parsed.find(configuration_age_field);
+            age != parsed.end())
+        {
+            exchange.states_configuration_age = true;
+            if (!age->is_null())
+            {
+                exchange.configuration_age =
+                    std::chrono::microseconds(age->get<std::int64_t>());
+            }
+        }
+        // earlier versions do not send it
         if (auto const deferred = parsed.find("deferred");
             deferred != parsed.end())
         {
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -47,6 +47,12 @@
 // between pulls for a newer configuration alone, which a node that cannot read
 // it would repeat with each message
 constexpr duration configuration_pull_interval = std::chrono::milliseconds(200);
+// the store has not returned from an older copy yet
+store_era const first_era(1);
+// for a node to respond that may have a newer configuration than a restored
+// store; covers three rounds of source selection. Without any such node, the
+// store's configuration counts
+constexpr duration lost_configuration_wait = std::chrono::seconds(3);
 // entries removed in one round, so that a restore does not exceed the
 // platform's rate of writes
 constexpr std::size_t max_removals_per_round = 8;
@@ -133,6 +139,31 @@
     {
         this->receive_peer_versions(peer, versions);
     };
+    this->state.configuration_age = [this]
+    {
+        return this->configuration_age();
+    };
+    this->session.on_current_configuration(
+        [this](boot_time sent, duration hold)
+        {
+            bool const was_unconfirmed = !this->configuration_age();
+            if (hold > duration(0))
+            {
+                this->freshness.record_unchanged(sent, hold, boot_clock::now());
+            }
+            else
+            {
+                this->freshness.record_read(sent);
+            }
+            this->report_confirmation(was_unconfirmed);
+        });
+    this->snapshot.on_current_configuration(
+        [this](boot_time sent)
+        {
+            bool const was_unconfirmed = !this->configuration_age();
+            this->freshness.record_read(sent);
+            this->report_confirmation(was_unconfirmed);
+        });
     this->started_at = loop_now();
     this->last_store_response = this->started_at;
     this->last_pull_response = this->started_at;
@@ -179,6 +210,12 @@
     replica_exchange reply;
     reply.age = this->contact_age();
     reply.in_contact = this->has_store_contact();
+    if (auto const & active = this->state.fleet.configuration();
+        active && active->requires_accounts)
+    {
+        reply.states_configuration_age = true;
+        reply.configuration_age = this->configuration_age();
+    }
     auto const own_versions = this->replica.versions();
     bool const states_eras = replica_exchange::states_eras(incoming.request);
     if (!states_eras)
@@ -280,10 +317,10 @@
         this->state.peer(seed).call(
             replica_exchange::write_request(this->replica.versions()),
             pull_timeout,
-            [this, seed](call_result const & result)
+            [this, seed, sent = boot_clock::now()](call_result const & result)
             {
                 std::string detail;
-                if (!this->apply_pull_response(seed, result, detail))
+                if (!this->apply_pull_response(seed, sent, result, detail))
                 {
                     this->mark_failed(seed, detail);
                 }
@@ -433,20 +470,22 @@
     this->state.peer(peer).call(
         replica_exchange::write_request(this->replica.versions()),
         pull_timeout,
-        [this, peer, from_source](call_result const & result)
+        [this, peer, from_source, sent = boot_clock::now()](
+            call_result const & result)
         {
             this->pulling = false;
             this->has_pulled = true;
-            this->on_pull_response(peer, from_source, result);
+            this->on_pull_response(peer, from_source, sent, result);
         });
 }
 
 void replica_sync::on_pull_response(endpoint const & peer,
                                     bool from_source,
+                                    boot_time sent,
                                     call_result const & result)
 {
     std::string detail;
-    auto const reply = this->apply_pull_response(peer, result, detail);
+    auto const reply = this->apply_pull_response(peer, sent, result, detail);
     if (!reply)
     {
         if (from_source)
@@ -476,8 +515,11 @@
     this->session.stop();
 }
 
-std::optional<replica_exchange> replica_sync::apply_pull_response(
-    endpoint const & peer, call_result const & result, std::string & detail)
+std::optional<replica_exchange>
+replica_sync::apply_pull_response(endpoint const & peer,
+                                  boot_time sent,
+                                  call_result const & result,
+                                  std::string & detail)
 {
     failure reason;
     reason.detail = result.detail;
@@ -509,6 +551,7 @@
                 static_cast<object_kind>(i), reply->kinds[i], peer.to_string());
         }
     }
+    this->record_configuration_age(*reply, sent);
     return reply;
 }
 
@@ -621,7 +664,7 @@
 
 bool replica_sync::needs_configuration_check() const
 {
-    return !this->has_pulled ||
+    return !this->has_pulled || this->may_miss_lost_configuration() ||
            this->newest_requester_configuration >
                this->replica.versions().configuration_version;
 }
@@ -682,6 +725,50 @@
                        });
 }
 
+// ---------------------------------------------------------------------------
+// age of the configuration
+// ---------------------------------------------------------------------------
+
+void replica_sync::record_configuration_age(replica_exchange const & reply,
+                                            boot_time sent)
+{
+    bool const is_deferred =
+        reply.deferred[static_cast<std::size_t>(object_kind::configuration)];
+    // an earlier version, or a node without accounts, states its contact only
+    auto const age = reply.states_configuration_age || !reply.in_contact
+                         ? reply.configuration_age
+                         : std::optional(reply.age);
+    if (is_deferred || !age || this->follows_earlier_history(reply))
+    {
+        return;
+    }
+    bool const was_unconfirmed = !this->configuration_age();
+    this->has_confirmed_reply = true;
+    this->freshness.record_peer(sent, *age);
+    this->report_confirmation(was_unconfirmed);
+}
+
+void replica_sync::report_confirmation(bool was_unconfirmed)
+{
+    if (was_unconfirmed && this->configuration_age())
+    {
+        this->state.notify_configuration();
+    }
+}
+
+bool replica_sync::may_miss_lost_configuration() const
+{
+    return this->eras.newest() > first_era && !this->has_confirmed_reply &&
+           loop_now() - this->started_at < lost_configuration_wait;
+}
+
+std::optional<duration> replica_sync::configuration_age() const
+{
+    return this->may_miss_lost_configuration()
+               ? std::nullopt
+               : this->freshness.age(boot_clock::now());
+}
+
 duration replica_sync::contact_age() const
 {
     return loop_now() - std::max(this->last_store_response,
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -70,34 +70,48 @@
                 self->handle_cancel();
             }
         });
-    if (this->state.fleet.configuration())
+    if (this->has_configuration())
     {
         this->route_request();
         return;
     }
-    this->wait_for_configuration();
+    this->wait_for_configuration(
+        loop_now() +
+        std::min(max_configuration_wait,
+                 std::chrono::duration_cast<duration>(
+                     this->time_left * max_configuration_wait_share)));
 }
 
-void request_dispatch::wait_for_configuration()
+bool request_dispatch::has_configuration() const
 {
-    auto const wait =
-        std::min(max_configuration_wait,
-                 std::chrono::duration_cast<duration>(
-                     this->time_left * max_configuration_wait_share));
-    this->deadline_timer.expires_after(wait);
+    auto const & active = this->state.fleet.configuration();
+    return active &&
+           (!active->requires_accounts || this->state.configuration_age());
+}
+
+void request_dispatch::wait_for_configuration(time_point end)
+{
+    this->deadline_timer.expires_at(std::chrono::steady_clock::time_point(end));
     this->deadline_timer.async_wait(
-        [self = this->shared_from_this()](boost::system::error_code)
+        [self = this->shared_from_this(), end](boost::system::error_code)
         {
             if (self->done)
             {
                 return;
             }
-            if (self->state.fleet.configuration())
+            if (!self->has_configuration() && loop_now() < end)
+            {
+                // woken by a configuration that is not confirmed yet
+                self->wait_for_configuration(end);
+            }
+            else if (self->state.fleet.configuration())
             {
                 self->route_request();
-                return;
             }
-            self->reject("no configuration loaded", default_retry_delay);
+            else
+            {
+                self->reject("no configuration loaded", default_retry_delay);
+            }
         });
     this->state.on_next_configuration(
         [weak = this->weak_from_this()]
@@ -120,12 +134,19 @@
         this->fail(http::status::not_found, "no matching route");
         return;
     }
+    this->prepare_message();
+    if (!this->authenticate())
+    {
+        return;
+    }
     auto const arrival = this->client->arrival;
     if (this->route->timeout > duration(0))
     {
         this->time_left = std::min(this->time_left, this->route->timeout);
     }
-    this->urgency.rank = this->route->rank;
+    this->urgency.rank = this->account != nullptr
+                             ? this->account->rank.value_or(this->route->rank)
+                             : this->route->rank;
     this->urgency.target_time = arrival + this->route->latency_target;
     this->urgency.deadline = arrival + this->time_left;
     this->placements =
@@ -138,9 +159,8 @@
         this->reject("node_stops", default_retry_delay);
         return;
     }
-    this->prepare_message();
     this->arm_deadline();
-    this->place();
+    this->admit();
 }
 
 bool request_dispatch::outlives_shutdown() const
@@ -158,16 +178,104 @@
 void request_dispatch::prepare_message()
 {
     auto & message = this->client->request;
+    // read first, because the client may list any field as one of the
+    // connection
+    if (this->configuration->requires_accounts)
+    {
+        this->credentials = this->state.adapter.read_credentials(message);
+    }
     remove_connection_fields(message);
     remove_hop_fields(message);
 }
 
+// ---------------------------------------------------------------------------
+// client account
+// ---------------------------------------------------------------------------
+
+bool request_dispatch::authenticate()
+{
+    auto const & current = this->state.fleet.configuration();
+    if (!current->requires_accounts)
+    {
+        return true;
+    }
+    if (!this->credentials)
+    {
+        this->credentials =
+            this->state.adapter.read_credentials(this->client->request);
+    }
+    auto decision = check_account(*current,
+                                  *this->credentials,
+                                  this->route->is_public,
+                                  this->state.configuration_age(),
+                                  this->state.account_bounds());
+    if (decision.verdict == account_verdict::admitted &&
+        this->account != nullptr &&
+        decision.account->name != this->account->name)
+    {
+        // the next attempt of the client runs for the new holder of the key
+        decision = {account_verdict::unavailable,
+                    account_cause::withdrawn_key,
+                    nullptr};
+    }
+    if (decision.verdict != account_verdict::admitted)
+    {
+        this->refuse_account(decision);
+        return false;
+    }
+    this->account = decision.account;
+    if (this->account_configuration != current)
+    {
+        this->account_configuration = current;
+        this->state.adapter.write_account(
+            this->client->request,
+            this->account != nullptr ? this->account->name : account_name());
+    }
+    return true;
+}
+
+void request_dispatch::refuse_account(account_decision const & decision)
+{
+    std::string const cause = to_string(decision.cause);
+    bool const is_unauthorized =
+        decision.verdict == account_verdict::unauthorized;
+    this->state.metrics.increment(
+        (is_unauthorized ? "unauthorized_" : "account_unavailable_") + cause);
+    this->state.log.write(
+        "account_refused",
+        {{"id", this->id},
+         {"cause", cause},
+         {"key",
+          this->credentials->kind == credentials_kind::key
+              ? short_digest(digest_of_key(this->credentials->key))
+              : ""}});
+    if (!is_unauthorized || this->fallback_response ||
+        this->progress.any_running() || this->progress.may_have_run())
+    {
+        this->finish_without_answer(cause, default_retry_delay);
+        return;
+    }
+    this->last_reason = cause;
+    response_message message{http::status::unauthorized, 11};
+    this->state.adapter.write_key_required(message);
+    this->respond(std::move(message), "unauthorized");
+}
+
+void request_dispatch::admit()
+{
+    this->place();
+}
+
 // ---------------------------------------------------------------------------
 // placement
 // ---------------------------------------------------------------------------
 
 void request_dispatch::place()
 {
+    if (!this->authenticate())
+    {
+        return;
+    }
     if (loop_now() >= this->urgency.deadline)
     {
         this->handle_deadline();
@@ -207,6 +315,12 @@
     request.service = entry.service;
     request.route = this->route->name;
     request.caller = this->state.settings.service;
+    if (this->account != nullptr)
+    {
+        request.account = this->account->name;
+        request.account_key = digest_of_key(this->credentials->key);
+        request.account_version = this->account_configuration->version;
+    }
     request.urgency = this->urgency;
     request.idempotent = this->route->idempotent;
     request.suspect = this->crashed_targets > 0;
@@ -532,6 +646,8 @@
          {"route", name},
          {"rank", absl::StrCat(this->urgency.rank)},
          {"service", this->service.value()},
+         {"account",
+          this->account != nullptr ? this->account->name.value() : ""},
          {"outcome", outcome},
          {"status", absl::StrCat(status)},
          {"took_ms", format_milliseconds(elapsed)},
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -40,6 +40,11 @@
 constexpr object_kind remaining_kinds[] = {object_kind::evacuations,
                                            object_kind::targets};
 
+duration hold_time_of(object_kind kind)
+{
+    return kind == probe_kind ? probe_watch_hold_time : watch_hold_time;
+}
+
 } // namespace
 
 store_session::store_session(asio::io_context & loop,
@@ -60,6 +65,11 @@
 {
 }
 
+void store_session::on_current_configuration(confirmation_handler new_callback)
+{
+    this->configuration_callback = std::move(new_callback);
+}
+
 void store_session::start()
 {
     if (this->active)
@@ -137,6 +147,7 @@
     options.deadline = loop_now() + timeout;
     auto const call_generation = this->generation;
     auto & state = this->state_of(kind);
+    state.sent_at = boot_clock::now();
     state.connection = this->store.send(
         std::move(message),
         options,
@@ -177,6 +188,7 @@
     if (after.empty())
     {
         this->state_of(kind).pages = object_changes{};
+        this->state_of(kind).list_sent_at = boot_clock::now();
     }
     this->send(kind,
                this->adapter.list_request(kind, after, read_freshness::current),
@@ -210,7 +222,9 @@
     }
     this->record_success();
     auto const list_version = pages.version;
+    auto const sent_at = this->state_of(kind).list_sent_at;
     this->replica.apply(kind, std::exchange(pages, {}), "store");
+    this->confirm(kind, sent_at, duration(0));
     if (this->state_of(kind).lost_histories > 0 &&
         list_version < this->version_of(kind))
     {
@@ -251,8 +265,7 @@
         this->list_later(kind);
         return;
     }
-    auto const hold_time =
-        kind == probe_kind ? probe_watch_hold_time : watch_hold_time;
+    auto const hold_time = hold_time_of(kind);
     this->send(kind,
                this->adapter.watch_request(kind, version, hold_time),
                hold_time + watch_response_margin,
@@ -278,14 +291,17 @@
     }
     this->record_success();
     this->state_of(kind).lost_histories = 0;
+    auto const sent_at = this->state_of(kind).sent_at;
     if (page->objects.empty())
     {
+        this->confirm(kind, sent_at, hold_time_of(kind));
         // keeps the old version: a store that has dropped history may end a
         // watch with a newer version but without the changes up to it
         this->watch(kind);
         return;
     }
     this->replica.apply(kind, {page->version, false, page->objects}, "store");
+    this->confirm(kind, sent_at, duration(0));
     this->run_later(kind, watch_coalescing_delay, &store_session::watch);
 }
 
@@ -381,6 +397,16 @@
                                                 (0.5 + this->random() / 2));
 }
 
+void store_session::confirm(object_kind kind,
+                            boot_time sent,
+                            duration hold) const
+{
+    if (kind == object_kind::configuration)
+    {
+        this->configuration_callback(sent, hold);
+    }
+}
+
 void store_session::cancel_calls()
 {
     this->generation += 1;
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -47,6 +47,12 @@
 {
 }
 
+void store_snapshot_reader::on_current_configuration(
+    std::function<void(boot_time)> new_callback)
+{
+    this->configuration_callback = std::move(new_callback);
+}
+
 void store_snapshot_reader::read(
     std::array<bool, object_kind_count> const & wanted_kinds,
     read_freshness freshness,
@@ -71,6 +77,10 @@
 
 void store_snapshot_reader::list(object_kind kind, std::string const & after)
 {
+    if (kind == object_kind::configuration && after.empty())
+    {
+        this->configuration_sent_at = boot_clock::now();
+    }
     call_options options;
     options.deadline = loop_now() + read_timeout;
     auto const connection = this->store.send(
@@ -167,6 +177,11 @@
     if (!changes.objects.empty())
     {
         this->replica.apply(kind, changes, "store snapshot");
+        if (kind == object_kind::configuration &&
+            this->wanted_freshness == read_freshness::current)
+        {
+            this->configuration_callback(this->configuration_sent_at);
+        }
     }
     changes = {};
     this->pending_kinds -= 1;
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -63,6 +63,7 @@
     settings.store = this->store.address();
     settings.seeds = this->seeds;
     settings.bounds.retry_burst = 100;
+    settings.accounts = this->account_bounds;
     auto adapters = platform::make_adapters(settings);
     member->node = std::make_unique<detail::gateway_parts>(
         this->io, std::move(settings), std::move(adapters));
@@ -85,17 +86,35 @@
                     {"maxAttempts", this->route_attempts},
                     {"service", service}};
     };
-    this->store.put("config",
-                    "main",
-                    {{"version", "r" + std::to_string(version)},
-                     {"routes",
-                      {{"safe", route("/safe/", "safe")},
-                       {"unsafe", route("/unsafe/", "unsafe")}}},
-                     {"services",
-                      {{service,
-                        {{"healthCheckPath", "/health"},
-                         {"coldStartS", 3.0},
-                         {"coldPerS", 50.0}}}}}});
+    json spec = {{"version", "r" + std::to_string(version)},
+                 {"routes",
+                  {{"safe", route("/safe/", "safe")},
+                   {"unsafe", route("/unsafe/", "unsafe")}}},
+                 {"services",
+                  {{service,
+                    {{"healthCheckPath", "/health"},
+                     {"coldStartS", 3.0},
+                     {"coldPerS", 50.0}}}}}};
+    if (!this->tenants.is_null())
+    {
+        spec["tenants"] = this->tenants;
+        spec["routes"]["public"] = route("/public/", "safe");
+        spec["routes"]["public"]["public"] = true;
+    }
+    this->store.put("config", "main", std::move(spec));
+}
+
+void gateway_fleet::restart(fleet_member & member)
+{
+    auto settings = member.node->state.settings;
+    settings.seeds = this->seeds;
+    member.node.reset();
+    this->run_for(std::chrono::milliseconds(1));
+    auto adapters = platform::make_adapters(settings);
+    member.node = std::make_unique<detail::gateway_parts>(
+        this->io, std::move(settings), std::move(adapters));
+    failure reason;
+    EXPECT_TRUE(member.node->open(reason)) << reason.describe();
 }
 
 unsigned gateway_fleet::report(fleet_member & member,
@@ -182,6 +201,10 @@
     message.set(http::field::host, "h.example");
     message.set("Request-Id", id);
     message.set("Deadline-Ms", std::to_string(time_left_ms));
+    for (auto const & [name, value] : this->request_fields)
+    {
+        message.insert(name, value);
+    }
     if (message.method() == http::verb::post)
     {
         message.body() = "booking";
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -5,9 +5,11 @@
 #include <memory>     // unique_ptr
 #include <optional>   // optional
 #include <string>     // string
+#include <utility>    // pair
 #include <vector>     // vector
 
 #include <boost/asio/io_context.hpp> // io_context
+#include <nlohmann/json.hpp>         // json
 
 #include <endivehinge/detail/gateway/gateway_parts.hpp>
 
@@ -38,7 +40,8 @@
                        std::string const & domain = "d1");
 
     /// @brief writes a configuration that routes /safe/ as safe and /unsafe/ as
-    /// unsafe to a service
+    /// unsafe to a service, and /public/ as safe and public if there are
+    /// tenants
     void configure(int version, std::string const & service);
 
     /// @brief sends a status report of the target to its node
@@ -46,6 +49,10 @@
     unsigned
     report(fleet_member & member, std::string const & state, int sequence);
 
+    /// @brief ends a node without notice and starts it again, with an empty
+    /// memory
+    void restart(fleet_member & member);
+
     /// @brief configures the service, adds members and waits until each node
     /// has the configuration and the entries of all targets
     void start_members(std::size_t members, std::string const & service);
@@ -85,6 +92,12 @@
     int route_attempts = 2;
     // seeds in the settings of each new node
     std::vector<endpoint> seeds;
+    // written by configure(); no client accounts if null
+    nlohmann::json tenants;
+    // further fields of each request that is sent
+    std::vector<std::pair<std::string, std::string>> request_fields;
+    // in the settings of each new node
+    detail::account_bounds account_bounds;
     // puts a relay between each new node and its target
     bool use_target_relays = false;
 
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -55,7 +55,11 @@
 void store_stand_in::handle(std::shared_ptr<detail::exchange> incoming)
 {
     this->received_requests += 1;
-    if (this->unresponsive)
+    bool const accepts_old_data =
+        detail::std_view(incoming->request.target()).find("staleOk=1") !=
+        std::string_view::npos;
+    if (this->unresponsive ||
+        (this->answers_old_data_only && !accepts_old_data))
     {
         return;
     }
@@ -80,6 +84,16 @@
     }
     else if (method == http::verb::get)
     {
+        if (kind == "config" && !this->stale_configurations.is_null() &&
+            accepts_old_data)
+        {
+            this->send_response(*incoming,
+                                200,
+                                {{"items", this->stale_configurations},
+                                 {"hasMore", false},
+                                 {"storeRevision", this->revision}});
+            return;
+        }
         this->respond_to_list(*incoming, kind, query_value(target, "after"));
     }
     else if (method == http::verb::delete_)
@@ -212,6 +226,19 @@
     this->restore(to_revision);
 }
 
+json store_stand_in::list(std::string const & kind) const
+{
+    json items = json::array();
+    if (auto const found = this->kinds.find(kind); found != this->kinds.end())
+    {
+        for (auto const & [name, object] : found->second)
+        {
+            items.push_back(object);
+        }
+    }
+    return items;
+}
+
 std::uint64_t store_stand_in::current_revision() const
 {
     return this->revision;
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -62,6 +62,9 @@
     /// @brief returns to the state of some time ago, in the next era
     void restore_copy_of_age(duration age);
 
+    /// @brief the objects of a kind, as a list returns them
+    [[nodiscard]] nlohmann::json list(std::string const & kind) const;
+
     [[nodiscard]] std::uint64_t current_revision() const;
 
     /// @brief the number of restores, plus 1
@@ -82,6 +85,11 @@
     std::size_t page_size = 1000;
     // while set, lists fail after their first page
     bool fail_later_pages = false;
+    // while not null, the old list of configurations that a request gets which
+    // accepts old data
+    nlohmann::json stale_configurations;
+    // while set, only requests that accept old data are answered
+    bool answers_old_data_only = false;
     // while not set, responses do not state the era
     bool states_era = true;
     // number of writes to apply without ever responding
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -32,6 +32,8 @@
     request.suspect = true;
     request.stated_rate = 3.25;
     request.slow_action = slow_target_action::start_or_refuse;
+    request.account = account_name("pulo780");
+    request.account_key = account_key_digest(0xfedcba9876543210U);
     return request;
 }
 
@@ -66,6 +68,8 @@
     EXPECT_TRUE(read->suspect);
     EXPECT_EQ(read->stated_rate, 3.25);
     EXPECT_EQ(read->slow_action, slow_target_action::start_or_refuse);
+    EXPECT_EQ(read->account, account_name("pulo780"));
+    EXPECT_EQ(read->account_key, account_key_digest(0xfedcba9876543210U));
     std::size_t fields = 0;
     for (auto const & field : read->message)
     {
@@ -75,6 +79,21 @@
     EXPECT_EQ(fields, 1U);
 }
 
+// Deployments without accounts send the same bytes between nodes as before.
+TEST(hop_fields, no_account_adds_no_field)
+{
+    auto sent = sample_request();
+    sent.account = account_name();
+    sent.account_key.reset();
+    write_hop_request(sent, sample_sender(), now_time);
+    EXPECT_EQ(sent.message.count("Endivehinge-Account"), 0U);
+    EXPECT_EQ(sent.message.count("Endivehinge-Key"), 0U);
+    auto const read = read_hop_request(std::move(sent.message), now_time);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->account, account_name());
+    EXPECT_FALSE(read->account_key.has_value());
+}
+
 TEST(hop_fields, rejects_request_with_missing_or_invalid_fields)
 {
     EXPECT_FALSE(
@@ -92,6 +111,9 @@
     auto sent = sample_request();
     write_hop_request(sent, sample_sender(), now_time);
     remove_hop_fields(sent.message);
+    // a client that sets them would run requests under another account
+    EXPECT_EQ(sent.message.count("Endivehinge-Account"), 0U);
+    EXPECT_EQ(sent.message.count("Endivehinge-Key"), 0U);
     EXPECT_FALSE(read_hop_sender(sent.message).has_value());
     EXPECT_FALSE(
         read_hop_request(std::move(sent.message), now_time).has_value());
--- a/tests/src/unit-replica-exchange.cpp
+++ b/tests/src/unit-replica-exchange.cpp
@@ -113,5 +113,24 @@
     EXPECT_EQ(read->kinds[0].objects[0].version, object_version(8));
 }
 
+// A node that does not know whether its configuration is current must not make
+// the requester accept keys. Without accounts, nothing is added.
+TEST(replica_exchange_eras, states_the_age_of_the_configuration)
+{
+    failure reason;
+    replica_exchange sent;
+    EXPECT_EQ(sent.write().find("configuration"), std::string::npos);
+    EXPECT_FALSE(
+        replica_exchange::read(sent.write(), reason)->states_configuration_age);
+    sent.states_configuration_age = true;
+    auto read = replica_exchange::read(sent.write(), reason);
+    EXPECT_TRUE(read->states_configuration_age);
+    EXPECT_FALSE(read->configuration_age.has_value());
+    sent.configuration_age = std::chrono::milliseconds(1250);
+    read = replica_exchange::read(sent.write(), reason);
+    EXPECT_TRUE(read->states_configuration_age);
+    EXPECT_EQ(read->configuration_age, std::chrono::milliseconds(1250));
+}
+
 } // namespace
 } // namespace endivehinge::detail
