Test the check at the target and the rank of accounts

Cause: no test showed that the node beside the target refuses keys that it knows to be withdrawn, nor that the rank of an account counts.

Change: adds both, and occupies the target until requests wait, since its limit at the start is below its slots.

--- a/tests/src/system-gateway-accounts.cpp
+++ b/tests/src/system-gateway-accounts.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm> // all_of
+#include <deque>     // deque
 
 #include "gateway/gateway_fleet.hpp"
 
@@ -68,6 +69,88 @@
         return status;
     }
 
+    /// @brief lets a node run a request as if another node had admitted it
+    detail::dispatch_result run_at_target(fleet_member & member,
+                                          std::string const & key,
+                                          std::uint64_t admitted_version)
+    {
+        detail::dispatch_request request;
+        request.message = detail::request_message{
+            boost::beast::http::verb::get, "/safe/a", 11};
+        request.id = key;
+        request.message.set("Request-Id", key);
+        request.target = target_id(member.target->id);
+        request.service = service_name("web");
+        request.route = "safe";
+        request.account = account_name("pulo780");
+        request.account_key = digest_of_key(key);
+        request.account_version = admitted_version;
+        request.urgency.target_time =
+            std::chrono::steady_clock::now() + seconds(10);
+        request.urgency.deadline = request.urgency.target_time;
+        std::optional<detail::dispatch_result> result;
+        static_cast<void>(member.node->state.target.run(
+            std::move(request),
+            [&result](detail::dispatch_result received)
+            {
+                result = std::move(received);
+            },
+            [] {}));
+        EXPECT_TRUE(this->run_until(
+            [&result]
+            {
+                return result.has_value();
+            }));
+        return *result;
+    }
+
+    /// @brief sends requests that occupy the target, so that some wait
+    void fill(fleet_member & member)
+    {
+        member.target->request_hook =
+            [this](std::shared_ptr<detail::exchange> const & incoming)
+        {
+            this->running.push_back(incoming);
+        };
+        for (int i = 0; i < 12; ++i)
+        {
+            this->calls.push_back(
+                this->send(member, "/unsafe/a", "run-" + std::to_string(i)));
+        }
+        EXPECT_TRUE(this->run_until(
+            [this, &member]
+            {
+                auto const waiting = member.node->state.target.load().waiting;
+                return waiting > 0 && waiting + this->running.size() == 12;
+            }));
+    }
+
+    /// @brief sends a request to a filled target and waits until it is queued
+    std::shared_ptr<client_call> send_to_queue(fleet_member & member,
+                                               std::string const & id)
+    {
+        auto const before = member.node->state.target.load().waiting;
+        auto call = this->send(member, "/unsafe/b", id);
+        EXPECT_TRUE(this->run_until(
+            [&member, before]
+            {
+                return member.node->state.target.load().waiting == before + 1;
+            }));
+        return call;
+    }
+
+    /// @brief responds to the first requests that still run, and at once to all
+    /// later ones
+    void release(fleet_member & member, std::size_t count)
+    {
+        member.target->request_hook = nullptr;
+        for (std::size_t i = 0; i < count && !this->running.empty(); ++i)
+        {
+            member.target->respond(*this->running.front(), 200);
+            this->running.pop_front();
+        }
+    }
+
     /// @brief writes a configuration and waits until all nodes have it
     void change(int version, json accounts)
     {
@@ -94,6 +177,10 @@
                     });
             }));
     }
+
+private:
+    std::deque<std::shared_ptr<detail::exchange>> running;
+    std::vector<std::shared_ptr<client_call>> calls;
 };
 
 // Requests without a valid key ran like any other, or valid ones did not.
@@ -252,33 +339,13 @@
 {
     account_fleet fleet(1);
     auto & member = *fleet.members[0];
-    std::vector<std::shared_ptr<detail::exchange>> running;
-    member.target->request_hook =
-        [&running](std::shared_ptr<detail::exchange> const & incoming)
-    {
-        running.push_back(incoming);
-    };
     fleet.use_key("key-2");
-    std::vector<std::shared_ptr<gateway_fleet::client_call>> calls;
-    for (int i = 0; i < 10; ++i)
-    {
-        calls.push_back(
-            fleet.send(member, "/unsafe/a", "run-" + std::to_string(i)));
-    }
+    fleet.fill(member);
     fleet.use_key("key-1");
-    auto const waiting = fleet.send(member, "/unsafe/b", "waiting");
-    ASSERT_TRUE(fleet.run_until(
-        [&member]
-        {
-            return member.node->state.target.load().waiting > 0;
-        }));
+    auto const waiting = fleet.send_to_queue(member, "waiting");
     fleet.change(2, first_key_withdrawn);
     ASSERT_FALSE(waiting->result.has_value());
-    member.target->request_hook = nullptr;
-    for (auto const & incoming : running)
-    {
-        member.target->respond(*incoming, 200);
-    }
+    fleet.release(member, 12);
     ASSERT_TRUE(fleet.run_until(
         [&waiting]
         {
@@ -287,6 +354,52 @@
     auto const status = waiting->result->response.result_int();
     EXPECT_TRUE(status == 401 || status == 503) << status;
     EXPECT_EQ(fleet.execution_count("waiting"), 0U);
+    EXPECT_NE(member.node->state.metrics.to_text().find(
+                  "account_start_refused_withdrawn_key_total 1"),
+              std::string::npos);
+}
+
+// A node that is cut off still admits a withdrawn key: the node beside the
+// target, which knows better, ran the request.
+TEST(gateway_accounts, node_beside_the_target_refuses_a_withdrawn_key)
+{
+    account_fleet fleet(1);
+    auto & member = *fleet.members[0];
+    fleet.change(2, first_key_withdrawn);
+    auto const refused = fleet.run_at_target(member, "key-1", 1);
+    EXPECT_EQ(refused.outcome, detail::dispatch_outcome::refused);
+    EXPECT_FALSE(refused.reached_target);
+    EXPECT_EQ(refused.reason, "withdrawn_key");
+    EXPECT_EQ(fleet.run_at_target(member, "key-2", 1).outcome,
+              detail::dispatch_outcome::answered);
+    // a key of another account
+    EXPECT_EQ(fleet.run_at_target(member, "key-3", 2).outcome,
+              detail::dispatch_outcome::refused);
+    // a key that is newer than this node's configuration
+    EXPECT_EQ(fleet.run_at_target(member, "key-9", 3).outcome,
+              detail::dispatch_outcome::answered);
+    EXPECT_EQ(member.target->executed_ids,
+              (std::vector<std::string>{"key-2", "key-9"}));
+}
+
+// Requests of an urgent account waited behind others of its route.
+TEST(gateway_accounts, rank_of_the_account_replaces_that_of_the_route)
+{
+    account_fleet fleet(1);
+    auto & member = *fleet.members[0];
+    fleet.use_key("key-3");
+    fleet.fill(member);
+    fleet.use_key("key-1");
+    auto const urgent = fleet.send_to_queue(member, "urgent");
+    auto const & executed = member.target->executed_ids;
+    auto const before = executed.size();
+    fleet.release(member, 1);
+    ASSERT_TRUE(fleet.run_until(
+        [&executed, before]
+        {
+            return executed.size() > before;
+        }));
+    EXPECT_EQ(executed[before], "urgent");
 }
 
 // A node that had restarted accepted keys from the old copy of the store that
@@ -403,6 +516,10 @@
     }
     fleet.request_fields = {};
     EXPECT_EQ(fleet.status_of(*fleet.members[0], "/public/a"), 200U);
+    // a request that another node admitted
+    auto const refused = fleet.run_at_target(*fleet.members[0], "key-2", 1);
+    EXPECT_EQ(refused.outcome, detail::dispatch_outcome::refused);
+    EXPECT_EQ(refused.reason, "revocation_unknown");
     fleet.store.unresponsive = false;
     fleet.use_key("key-1");
     for (auto const & member : fleet.members)
