Declare the decisions of roll-outs

Cause: roll-outs (docs/design/accounts-and-rollouts.md, section 5) need pure decisions, and the input and output is built against them at the same time.

--- /dev/null
+++ b/include/endivehinge/policy/rollout_judgement.hpp
@@ -0,0 +1,34 @@
+#ifndef ENDIVEHINGE_POLICY_ROLLOUT_JUDGEMENT_HPP
+#define ENDIVEHINGE_POLICY_ROLLOUT_JUDGEMENT_HPP
+
+#include <cstdint> // uint64_t
+#include <string>  // string
+
+namespace endivehinge
+{
+
+/// @brief what the evidence says about a version
+enum class rollout_verdict
+{
+    undecided, // too few requests
+    good,      // enough recent requests, not worse than the old version
+    bad,       // worse beyond the stated error
+};
+
+/// @brief the verdict on a version with its evidence
+struct rollout_judgement
+{
+    rollout_verdict verdict = rollout_verdict::undecided;
+    // names route, figures and error
+    std::string reason;
+    // responses of warm new targets in the recent window, and all
+    std::uint64_t recent_responses = 0;
+    std::uint64_t responses = 0;
+    // smallest probability, over routes and windows, that a version as good as
+    // the old one shows at least as many failures; 1 if there are none
+    double least_probability = 1;
+};
+
+} // namespace endivehinge
+
+#endif
