Complete the interfaces of roll-outs

Cause: the first headers let a second order reopen the target of the first one, a later term use the slack again, and a node without the store open its gate. Change: status lists excluded versions and the first term of the order; instructions state a withdrawal; the gate asks the version filter.

--- a/include/endivehinge/policy/rollout_coordinator.hpp
+++ b/include/endivehinge/policy/rollout_coordinator.hpp
@@ -31,9 +31,12 @@
 /// @brief the status with which a node takes the role of coordinator; to be
 /// written under the entry's version. The stage and share of a running
 /// roll-out are kept
+/// @param highest_term seen by this node, e.g. by its gate; a store that
+/// returned from an older copy may show a lower one
 /// @note pure; thread safety: any thread
 [[nodiscard]] rollout_status make_takeover_status(rollout_entry const & entry,
-                                                  node_name const & self);
+                                                  node_name const & self,
+                                                  std::uint64_t highest_term);
 
 /// @brief decisions of one coordinator in one term
 ///
@@ -78,6 +81,9 @@
     /// @brief the status last confirmed
     [[nodiscard]] rollout_status const & status() const;
 
+    /// @brief whether a node obeys a higher term; the owner discards this
+    [[nodiscard]] bool is_superseded() const;
+
     /// @brief the latest judgement, for operators
     [[nodiscard]] rollout_judgement const & judgement() const;
 
@@ -116,6 +122,8 @@
     // last instruction issued, and the first one after the withdrawal
     std::uint64_t sequence = 0;
     std::uint64_t withdrawal_sequence = 0;
+    bool superseded = false;
+    bool had_old_target = false;
     std::map<node_name, contact> contacts;
 };
 
--- a/include/endivehinge/policy/rollout_exposure_ledger.hpp
+++ b/include/endivehinge/policy/rollout_exposure_ledger.hpp
@@ -52,7 +52,10 @@
     /// @brief distributes what may be granted now
     /// @param stage in shifting, grants follow the share
     /// @param share of requests sent to the new version, 0 to 1
-    void advance(rollout_stage stage, double share, time_point now);
+    /// @param full_load in trial: whether to load warm targets like old ones;
+    /// else most of the budget is kept for later
+    void
+    advance(rollout_stage stage, double share, bool full_load, time_point now);
 
     /// @brief the grant for the node beside a new target, of the latest
     /// advance(); empty if the node has not reported in this term, is old, or
@@ -65,6 +68,9 @@
     [[nodiscard]] std::optional<time_point>
     latest_expiry(node_name const & node) const;
 
+    /// @brief latest expiry of grants to processes and targets that are gone
+    [[nodiscard]] std::optional<time_point> const & expiry_of_removed() const;
+
     /// @brief sum of all grants of this term, in requests
     [[nodiscard]] double total_granted() const;
 
@@ -99,7 +105,7 @@
     [[nodiscard]] bool reaches_majority(time_point now) const;
     [[nodiscard]] double old_target_rate(time_point now) const;
     [[nodiscard]] std::vector<holder *> trial_targets(time_point now);
-    void grant_trial(time_point now);
+    void grant_trial(bool full_load, time_point now);
     void grant_share(double share, time_point now);
     void issue(holder & target,
                std::uint64_t max_accepted,
@@ -112,7 +118,8 @@
     double arrivals = 0;
     // granted to processes that ended or targets that were removed
     double used_by_ended = 0;
-    bool in_burst = false;
+    // latest expiry of grants to targets that were removed
+    std::optional<time_point> removed_expiry;
     std::map<node_name, holder> targets;
 };
 
--- a/include/endivehinge/policy/rollout_gate.hpp
+++ b/include/endivehinge/policy/rollout_gate.hpp
@@ -29,11 +29,17 @@
     void set_version(software_version const & version);
 
     /// @brief sets the entry of the service as known from the store; empty if
-    /// there is none. An older version of the entry is ignored. A new order
-    /// begins without grants and with counts of 0
+    /// there is none. To be called only once the node knows the state of the
+    /// store. An older version of the entry is ignored. A new order begins
+    /// without grants and with counts of 0
     /// @return whether a new order began
     bool set_entry(std::optional<rollout_entry> const & entry);
 
+    /// @brief sets whether rollout_version_filter::allows() this node's own
+    /// version; false at first. A node that does not know of an order relies on
+    /// it alone
+    void set_allowed(bool allowed);
+
     /// @brief processes an instruction of a coordinator
     /// @return whether it is obeyed; false for a lower term, an earlier
     /// instruction of the same term, or another order
@@ -67,6 +73,10 @@
     software_version version;
     std::optional<rollout_entry> entry;
     std::optional<rollout_instruction> instruction;
+    // this process first learned of the order while it was running
+    bool joined_running = false;
+    bool knows_store = false;
+    bool is_allowed = false;
     std::uint64_t accepted_count = 0;
     std::uint64_t failure_count = 0;
 };
--- a/include/endivehinge/policy/rollout_instruction.hpp
+++ b/include/endivehinge/policy/rollout_instruction.hpp
@@ -24,6 +24,9 @@
     rollout_stage stage = rollout_stage::trial;
     // whether the node beside an old target rejects new requests
     bool old_closed = false;
+    // the version is about to be rolled back: there are no grants, and old
+    // targets are open, whatever the status says
+    bool withdrawn = false;
     // process lifetime of the node to which the grant is given; other ones
     // have no grant
     incarnation holder;
--- a/include/endivehinge/policy/rollout_judge.hpp
+++ b/include/endivehinge/policy/rollout_judge.hpp
@@ -1,10 +1,11 @@
 #ifndef ENDIVEHINGE_POLICY_ROLLOUT_JUDGE_HPP
 #define ENDIVEHINGE_POLICY_ROLLOUT_JUDGE_HPP
 
-#include <deque>  // deque
-#include <map>    // map
-#include <string> // string
-#include <vector> // vector
+#include <cstddef> // size_t
+#include <cstdint> // int64_t, uint64_t
+#include <deque>   // deque
+#include <map>     // map
+#include <string>  // string
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/policy/rollout_counts.hpp>
@@ -42,36 +43,48 @@
 private:
     using route_table = std::map<std::string, rollout_route_counts>;
 
-    struct snapshot
+    // counts of one new target in one interval
+    struct cell
     {
-        time_point taken;
-        route_table routes;
+        rollout_route_counts counts;
+        std::uint64_t warm_responses = 0;
+    };
+
+    // what was reported in one short interval, by route
+    struct interval
+    {
+        std::int64_t index = 0;
+        std::map<std::string, std::map<node_name, cell>> new_targets;
+        route_table old_targets;
     };
 
     struct target_history
     {
         software_version version;
         incarnation process;
-        bool cold = true;
-        // sums of earlier process lifetimes, added to all later counts
-        route_table ended;
-        // counts as last reported, and the sum with earlier lifetimes
         route_table reported;
-        route_table current;
-        // counts when the target became warm
-        route_table at_warm;
         time_point last_report;
-        std::deque<snapshot> snapshots;
     };
 
-    struct sample;
-    struct window_evidence;
+    struct comparison;
 
-    [[nodiscard]] window_evidence
-    collect(time_point now, duration length, bool warm_only) const;
+    [[nodiscard]] interval & interval_at(time_point now);
+    void merge_old_intervals(std::int64_t current);
+    [[nodiscard]] std::size_t reachable_new_targets(time_point now) const;
+    [[nodiscard]] comparison compare(std::string const & route,
+                                     std::int64_t first_index,
+                                     node_name const * left_out) const;
+    void judge_route(std::string const & route,
+                     std::int64_t first_index,
+                     bool needs_two,
+                     rollout_judgement & result) const;
+    [[nodiscard]] bool is_enough(time_point now,
+                                 rollout_judgement & result) const;
+    [[nodiscard]] bool are_all_routes_tried() const;
 
     software_version new_version;
     std::map<node_name, target_history> targets;
+    std::deque<interval> intervals;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/rollout_judgement.hpp
+++ b/include/endivehinge/policy/rollout_judgement.hpp
@@ -24,8 +24,10 @@
     // responses of warm new targets in the recent window, and all
     std::uint64_t recent_responses = 0;
     std::uint64_t responses = 0;
+    // whether each route with a notable part of the old traffic was tried
+    bool all_routes_tried = false;
     // smallest probability, over routes and windows, that a version as good as
-    // the old one shows at least as many failures; 1 if there are none
+    // the old one looks at least as bad; 1 if nothing is suspicious
     double least_probability = 1;
 };
 
--- a/include/endivehinge/policy/rollout_status.hpp
+++ b/include/endivehinge/policy/rollout_status.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint> // uint64_t
 #include <string>  // string
+#include <vector>  // vector
 
 #include <endivehinge/core/ids.hpp>
 
@@ -35,9 +36,13 @@
     node_name coordinator;
     // increases with each change of the coordinator
     std::uint64_t term = 0;
+    // first term of this order; only it may use the slack
+    std::uint64_t first_term = 0;
     rollout_stage stage = rollout_stage::trial;
     // share of requests sent to the new version; 1 closes the old targets
     double share = 0;
+    // targets of earlier orders that were never completed; they get nothing
+    std::vector<software_version> excluded;
     // of the latest step, for operators
     std::string reason;
 
@@ -45,6 +50,7 @@
     {
         return a.state == b.state && a.target_version == b.target_version &&
                a.coordinator == b.coordinator && a.term == b.term &&
+               a.first_term == b.first_term && a.excluded == b.excluded &&
                a.stage == b.stage && a.share == b.share && a.reason == b.reason;
     }
 
