--- a/include/endivehinge/policy/rollout_coordinator.hpp
+++ b/include/endivehinge/policy/rollout_coordinator.hpp
@@ -46,6 +46,8 @@
 /// interval: set_targets(), record() for each response, advance(), then sends
 /// instruction_for() each target and writes wanted_status(), if any, under the
 /// version of the confirmed status.
+/// Grants are given only while more than half of the targets' nodes respond: a
+/// coordinator that is cut off with few of them may have been replaced.
 /// @note pure; not thread-safe, the owner serialises all calls
 class rollout_coordinator
 {
@@ -99,12 +101,14 @@
     };
 
     [[nodiscard]] bool is_new(rollout_target const & target) const;
-    [[nodiscard]] bool is_running() const;
-    [[nodiscard]] bool are_old_targets_closed() const;
+    [[nodiscard]] bool reaches_majority(time_point now) const;
+    [[nodiscard]] bool is_already_done(time_point now) const;
+    [[nodiscard]] rollout_old_target describe_old(contact const & old,
+                                                  time_point now) const;
     [[nodiscard]] bool have_grants_ended(time_point now) const;
     [[nodiscard]] rollout_situation describe(time_point now) const;
     void decide(time_point now);
-    void want(rollout_state state, rollout_stage stage, double share);
+    void want(rollout_state state, std::string const & reason);
 
     rollout_order order;
     rollout_status confirmed;
@@ -122,6 +126,8 @@
     // last instruction issued, and the first one after the withdrawal
     std::uint64_t sequence = 0;
     std::uint64_t withdrawal_sequence = 0;
+    // first instruction after the store confirmed that old targets close
+    std::uint64_t closing_sequence = 0;
     bool superseded = false;
     bool had_old_target = false;
     std::map<node_name, contact> contacts;
--- a/include/endivehinge/policy/rollout_exposure_ledger.hpp
+++ b/include/endivehinge/policy/rollout_exposure_ledger.hpp
@@ -58,8 +58,7 @@
     advance(rollout_stage stage, double share, bool full_load, time_point now);
 
     /// @brief the grant for the node beside a new target, of the latest
-    /// advance(); empty if the node has not reported in this term, is old, or
-    /// less than half of the nodes reported within the last second
+    /// advance(); empty if the node has not reported in this term or is old
     [[nodiscard]] std::optional<rollout_grant>
     grant_for(node_name const & node) const;
 
@@ -102,15 +101,14 @@
     [[nodiscard]] bool is_new(holder const & target) const;
     [[nodiscard]] bool is_reachable(holder const & target,
                                     time_point now) const;
-    [[nodiscard]] bool reaches_majority(time_point now) const;
     [[nodiscard]] double old_target_rate(time_point now) const;
     [[nodiscard]] std::vector<holder *> trial_targets(time_point now);
+    void discard_process(holder const & target);
+    [[nodiscard]] double service_rate(time_point now) const;
     void grant_trial(bool full_load, time_point now);
     void grant_share(double share, time_point now);
-    void issue(holder & target,
-               std::uint64_t max_accepted,
-               duration validity,
-               time_point now);
+    static void
+    issue(holder & target, std::uint64_t max_accepted, duration validity);
 
     software_version new_version;
     rollout_exposure_limits limits;
--- a/include/endivehinge/policy/rollout_gate.hpp
+++ b/include/endivehinge/policy/rollout_gate.hpp
@@ -38,7 +38,10 @@
     /// @brief sets whether rollout_version_filter::allows() this node's own
     /// version; false at first. A node that does not know of an order relies on
     /// it alone
-    void set_allowed(bool allowed);
+    /// @param sole whether all ready targets of the service have this version;
+    /// an order for the version that all targets already run closes no gate. To
+    /// be called before set_entry()
+    void set_allowed(bool allowed, bool sole);
 
     /// @brief processes an instruction of a coordinator
     /// @return whether it is obeyed; false for a lower term, an earlier
@@ -77,6 +80,9 @@
     bool joined_running = false;
     bool knows_store = false;
     bool is_allowed = false;
+    bool is_sole = false;
+    // no other version was seen since the order
+    bool sole_since_order = false;
     std::uint64_t accepted_count = 0;
     std::uint64_t failure_count = 0;
 };
--- a/include/endivehinge/policy/rollout_judge.hpp
+++ b/include/endivehinge/policy/rollout_judge.hpp
@@ -62,15 +62,18 @@
     {
         software_version version;
         incarnation process;
+        // the node's clock at the last report
+        duration reported_at{0};
         route_table reported;
         time_point last_report;
     };
 
     struct comparison;
 
-    [[nodiscard]] interval & interval_at(time_point now);
+    [[nodiscard]] interval & interval_at(std::int64_t index);
     void merge_old_intervals(std::int64_t current);
-    [[nodiscard]] std::size_t reachable_new_targets(time_point now) const;
+    [[nodiscard]] std::size_t count_new_targets(time_point now) const;
+    [[nodiscard]] bool needs_two_targets(time_point now) const;
     [[nodiscard]] comparison compare(std::string const & route,
                                      std::int64_t first_index,
                                      node_name const * left_out) const;
@@ -84,6 +87,7 @@
 
     software_version new_version;
     std::map<node_name, target_history> targets;
+    // by time; the first one holds all that is not recent
     std::deque<interval> intervals;
 };
 
--- a/include/endivehinge/policy/rollout_schedule.hpp
+++ b/include/endivehinge/policy/rollout_schedule.hpp
@@ -72,9 +72,15 @@
 /// @note pure; thread safety: any thread
 [[nodiscard]] rollout_step next_rollout_step(rollout_situation const & current);
 
+/// @brief time since the order before which no traffic is moved
+/// @note pure; thread safety: any thread
+[[nodiscard]] duration trial_end_for(rollout_order const & order);
+
 /// @brief share of requests to offer to the new version on trial, so that the
 /// targets on trial can be loaded like old ones; the gates limit what they
 /// accept
+/// @param new_targets number of targets on trial, see
+/// choose_rollout_trial_targets()
 /// @note pure; thread safety: any thread
 [[nodiscard]] double rollout_trial_share(std::size_t new_targets,
                                          std::size_t old_targets);
--- a/include/endivehinge/policy/rollout_status.hpp
+++ b/include/endivehinge/policy/rollout_status.hpp
@@ -39,7 +39,8 @@
     // first term of this order; only it may use the slack
     std::uint64_t first_term = 0;
     rollout_stage stage = rollout_stage::trial;
-    // share of requests sent to the new version; 1 closes the old targets
+    // share of requests sent to the new version; 1 closes the old targets. 0 in
+    // stage trial: see rollout_trial_share()
     double share = 0;
     // targets of earlier orders that were never completed; they get nothing
     std::vector<software_version> excluded;
--- a/include/endivehinge/policy/rollout_trial_targets.hpp
+++ b/include/endivehinge/policy/rollout_trial_targets.hpp
@@ -9,6 +9,11 @@
 namespace endivehinge
 {
 
+/// @brief number of new targets that get requests in stage trial
+/// @note pure; thread safety: any thread
+[[nodiscard]] std::size_t count_rollout_trial_targets(std::size_t new_targets,
+                                                      std::size_t old_targets);
+
 /// @brief the new targets that get requests in stage trial
 ///
 /// Every node computes the same ones, so that requests are offered only where
--- a/include/endivehinge/policy/rollout_version_filter.hpp
+++ b/include/endivehinge/policy/rollout_version_filter.hpp
@@ -56,14 +56,20 @@
     struct known_version
     {
         std::size_t targets = 0;
-        // empty: known as the version of most targets from the start
         time_point first_seen;
-        bool was_majority = false;
+        // was once the only version, or that of most targets at the start
+        bool established = false;
     };
 
+    [[nodiscard]] bool is_present(software_version const & version) const;
+    [[nodiscard]] double share_of(rollout_entry const & entry) const;
+    [[nodiscard]] bool is_sole(software_version const & version) const;
+    [[nodiscard]] bool is_held(known_version const & version,
+                               time_point now) const;
+    void establish_majority();
     [[nodiscard]] std::vector<software_version>
-    allowed_versions(std::optional<rollout_entry> const & entry,
-                     time_point now) const;
+    old_versions(std::optional<rollout_entry> const & entry,
+                 time_point now) const;
 
     duration hold_time;
     std::map<software_version, known_version> versions;
