--- a/include/endivehinge/policy/rollout_route_counts.hpp
+++ b/include/endivehinge/policy/rollout_route_counts.hpp
@@ -3,6 +3,8 @@
 
 #include <cstdint> // uint64_t
 
+#include <endivehinge/core/clock.hpp>
+
 namespace endivehinge
 {
 
@@ -18,10 +20,21 @@
     std::uint64_t failures = 0;
     // good responses with a run time, without those while the target was cold
     std::uint64_t timed = 0;
-    // sum of their run times divided by the reported slowdown, in seconds
-    double run_time_sum = 0;
-    // sum of squares of the same, in seconds squared
-    double run_time_squares = 0;
+    // sum of the natural logarithms of their run times in seconds, divided by
+    // the reported slowdown. Run times are compared by their geometric mean, as
+    // a single very long request would hide a slow version in the other one
+    double log_run_time_sum = 0;
+    // sum of squares of the same
+    double log_run_time_squares = 0;
+
+    /// @brief counts a response of the target
+    /// @param failed whether it is bad by fault of the target
+    void add_response(bool failed);
+
+    /// @brief counts the run time of a good response, while the target is warm
+    /// @param run_time at the target, without waiting
+    /// @param slowdown as reported by the target, at least 1
+    void add_run_time(duration run_time, double slowdown);
 
     /// @brief adds the counts of another target or interval
     rollout_route_counts & operator+=(rollout_route_counts const & other);
--- a/src/policy/rollout_judge.cpp
+++ b/src/policy/rollout_judge.cpp
@@ -48,14 +48,17 @@
 constexpr std::uint64_t min_old_responses = 20;
 // proportion of failures by which a version may be worse
 constexpr double failure_margin = 0.02;
-// of the bound on the old proportion of failures: 97.7 % one-sided
-constexpr double bound_deviations = 2;
+// of the bound on the old proportion of failures: 90 % one-sided
+constexpr double bound_deviations = 1.3;
 // ratio of run times by which a version may be slower; observed faults are
 // several times slower, and a version that is new may be somewhat slower
 constexpr double slowness_margin = 1.6;
-// least squared coefficient of variation of run times: that of an exponential
-// distribution. Few samples underestimate it
-constexpr double min_squared_variation = 1;
+// least variance of the logarithm of run times, about half of that of an
+// exponential distribution (1.64): few samples underestimate it
+constexpr double min_log_variance = 0.8;
+// timed responses of old targets in an interval for a comparison at the same
+// time; with fewer, all of them are compared
+constexpr double min_old_timed_at_once = 10;
 
 // A version is good only with this many responses of warm targets, all and
 // recent ones, and those of each of two targets. A version that fails half of
@@ -114,14 +117,12 @@
     return std::min(1.0, sum);
 }
 
-// Squared coefficient of variation of run times.
-double squared_variation(rollout_route_counts const & counts)
+double log_variance(rollout_route_counts const & counts)
 {
-    double const mean = counts.run_time_sum / as_double(counts.timed);
-    double const variance = std::max(
-        0.0, (counts.run_time_squares / as_double(counts.timed)) - mean * mean);
-    return mean > 0 ? std::max(min_squared_variation, variance / (mean * mean))
-                    : min_squared_variation;
+    double const mean = counts.log_run_time_sum / as_double(counts.timed);
+    return std::max(min_log_variance,
+                    (counts.log_run_time_squares / as_double(counts.timed)) -
+                        (mean * mean));
 }
 
 // Weighted by the new version's requests, the proportion or mean that the old
@@ -197,39 +198,36 @@
                                    this->failure_bound());
     }
 
-    [[nodiscard]] double old_run_time() const
+    // logarithm of the run time of the old version at the same times
+    [[nodiscard]] double old_log_run_time() const
     {
-        return std::max(this->old_all.run_time_sum /
+        return std::max(this->old_all.log_run_time_sum /
                             as_double(this->old_all.timed),
                         this->run_times.mean());
     }
 
-    [[nodiscard]] double slowness_ratio() const
+    [[nodiscard]] double log_ratio() const
     {
-        return this->fresh.run_time_sum / as_double(this->fresh.timed) /
-               this->old_run_time();
+        return (this->fresh.log_run_time_sum / as_double(this->fresh.timed)) -
+               this->old_log_run_time();
     }
 
     [[nodiscard]] double slowness_error() const
     {
-        double const old_size = std::max(
-            1.0, std::min(as_double(this->old_all.timed), run_times.size()));
         return std::sqrt(
-            (squared_variation(this->fresh) / as_double(this->fresh.timed)) +
-            (squared_variation(this->old_all) / old_size));
+            (log_variance(this->fresh) / as_double(this->fresh.timed)) +
+            (log_variance(this->old_all) / as_double(this->old_all.timed)));
     }
 
     [[nodiscard]] double slowness_probability() const
     {
         if (this->old_all.timed < min_old_responses ||
-            this->fresh.timed < min_timed_for_doubt ||
-            this->old_run_time() <= 0 || this->slowness_ratio() <= 0)
+            this->fresh.timed < min_timed_for_doubt)
         {
             return 1;
         }
-        double const excess =
-            std::log(this->slowness_ratio() / slowness_margin) /
-            this->slowness_error();
+        double const excess = (this->log_ratio() - std::log(slowness_margin)) /
+                              this->slowness_error();
         return excess <= 0 ? 1 : std::erfc(excess / std::sqrt(2.0)) / 2;
     }
 
@@ -252,7 +250,7 @@
     [[nodiscard]] std::string describe_slowness(std::string const & route) const
     {
         return absl::StrCat(describe_route(route),
-                            absl::SixDigits(this->slowness_ratio()),
+                            absl::SixDigits(std::exp(this->log_ratio())),
                             " times the run time of the old version in ",
                             this->fresh.timed,
                             " responses, standard error of its logarithm ",
@@ -439,7 +437,7 @@
         old_responses > 0 ? as_double(result.old_all.failures) / old_responses
                           : 0;
     double const run_time_fallback =
-        old_timed > 0 ? result.old_all.run_time_sum / old_timed : 0;
+        old_timed > 0 ? result.old_all.log_run_time_sum / old_timed : 0;
     for (std::size_t i = 0; i < this->intervals.size(); ++i)
     {
         auto const & period = this->intervals[i];
@@ -480,9 +478,11 @@
                             as_double(old.failures),
                             as_double(old.responses),
                             failure_fallback);
+        bool const has_old_times =
+            as_double(old.timed) >= min_old_timed_at_once;
         result.run_times.add(as_double(fresh.timed),
-                             old.run_time_sum,
-                             as_double(old.timed),
+                             has_old_times ? old.log_run_time_sum : 0,
+                             has_old_times ? as_double(old.timed) : 0,
                              run_time_fallback);
     }
     return result;
@@ -544,8 +544,8 @@
         all.worst(
             [&](rollout_route_counts const & counts)
             {
-                return counts.run_time_sum -
-                       (as_double(counts.timed) * all.old_run_time());
+                return counts.log_run_time_sum -
+                       (as_double(counts.timed) * all.old_log_run_time());
             }),
         [](comparison const & rest)
         {
--- a/src/policy/rollout_schedule.cpp
+++ b/src/policy/rollout_schedule.cpp
@@ -40,8 +40,8 @@
 // targets stop without draining: late is better than lost requests
 constexpr duration drain_grace = seconds(5);
 // least probability of a good version, before and after the patient part
-constexpr double slight_doubt = 0.1;
-constexpr double strong_doubt = 0.02;
+constexpr double slight_doubt = 0.2;
+constexpr double strong_doubt = 0.08;
 
 rollout_step hold(std::string reason)
 {
--- a/tests/src/simulation/rollout_model.cpp
+++ b/tests/src/simulation/rollout_model.cpp
@@ -520,18 +520,16 @@
             }
             --runner.in_progress;
             auto & counts = runner.routes[route];
-            ++counts.responses;
+            counts.add_response(fails);
             if (fails)
             {
-                ++counts.failures;
                 runner.gate->record_failure();
                 this->result.bad_by_new += this->is_new(runner) ? 1 : 0;
             }
             else if (this->now() >= runner.target_start + cold_time)
             {
-                ++counts.timed;
-                counts.run_time_sum += seconds_run;
-                counts.run_time_squares += seconds_run * seconds_run;
+                counts.add_run_time(
+                    duration(static_cast<duration::rep>(seconds_run * 1e9)), 1);
             }
         });
 }
@@ -576,33 +574,54 @@
             this->now() +
             this->random_between(milliseconds(200), milliseconds(1500));
     }
-    else if (n.alive)
+    else
     {
-        n.alive = false;
-        n.coordinator.reset();
-        n.writing.reset();
-        n.known.reset();
-        n.knows_store = false;
-        n.routes.clear();
-        n.in_progress = 0;
-        n.process = incarnation(n.process.value() + 1);
-        n.gate.emplace(n.process);
-        n.filter.emplace(milliseconds(2500));
-        this->events.after(
-            this->random_between(milliseconds(200), milliseconds(2500)),
-            [this, i]
-            {
-                this->nodes[i].alive = true;
-                this->nodes[i].paused_until = duration::zero();
-                if (this->store)
-                {
-                    this->learn(i, *this->store);
-                }
-                this->nodes[i].knows_store = true;
-            });
+        this->kill(i,
+                   this->random_between(milliseconds(200), milliseconds(2500)));
     }
 }
 
+void rollout_model::kill_coordinator()
+{
+    for (std::size_t i = 0; i < this->nodes.size(); ++i)
+    {
+        if (this->nodes[i].coordinator)
+        {
+            this->kill(i, seconds(3));
+        }
+    }
+}
+
+void rollout_model::kill(std::size_t i, duration outage)
+{
+    auto & n = this->nodes[i];
+    if (!n.alive)
+    {
+        return;
+    }
+    n.alive = false;
+    n.coordinator.reset();
+    n.writing.reset();
+    n.known.reset();
+    n.knows_store = false;
+    n.routes.clear();
+    n.in_progress = 0;
+    n.process = incarnation(n.process.value() + 1);
+    n.gate.emplace(n.process);
+    n.filter.emplace(milliseconds(2500));
+    this->events.after(outage,
+                       [this, i]
+                       {
+                           this->nodes[i].alive = true;
+                           this->nodes[i].paused_until = duration::zero();
+                           if (this->store)
+                           {
+                               this->learn(i, *this->store);
+                           }
+                           this->nodes[i].knows_store = true;
+                       });
+}
+
 void rollout_model::check(bool holds, std::string const & what)
 {
     if (!holds)
@@ -630,6 +649,14 @@
     {
         this->break_something();
     }
+    if (this->plan.coordinator_ends)
+    {
+        this->events.after(order_time + *this->plan.coordinator_ends,
+                           [this]
+                           {
+                               this->kill_coordinator();
+                           });
+    }
     this->events.after(order_time,
                        [this]
                        {
--- a/tests/src/simulation/rollout_model.hpp
+++ b/tests/src/simulation/rollout_model.hpp
@@ -52,6 +52,8 @@
     duration longest_request = std::chrono::seconds(2);
     // kills, pauses, cuts, late and lost answers of the store
     bool with_faults = false;
+    // kills the node of the coordinator, for 3 s
+    std::optional<duration> coordinator_ends;
 };
 
 /// @brief what happened
@@ -128,6 +130,8 @@
                                node const & n,
                                std::string const & route) const;
     void break_something();
+    void kill(std::size_t i, duration outage);
+    void kill_coordinator();
     void check(bool holds, std::string const & what);
 
     rollout_plan plan;
