Tune the evidence of roll-outs

Cause: in the model, a version that fails half of its requests on a rare route was completed, a shared fault that was first seen at the new version condemned a good one, and a second coordinator at 64 requests/s found too little evidence. Change: slight doubts delay each step while there is time; a finding that is not certain must last for a further poll; later terms may use a part of the slack that halves; one step of 1.2 s at half of the traffic.

--- a/include/endivehinge/policy/rollout_coordinator.hpp
+++ b/include/endivehinge/policy/rollout_coordinator.hpp
@@ -107,6 +107,7 @@
                                                   time_point now) const;
     [[nodiscard]] bool have_grants_ended(time_point now) const;
     [[nodiscard]] rollout_situation describe(time_point now) const;
+    void review_bad_verdict(time_point now);
     void decide(time_point now);
     void want(rollout_state state, std::string const & reason);
 
@@ -121,6 +122,8 @@
     time_point share_start;
     // estimated time of the order, by this node's clock
     time_point order_start;
+    // first of the latest bad judgements in a row
+    std::optional<time_point> bad_since;
     // reason to roll back; once set, no grant is given in this term
     std::optional<std::string> withdrawal;
     // last instruction issued, and the first one after the withdrawal
--- a/include/endivehinge/policy/rollout_exposure_ledger.hpp
+++ b/include/endivehinge/policy/rollout_exposure_ledger.hpp
@@ -26,20 +26,22 @@
 /// @brief the grants of one term
 ///
 /// In stage trial the sum of all grants never exceeds half of the exposed share
-/// of the arrivals that were reported in this term, plus part of the slack in
-/// the first term. The rest is reserved for the time between a fault that
-/// shows only in stage shifting and the withdrawal of the version. Grants go to
-/// few targets, in bursts at the rate of an old target, so that a fault under
-/// load shows. A node that restarted gets no second share: what was granted to
-/// the earlier process counts as used.
+/// of the arrivals that were reported in this term, plus part of the slack:
+/// half of it in the first term, and in each further one half of the part
+/// before, as each coordinator needs evidence of its own. The rest is reserved
+/// for the time between a fault that shows only in stage shifting and the
+/// withdrawal of the version. Grants go to few targets, in bursts at the rate
+/// of an old target, so that a fault under load shows. A node that restarted
+/// gets no second share: what was granted to the earlier process counts as
+/// used.
 /// @note pure; not thread-safe, the owner serialises all calls
 class rollout_exposure_ledger
 {
 public:
-    /// @param first_term whether no coordinator was in charge before
+    /// @param term_of_order number of earlier terms of this order
     rollout_exposure_ledger(software_version target_version,
                             rollout_exposure_limits const & limits,
-                            bool first_term);
+                            std::uint64_t term_of_order);
 
     /// @brief records the report of a target's node
     /// @param now time of receipt; must not decrease
@@ -112,7 +114,8 @@
 
     software_version new_version;
     rollout_exposure_limits limits;
-    bool is_first_term;
+    // part of the slack that this term may use
+    double slack;
     double arrivals = 0;
     // granted to processes that ended or targets that were removed
     double used_by_ended = 0;
--- a/include/endivehinge/policy/rollout_judgement.hpp
+++ b/include/endivehinge/policy/rollout_judgement.hpp
@@ -24,6 +24,9 @@
     // responses of warm new targets in the recent window, and all
     std::uint64_t recent_responses = 0;
     std::uint64_t responses = 0;
+    // of the finding that made it bad: the probability that a version as good
+    // as the old one looks as bad
+    double bad_probability = 1;
     // whether each route with a notable part of the old traffic was tried
     bool all_routes_tried = false;
     // smallest probability, over routes and windows, that a version as good as
--- a/include/endivehinge/policy/rollout_status.hpp
+++ b/include/endivehinge/policy/rollout_status.hpp
@@ -36,7 +36,7 @@
     node_name coordinator;
     // increases with each change of the coordinator
     std::uint64_t term = 0;
-    // first term of this order; only it may use the slack
+    // first term of this order; later ones may use less of the slack
     std::uint64_t first_term = 0;
     rollout_stage stage = rollout_stage::trial;
     // share of requests sent to the new version; 1 closes the old targets. 0 in
--- a/src/policy/rollout_coordinator.cpp
+++ b/src/policy/rollout_coordinator.cpp
@@ -20,6 +20,10 @@
 // time before the end of the trial time in which warm targets are loaded: the
 // evidence is recent when it is needed
 constexpr duration load_time = milliseconds(1500);
+// a bad verdict with a greater probability must last for this time, somewhat
+// less than two polls
+constexpr double certain_probability = 1e-6;
+constexpr duration confirmation_time = milliseconds(300);
 // time after which a service without an old target is taken to run the ordered
 // version already; the configuration delay of the platform
 constexpr duration already_done_delay = milliseconds(2500);
@@ -74,7 +78,7 @@
     , judge(entry.order.target_version)
     , ledger(entry.order.target_version,
              limits,
-             confirmed.term == confirmed.first_term)
+             confirmed.term - confirmed.first_term)
     , term_start(now)
     , share_start(now)
     , order_start(now - order_age)
@@ -239,6 +243,23 @@
     this->wanted->reason = reason;
 }
 
+// Failures that both versions begin to share may be seen at the new one first,
+// so that a finding without great certainty must last for a further poll.
+void rollout_coordinator::review_bad_verdict(time_point now)
+{
+    if (this->latest_judgement.verdict != rollout_verdict::bad)
+    {
+        this->bad_since.reset();
+        return;
+    }
+    this->bad_since = this->bad_since.value_or(now);
+    if (this->latest_judgement.bad_probability > certain_probability &&
+        now - *this->bad_since < confirmation_time)
+    {
+        this->latest_judgement.verdict = rollout_verdict::undecided;
+    }
+}
+
 void rollout_coordinator::decide(time_point now)
 {
     bool const is_concluding =
@@ -294,6 +315,7 @@
 void rollout_coordinator::advance(time_point now)
 {
     this->latest_judgement = this->judge.judge(now);
+    this->review_bad_verdict(now);
     this->decide(now);
     bool const may_grant = !this->withdrawal && !this->superseded &&
                            this->confirmed.state == rollout_state::running &&
--- a/src/policy/rollout_exposure_ledger.cpp
+++ b/src/policy/rollout_exposure_ledger.cpp
@@ -1,7 +1,7 @@
 #include <endivehinge/policy/rollout_exposure_ledger.hpp>
 
 #include <algorithm> // max, min
-#include <cmath>     // exp, floor
+#include <cmath>     // exp, exp2, floor
 
 #include <endivehinge/policy/rollout_trial_targets.hpp>
 
@@ -56,10 +56,11 @@
 rollout_exposure_ledger::rollout_exposure_ledger(
     software_version target_version,
     rollout_exposure_limits const & exposure_limits,
-    bool first_term)
+    std::uint64_t term_of_order)
     : new_version(std::move(target_version))
     , limits(exposure_limits)
-    , is_first_term(first_term)
+    , slack(trial_part_of_slack * exposure_limits.slack /
+            std::exp2(static_cast<double>(term_of_order)))
 {
 }
 
@@ -156,9 +157,8 @@
 
 double rollout_exposure_ledger::allowed_in_trial() const
 {
-    double const slack =
-        this->is_first_term ? trial_part_of_slack * this->limits.slack : 0;
-    return (trial_part_of_share * this->limits.share * this->arrivals) + slack;
+    return (trial_part_of_share * this->limits.share * this->arrivals) +
+           this->slack;
 }
 
 double rollout_exposure_ledger::total_granted() const
--- a/src/policy/rollout_judge.cpp
+++ b/src/policy/rollout_judge.cpp
@@ -56,6 +56,8 @@
 // least variance of the logarithm of run times, about half of that of an
 // exponential distribution (1.64): few samples underestimate it
 constexpr double min_log_variance = 0.8;
+// responses of old targets in an interval with which it is compared alone
+constexpr std::uint64_t min_old_at_once = 30;
 // timed responses of old targets in an interval for a comparison at the same
 // time; with fewer, all of them are compared
 constexpr double min_old_timed_at_once = 10;
@@ -65,7 +67,7 @@
 // its requests passes the comparison of failures with 2 of 100 (binomial, at
 // most 2 failures of 12 without the worst target).
 constexpr std::uint64_t min_good_responses = 24;
-constexpr std::uint64_t min_recent_responses = 8;
+constexpr std::uint64_t min_recent_responses = 6;
 constexpr std::uint64_t min_good_responses_per_target = 6;
 // a route with this part of the old traffic must have been tried so often
 constexpr double notable_part = 0.05;
@@ -462,10 +464,12 @@
                 result.by_target[node] += part.counts;
             }
         }
-        // neighbouring intervals, since few requests are in one
+        // with neighbouring intervals if there are few requests in one
         rollout_route_counts old;
-        for (std::size_t k = i > 0 ? i - 1 : 0;
-             k < std::min(i + 2, this->intervals.size());
+        std::size_t const reach =
+            old_by_interval[i].responses >= min_old_at_once ? 0 : 1;
+        for (std::size_t k = i - std::min(i, reach);
+             k < std::min(i + reach + 1, this->intervals.size());
              ++k)
         {
             if (this->intervals[k].index != index_before || k == i)
@@ -519,6 +523,7 @@
         {
             result.verdict = rollout_verdict::bad;
             result.reason = describe();
+            result.bad_probability = probability;
         }
     };
     conclude(
--- a/src/policy/rollout_schedule.cpp
+++ b/src/policy/rollout_schedule.cpp
@@ -17,20 +17,20 @@
 // faults begin
 constexpr double trial_part = 0.35;
 // part of the limit from which slight doubts no longer delay
-constexpr double patient_part = 0.5;
+constexpr double patient_part = 0.6;
 // a long limit does not make a longer trial useful
 constexpr duration max_trial = seconds(30);
 // time for the end of all grants (1 s) and the write of the conclusion
 constexpr duration roll_back_reserve = milliseconds(1500);
-// a shift takes 1.4 s and old requests last 2 s and more: later it would be
+// a shift takes 1.2 s and the closing of old targets 1.5 s: later it would be
 // useless
-constexpr duration shift_reserve = seconds(4);
-// shares of the traffic on the way: a fault under load shows before all of it
-// is moved
-constexpr double first_share = 0.25;
-constexpr double second_share = 0.6;
-// a few polls, and the time in which nodes learn of a share
-constexpr duration step_time = milliseconds(700);
+constexpr duration shift_reserve = seconds(3);
+// share of the traffic on the way to all of it: each new target gets half of
+// the load of an old one, which shows most faults under load
+constexpr double half_share = 0.5;
+// time in which nodes learn of the share (0.3 s), slow responses come (0.3 s)
+// and three polls show them. A longer time uses up the exposed share
+constexpr duration step_time = milliseconds(1200);
 // at all traffic, before the old targets are given up
 constexpr duration full_share_time = milliseconds(1500);
 // an old target that has been silent for so long is not waited for (contactS),
@@ -39,6 +39,8 @@
 // a good version waits so long past its limit for the last old requests, since
 // targets stop without draining: late is better than lost requests
 constexpr duration drain_grace = seconds(5);
+// requests offered first to the new version on trial; the gates refuse most
+constexpr double max_trial_share = 0.75;
 // least probability of a good version, before and after the patient part
 constexpr double slight_doubt = 0.2;
 constexpr double strong_doubt = 0.08;
@@ -66,6 +68,17 @@
                         part * static_cast<double>(limit.count()))));
 }
 
+// Slight doubts delay a step while there is time: a fault on a rare route shows
+// only one or two failures at first.
+bool is_doubtful(rollout_situation const & current)
+{
+    bool const is_patient =
+        current.elapsed < part_of(limit_of(current), patient_part);
+    return current.judgement.least_probability <
+               (is_patient ? slight_doubt : strong_doubt) ||
+           (is_patient && !current.judgement.all_routes_tried);
+}
+
 bool is_past_roll_back_time(rollout_situation const & current)
 {
     return current.elapsed >= limit_of(current) - roll_back_reserve;
@@ -85,17 +98,8 @@
 
 bool is_convincing(rollout_situation const & current)
 {
-    auto const & judgement = current.judgement;
-    if (judgement.verdict != rollout_verdict::good)
-    {
-        return false;
-    }
-    if (current.elapsed >= part_of(limit_of(current), patient_part))
-    {
-        return judgement.least_probability >= strong_doubt;
-    }
-    return judgement.all_routes_tried &&
-           judgement.least_probability >= slight_doubt;
+    return current.judgement.verdict == rollout_verdict::good &&
+           !is_doubtful(current);
 }
 
 rollout_step next_in_trial(rollout_situation const & current)
@@ -117,7 +121,7 @@
     {
         return hold("too late to move the traffic before the time limit");
     }
-    return {rollout_action::shift, first_share, current.judgement.reason};
+    return {rollout_action::shift, half_share, current.judgement.reason};
 }
 
 bool has_ended(rollout_old_target const & target, duration since_share)
@@ -136,12 +140,12 @@
                     {
                         return has_ended(target, current.since_share);
                     });
-    bool const is_doubtful = current.judgement.least_probability < strong_doubt;
-    if (is_doubtful && is_past_roll_back_time(current))
+    bool const doubtful = is_doubtful(current);
+    if (doubtful && is_past_roll_back_time(current))
     {
         return conclude_without_evidence(current);
     }
-    if (is_doubtful || current.since_share < full_share_time)
+    if (doubtful || current.since_share < full_share_time)
     {
         return hold(current.judgement.reason);
     }
@@ -166,14 +170,11 @@
     {
         return conclude_without_evidence(current);
     }
-    if (current.since_share < step_time ||
-        current.judgement.verdict != rollout_verdict::good ||
-        current.judgement.least_probability < strong_doubt)
+    if (current.since_share < step_time || !is_convincing(current))
     {
         return hold(current.judgement.reason);
     }
-    double const share = current.share < second_share ? second_share : 1;
-    return {rollout_action::shift, share, current.judgement.reason};
+    return {rollout_action::shift, 1, current.judgement.reason};
 }
 
 } // namespace
@@ -201,9 +202,10 @@
     {
         return 0;
     }
-    auto const on_trial = static_cast<double>(new_targets);
-    return std::min(0.5,
-                    on_trial / (on_trial + static_cast<double>(old_targets)));
+    return std::min(
+        max_trial_share,
+        static_cast<double>(new_targets) /
+            static_cast<double>(std::max<std::size_t>(old_targets, 1)));
 }
 
 } // namespace endivehinge
