--- a/src/policy/rollout_schedule.cpp
+++ b/src/policy/rollout_schedule.cpp
@@ -42,8 +42,8 @@
 // requests offered first to the new version on trial; the gates refuse most
 constexpr double max_trial_share = 0.75;
 // least probability of a good version, before and after the patient part
-constexpr double slight_doubt = 0.2;
-constexpr double strong_doubt = 0.08;
+constexpr double slight_doubt = 0.25;
+constexpr double strong_doubt = 0.2;
 
 rollout_step hold(std::string reason)
 {
