Bound the failures of a rare route by those of its service

Change: on a route where the old version did not fail, the bound is at most 4 times that of the service.

--- a/src/policy/rollout_judge.cpp
+++ b/src/policy/rollout_judge.cpp
@@ -50,6 +50,9 @@
 constexpr double failure_margin = 0.02;
 // of the bound on the old proportion of failures: 90 % one-sided
 constexpr double bound_deviations = 1.3;
+// a route without a failure of the old version is taken to fail at most this
+// many times as often as the whole service
+constexpr double service_bound_factor = 4;
 // ratio of run times by which a version may be slower; observed faults are
 // several times slower, and a version that is new may be somewhat slower
 constexpr double slowness_margin = 1.6;
@@ -173,6 +176,8 @@
     rollout_route_counts fresh;
     std::map<node_name, rollout_route_counts> by_target;
     rollout_route_counts old_all;
+    // of the old version on all routes
+    rollout_route_counts old_service;
     matched_mean failures;
     matched_mean run_times;
 
@@ -181,13 +186,21 @@
     {
         double const n = as_double(this->old_all.responses);
         double const pooled = as_double(this->old_all.failures) / n;
-        double const bound =
-            this->failures.events > 0
-                ? upper_bound_of_proportion(
-                      std::max(pooled, this->failures.mean()),
-                      std::min(n, std::max(1.0, this->failures.size())))
-                : upper_bound_of_proportion(pooled, n);
-        return bound + failure_margin;
+        if (this->failures.events > 0 || this->old_all.failures > 0)
+        {
+            return upper_bound_of_proportion(
+                       std::max(pooled, this->failures.mean()),
+                       std::min(n, std::max(1.0, this->failures.size()))) +
+                   failure_margin;
+        }
+        // few requests of a rare route bound its failures badly
+        auto const service_n = as_double(this->old_service.responses);
+        double const by_service =
+            service_bound_factor *
+            upper_bound_of_proportion(
+                as_double(this->old_service.failures) / service_n, service_n);
+        return std::min(upper_bound_of_proportion(0, n), by_service) +
+               failure_margin;
     }
 
     [[nodiscard]] double failure_probability() const
@@ -425,6 +438,7 @@
         rollout_route_counts old;
         for (auto const & [name, counts] : period.old_targets)
         {
+            result.old_service += counts;
             if (route.empty() || name == route)
             {
                 old += counts;
