Check the time from the 50th bad response in the roll-out model

Cause: no test checked that a bad version gets nothing sent 5 s after its 50th bad response (rollbackS). Change: the model checks it at each accepted request.

--- a/tests/src/simulation/rollout_model.cpp
+++ b/tests/src/simulation/rollout_model.cpp
@@ -19,6 +19,8 @@
 constexpr duration cold_time = seconds(3);
 constexpr double exposed_share = 0.1;
 constexpr double exposed_slack = 50;
+// no request later than this after the 50th bad response (rollbackS)
+constexpr duration rollback_delay = seconds(5);
 // a tenth of the requests are on the route "rare"
 constexpr double rare_part = 0.1;
 constexpr double mean_run_time_seconds = 0.04;
@@ -456,6 +458,9 @@
         this->check(n.known.has_value(), "accepted without the order");
         this->check(state != rollout_state::rolled_back,
                     "new target after rolled_back");
+        this->check(!this->fiftieth_failure ||
+                        this->now() <= *this->fiftieth_failure + rollback_delay,
+                    "new target long after its 50th bad response");
     }
     else
     {
@@ -525,6 +530,12 @@
             {
                 runner.gate->record_failure();
                 this->result.bad_by_new += this->is_new(runner) ? 1 : 0;
+                if (this->result.bad_by_new == 50 &&
+                    this->plan.new_version.failure_share > 0 &&
+                    !this->fiftieth_failure)
+                {
+                    this->fiftieth_failure = this->now();
+                }
             }
             else if (this->now() >= runner.target_start + cold_time)
             {
--- a/tests/src/simulation/rollout_model.hpp
+++ b/tests/src/simulation/rollout_model.hpp
@@ -141,6 +141,8 @@
     std::optional<rollout_entry> store;
     std::uint64_t revision = 1;
     duration store_down_until{0};
+    // the 50th bad response of a bad version
+    std::optional<duration> fiftieth_failure;
     rollout_result result;
 };
 
