--- /dev/null
+++ b/include/endivehinge/policy/allotment_book.hpp
@@ -0,0 +1,108 @@
+#ifndef ENDIVEHINGE_POLICY_ALLOTMENT_BOOK_HPP
+#define ENDIVEHINGE_POLICY_ALLOTMENT_BOOK_HPP
+
+#include <optional> // optional
+#include <vector>   // vector
+
+#include <absl/container/btree_map.h> // btree_map
+#include <absl/container/btree_set.h> // btree_set
+
+#include <endivehinge/policy/allotment_ledger.hpp>
+
+namespace endivehinge
+{
+
+/// @brief limits and circumstances of an allotment_book
+struct allotment_book_options
+{
+    // requests beyond the allotment that are tolerated in one window
+    double slack = 0;
+    // whether no fleet ran before, so that no rights exist
+    bool first_start = false;
+};
+
+/// @brief the ledgers of the accounts that this node owns
+///
+/// A new owner asks all other nodes for the rights that they hold, and knows
+/// all of them as soon as each one has answered or is proven dead. This answers
+/// the return of the whole fleet, in which nobody holds a right.
+/// @note pure: time is an argument; not thread-safe, the owner serialises all
+/// calls
+class allotment_book
+{
+public:
+    explicit allotment_book(allotment_book_options chosen);
+
+    /// @brief prepares the ledger of an account
+    /// @param owner_since since when this node has been the owner; the ledger
+    /// starts anew if this is later than at the last call
+    /// @param others the other nodes
+    /// @return null while the first answers of the others are awaited, for
+    /// at most 100 ms
+    [[nodiscard]] allotment_ledger * open(account_name const & account,
+                                          allotment_limits const & limits,
+                                          time_point owner_since,
+                                          std::vector<node_name> const & others,
+                                          time_point now);
+
+    /// @brief discards the ledger of an account that another node owns
+    void close(account_name const & account);
+
+    /// @brief a question to one node for its rights to these accounts
+    struct question
+    {
+        node_name node;
+        std::vector<account_name> accounts;
+    };
+
+    /// @brief the questions that are due
+    [[nodiscard]] std::vector<question> due_questions(time_point now);
+
+    void record_claim(account_name const & account,
+                      allotment_process const & from,
+                      allotment_claim const & claim,
+                      time_point now);
+
+    /// @brief records that the process of a node has ended
+    void record_ended(node_name const & node, time_point now);
+
+    /// @brief sets whether this node may assume that nobody else owns its
+    /// accounts
+    void set_confirmed(bool is_confirmed, time_point now);
+
+    /// @brief nodes with valid rights that are silent
+    [[nodiscard]] std::vector<node_name> silent_holders(time_point now) const;
+
+    /// @brief discards ledgers that are full and without rights
+    void discard_idle(time_point now);
+
+    [[nodiscard]] std::size_t size() const;
+
+    /// @brief whether a ledger waits for the rights of other nodes
+    [[nodiscard]] bool is_recovering(time_point now) const;
+
+private:
+    struct account_entry
+    {
+        allotment_ledger ledger;
+        time_point owner_since;
+        time_point opened;
+        time_point next_questions;
+        absl::btree_set<node_name> unheard;
+    };
+
+    [[nodiscard]] account_entry & create(account_name const & account,
+                                         allotment_limits const & limits,
+                                         time_point owner_since,
+                                         std::vector<node_name> const & others,
+                                         time_point now);
+    static void check_all_heard(account_entry & entry, time_point now);
+
+    allotment_book_options options;
+    bool confirmed = true;
+    absl::btree_map<account_name, account_entry> accounts;
+};
+
+} // namespace endivehinge
+
+#endif
--- /dev/null
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -0,0 +1,91 @@
+#ifndef ENDIVEHINGE_POLICY_ALLOTMENT_DIRECTORY_HPP
+#define ENDIVEHINGE_POLICY_ALLOTMENT_DIRECTORY_HPP
+
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <utility>  // pair
+#include <vector>   // vector
+
+#include <absl/container/btree_map.h> // btree_map
+
+#include <endivehinge/core/clock.hpp>
+#include <endivehinge/core/endpoint.hpp>
+#include <endivehinge/core/ids.hpp>
+
+namespace endivehinge
+{
+
+/// @brief the nodes that may own accounts, and which of them owns an account
+///
+/// The owner is the node with the highest rank whose process is not known to
+/// have ended. Answers the load after the death of an owner: a refused
+/// connection proves that its process grants nothing, so that the next node
+/// takes over before the store removes the entry.
+/// @note pure: time is an argument; not thread-safe, the owner serialises all
+/// calls
+class allotment_directory
+{
+public:
+    using node_list = std::vector<std::pair<node_name, endpoint>>;
+
+    /// @brief a node whose process has ended, and how long to assume so
+    struct ended_node
+    {
+        node_name node;
+        duration remaining{0};
+    };
+
+    allotment_directory(node_name own_node, time_point now);
+
+    /// @brief replaces the nodes by those of the fleet view
+    void set_nodes(node_list const & present, time_point now);
+
+    /// @brief records that a node's system refused a connection, or that
+    /// another node stated so
+    /// @param remaining limited to the validity of such a proof
+    void
+    record_ended(node_name const & node, duration remaining, time_point now);
+
+    /// @brief records a sign of life of a node
+    void record_alive(node_name const & node);
+
+    /// @brief how long a refused connection proves that no process of the node
+    /// grants tokens
+    [[nodiscard]] static duration ended_validity();
+
+    /// @return no value if no node is known
+    [[nodiscard]] std::optional<node_name> owner(account_name const & account,
+                                                 time_point now) const;
+
+    /// @brief since when no other node has been the owner of an account, as
+    /// far as this node knows
+    /// @pre this node is the owner
+    [[nodiscard]] time_point owner_since(account_name const & account,
+                                         time_point now) const;
+
+    [[nodiscard]] std::vector<ended_node> ended_nodes(time_point now) const;
+
+    /// @brief all nodes but this one
+    [[nodiscard]] std::vector<node_name> other_nodes() const;
+
+    [[nodiscard]] std::optional<endpoint> address(node_name const & node) const;
+
+private:
+    struct entry
+    {
+        endpoint address;
+        // of the proof that its process has ended, if there is one
+        time_point ended_until;
+        time_point ended_since;
+    };
+
+    node_name self;
+    time_point started;
+    absl::btree_map<node_name, entry> nodes;
+    // nodes that are no longer present, and since when
+    absl::btree_map<node_name, time_point> removed;
+};
+
+} // namespace endivehinge
+
+#endif
--- a/include/endivehinge/policy/allotment_ledger.hpp
+++ b/include/endivehinge/policy/allotment_ledger.hpp
@@ -11,6 +11,7 @@
 #include <endivehinge/policy/allotment_claim.hpp>
 #include <endivehinge/policy/allotment_grant.hpp>
 #include <endivehinge/policy/allotment_limits.hpp>
+#include <endivehinge/policy/allotment_timing.hpp>
 
 namespace endivehinge
 {
--- /dev/null
+++ b/src/policy/allotment_book.cpp
@@ -0,0 +1,227 @@
+#include <endivehinge/policy/allotment_book.hpp>
+
+#include <algorithm> // min
+
+namespace endivehinge
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// for the first answers of the other nodes: several round trips between
+// failure domains, and the event loop of a busy node
+constexpr duration first_answers_limit = milliseconds(100);
+constexpr duration first_question_interval = milliseconds(100);
+constexpr duration question_interval = milliseconds(500);
+// the first questions are repeated sooner, since views differ for some hundred
+// milliseconds after a change
+constexpr duration first_questions_time = milliseconds(500);
+// more nodes are not asked: the cost would grow with the fleet. Then the
+// rights of the earlier owner are waited for until they expire
+constexpr std::size_t max_asked_nodes = 256;
+// accounts in one question; bounds the message
+constexpr std::size_t max_question_accounts = 64;
+// share of the slack that a new owner grants before it knows all rights; four
+// starts within one window use the slack up
+constexpr double start_slack_share = 0.25;
+// share of the slack, and time, by which a bucket is greater than the burst:
+// tokens that are refilled between two asks are not lost to a small burst
+constexpr double capacity_slack_share = 0.25;
+constexpr double capacity_seconds = 0.1;
+
+allotment_limits with_ask_time(allotment_limits limits, double slack)
+{
+    limits.burst +=
+        std::min(limits.rate * capacity_seconds, slack * capacity_slack_share);
+    return limits;
+}
+
+} // namespace
+
+allotment_book::allotment_book(allotment_book_options chosen)
+    : options(chosen)
+{
+}
+
+allotment_ledger * allotment_book::open(account_name const & account,
+                                        allotment_limits const & limits,
+                                        time_point owner_since,
+                                        std::vector<node_name> const & others,
+                                        time_point now)
+{
+    auto const enlarged = with_ask_time(limits, this->options.slack);
+    auto const found = this->accounts.find(account);
+    bool const is_new = found == this->accounts.end() ||
+                        found->second.owner_since < owner_since;
+    auto & entry =
+        is_new ? this->create(account, enlarged, owner_since, others, now)
+               : found->second;
+    entry.ledger.set_limits(enlarged, now);
+    bool const waits = entry.ledger.is_recovering(now) &&
+                       !entry.unheard.empty() &&
+                       now - entry.opened < first_answers_limit;
+    return waits ? nullptr : &entry.ledger;
+}
+
+allotment_book::account_entry &
+allotment_book::create(account_name const & account,
+                       allotment_limits const & limits,
+                       time_point owner_since,
+                       std::vector<node_name> const & others,
+                       time_point now)
+{
+    auto const known_from =
+        this->options.first_start
+            ? now
+            : owner_since + allotment_timing::right_validity;
+    bool const is_known = known_from <= now;
+    this->accounts.erase(account);
+    auto & entry =
+        this->accounts
+            .emplace(
+                account,
+                account_entry{allotment_ledger(limits,
+                                               is_known ? limits.burst
+                                                        : this->options.slack *
+                                                              start_slack_share,
+                                               now,
+                                               known_from),
+                              owner_since,
+                              now,
+                              now,
+                              {}})
+            .first->second;
+    entry.ledger.set_confirmed(this->confirmed, now);
+    if (!is_known && others.size() <= max_asked_nodes)
+    {
+        entry.unheard.insert(others.begin(), others.end());
+        check_all_heard(entry, now);
+    }
+    return entry;
+}
+
+void allotment_book::close(account_name const & account)
+{
+    this->accounts.erase(account);
+}
+
+void allotment_book::check_all_heard(account_entry & entry, time_point now)
+{
+    if (entry.unheard.empty())
+    {
+        entry.ledger.record_all_heard(now);
+    }
+}
+
+std::vector<allotment_book::question>
+allotment_book::due_questions(time_point now)
+{
+    absl::btree_map<node_name, std::vector<account_name>> by_node;
+    for (auto & [account, entry] : this->accounts)
+    {
+        if (!entry.ledger.is_recovering(now) || now < entry.next_questions)
+        {
+            continue;
+        }
+        entry.next_questions = now + (now - entry.opened < first_questions_time
+                                          ? first_question_interval
+                                          : question_interval);
+        for (auto const & node : entry.unheard)
+        {
+            if (auto & asked = by_node[node];
+                asked.size() < max_question_accounts)
+            {
+                asked.push_back(account);
+            }
+        }
+    }
+    std::vector<question> questions;
+    questions.reserve(by_node.size());
+    for (auto & [node, asked] : by_node)
+    {
+        questions.push_back({node, std::move(asked)});
+    }
+    return questions;
+}
+
+void allotment_book::record_claim(account_name const & account,
+                                  allotment_process const & from,
+                                  allotment_claim const & claim,
+                                  time_point now)
+{
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end() || !claim.agrees ||
+        found->second.unheard.erase(from.node) == 0)
+    {
+        return;
+    }
+    found->second.ledger.record_claim(from, claim, now);
+    check_all_heard(found->second, now);
+}
+
+void allotment_book::record_ended(node_name const & node, time_point now)
+{
+    for (auto & [account, entry] : this->accounts)
+    {
+        entry.ledger.record_ended(node, now);
+        if (entry.unheard.erase(node) > 0)
+        {
+            check_all_heard(entry, now);
+        }
+    }
+}
+
+void allotment_book::set_confirmed(bool is_confirmed, time_point now)
+{
+    if (this->confirmed == is_confirmed)
+    {
+        return;
+    }
+    this->confirmed = is_confirmed;
+    for (auto & [account, entry] : this->accounts)
+    {
+        entry.ledger.set_confirmed(is_confirmed, now);
+    }
+}
+
+std::vector<node_name> allotment_book::silent_holders(time_point now) const
+{
+    absl::btree_set<node_name> silent;
+    for (auto const & [account, entry] : this->accounts)
+    {
+        for (auto & node : entry.ledger.silent_holders(now))
+        {
+            silent.insert(std::move(node));
+        }
+    }
+    return {silent.begin(), silent.end()};
+}
+
+void allotment_book::discard_idle(time_point now)
+{
+    for (auto entry = this->accounts.begin(); entry != this->accounts.end();)
+    {
+        entry = entry->second.ledger.is_idle(now) ? this->accounts.erase(entry)
+                                                  : std::next(entry);
+    }
+}
+
+std::size_t allotment_book::size() const
+{
+    return this->accounts.size();
+}
+
+bool allotment_book::is_recovering(time_point now) const
+{
+    for (auto const & [account, entry] : this->accounts)
+    {
+        if (entry.ledger.is_recovering(now) && !entry.unheard.empty())
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace endivehinge
--- /dev/null
+++ b/src/policy/allotment_directory.cpp
@@ -0,0 +1,172 @@
+#include <endivehinge/policy/allotment_directory.hpp>
+
+#include <algorithm> // max, min
+
+#include <endivehinge/policy/allotment_owner.hpp>
+#include <endivehinge/policy/allotment_timing.hpp>
+
+namespace endivehinge
+{
+namespace
+{
+
+// no process starts, reads the store and grants tokens in less time
+constexpr duration ended_proof_validity = std::chrono::milliseconds(500);
+// proofs that follow each other within this time are one absence
+constexpr duration ended_proof_gap = std::chrono::seconds(1);
+
+} // namespace
+
+allotment_directory::allotment_directory(node_name own_node, time_point now)
+    : self(std::move(own_node))
+    , started(now)
+{
+}
+
+duration allotment_directory::ended_validity()
+{
+    return ended_proof_validity;
+}
+
+void allotment_directory::set_nodes(node_list const & present, time_point now)
+{
+    absl::btree_map<node_name, entry> next;
+    for (auto const & [node, address] : present)
+    {
+        auto const known = this->nodes.find(node);
+        auto & added = next[node];
+        if (known != this->nodes.end())
+        {
+            added = known->second;
+        }
+        else if (node == this->self)
+        {
+            // others may have been owners while this node was not in the view
+            this->started = now;
+        }
+        added.address = address;
+        this->removed.erase(node);
+    }
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (!next.contains(node))
+        {
+            this->removed[node] = now;
+        }
+    }
+    this->nodes = std::move(next);
+    for (auto node = this->removed.begin(); node != this->removed.end();)
+    {
+        node = now - node->second > 2 * allotment_timing::right_validity
+                   ? this->removed.erase(node)
+                   : std::next(node);
+    }
+}
+
+void allotment_directory::record_ended(node_name const & node,
+                                       duration remaining,
+                                       time_point now)
+{
+    auto const found = this->nodes.find(node);
+    if (found == this->nodes.end() || node == this->self)
+    {
+        return;
+    }
+    auto & known = found->second;
+    if (now > known.ended_until + ended_proof_gap)
+    {
+        known.ended_since = now;
+    }
+    known.ended_until = std::max(
+        known.ended_until, now + std::min(remaining, ended_proof_validity));
+}
+
+void allotment_directory::record_alive(node_name const & node)
+{
+    if (auto const found = this->nodes.find(node); found != this->nodes.end())
+    {
+        found->second.ended_until = time_point();
+        found->second.ended_since = time_point();
+    }
+}
+
+std::optional<node_name>
+allotment_directory::owner(account_name const & account, time_point now) const
+{
+    std::optional<node_name> best;
+    std::uint64_t best_rank = 0;
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (now < known.ended_until)
+        {
+            continue;
+        }
+        auto const rank = allotment_owner_rank(account, node);
+        if (!best || rank > best_rank)
+        {
+            best = node;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+time_point allotment_directory::owner_since(account_name const & account,
+                                            time_point now) const
+{
+    auto const own_rank = allotment_owner_rank(account, this->self);
+    auto since = this->started;
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (now < known.ended_until &&
+            allotment_owner_rank(account, node) > own_rank)
+        {
+            since = std::max(since, known.ended_since);
+        }
+    }
+    for (auto const & [node, removal] : this->removed)
+    {
+        if (allotment_owner_rank(account, node) > own_rank)
+        {
+            since = std::max(since, removal);
+        }
+    }
+    return since;
+}
+
+std::vector<allotment_directory::ended_node>
+allotment_directory::ended_nodes(time_point now) const
+{
+    std::vector<ended_node> ended;
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (now < known.ended_until)
+        {
+            ended.push_back({node, known.ended_until - now});
+        }
+    }
+    return ended;
+}
+
+std::vector<node_name> allotment_directory::other_nodes() const
+{
+    std::vector<node_name> others;
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (node != this->self)
+        {
+            others.push_back(node);
+        }
+    }
+    return others;
+}
+
+std::optional<endpoint>
+allotment_directory::address(node_name const & node) const
+{
+    auto const found = this->nodes.find(node);
+    return found == this->nodes.end() ? std::nullopt
+                                      : std::optional(found->second.address);
+}
+
+} // namespace endivehinge
