Ask nodes whose entries were just removed for their rights

Cause: a new owner asked the nodes in its view only. Change: nodes that left the view are asked, too, for the validity of rights.

--- a/include/endivehinge/policy/allotment_directory.hpp
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -70,7 +70,8 @@
 
     [[nodiscard]] std::vector<ended_node> ended_nodes(time_point now) const;
 
-    /// @brief all nodes but this one
+    /// @brief all nodes but this one, and those that left the view recently: an
+    /// entry may be lost while its node runs
     [[nodiscard]] std::vector<node_name> other_nodes() const;
 
     [[nodiscard]] std::optional<endpoint> address(node_name const & node) const;
@@ -84,11 +85,17 @@
         time_point ended_since;
     };
 
+    struct removed_node
+    {
+        endpoint address;
+        time_point since;
+    };
+
     node_name self;
     time_point started;
     absl::btree_map<node_name, entry> nodes;
     // nodes that are no longer present, and since when
-    absl::btree_map<node_name, time_point> removed;
+    absl::btree_map<node_name, removed_node> removed;
 };
 
 } // namespace endivehinge
--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -51,13 +51,13 @@
     {
         if (!next.contains(node))
         {
-            this->removed[node] = now;
+            this->removed[node] = {known.address, now};
         }
     }
     this->nodes = std::move(next);
     for (auto node = this->removed.begin(); node != this->removed.end();)
     {
-        node = now - node->second > 2 * allotment_timing::right_validity
+        node = now - node->second.since > 2 * allotment_timing::right_validity
                    ? this->removed.erase(node)
                    : std::next(node);
     }
@@ -138,7 +138,7 @@
     {
         if (allotment_owner_rank(account, node) > own_rank)
         {
-            since = std::max(since, removal);
+            since = std::max(since, removal.since);
         }
     }
     return since;
@@ -168,6 +168,13 @@
             others.push_back(node);
         }
     }
+    for (auto const & [node, removal] : this->removed)
+    {
+        if (node != this->self)
+        {
+            others.push_back(node);
+        }
+    }
     return others;
 }
 
@@ -175,8 +182,13 @@
 allotment_directory::address(node_name const & node) const
 {
     auto const found = this->nodes.find(node);
-    return found == this->nodes.end() ? std::nullopt
-                                      : std::optional(found->second.address);
+    if (found != this->nodes.end())
+    {
+        return found->second.address;
+    }
+    auto const left = this->removed.find(node);
+    return left == this->removed.end() ? std::nullopt
+                                       : std::optional(left->second.address);
 }
 
 } // namespace endivehinge
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -242,7 +242,7 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(seeds, allotment_schedule, testing::Range(1U, 31U));
+INSTANTIATE_TEST_SUITE_P(seeds, allotment_schedule, testing::Range(1U, 101U));
 
 } // namespace
 } // namespace endivehinge::tests
