Serve accounts by their use of a target under overload

Cause: under overload, requests of one rank ran by target time alone, so that an account at seven times its load took most of the slots.

Change: target_admission_policy takes the account and its weight. Within a rank, requests run in the order of the run time that their accounts used over the last seconds, divided by the weight (account_shares). An arrival that would be refused displaces a waiting request of the account furthest above; requests that are overtaken until they would be late are refused at once. account_backoff refuses a flooding account for a moment where its requests begin. Requests without an account get the same decisions as before.

--- a/include/endivehinge/policy/target_admission_options.hpp
+++ b/include/endivehinge/policy/target_admission_options.hpp
@@ -64,6 +64,10 @@
     // share of the time to the deadline that the expected wait and run time
     // may use; the rest allows for run time variation
     double usable_time_share = 0.7;
+    // planned wait of a request whose account is above its share, relative to
+    // the wait behind the requests that are in the queue already; without it,
+    // most of them waited for a third of their target time to be refused
+    double overtaken_wait_factor = 2;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 
+#include <endivehinge/policy/account_shares.hpp>
 #include <endivehinge/policy/cold_rate_limiter.hpp>
 #include <endivehinge/policy/request_urgency.hpp>
 #include <endivehinge/policy/run_time_estimates.hpp>
@@ -16,6 +17,7 @@
 #include <endivehinge/policy/target_admission_options.hpp>
 #include <endivehinge/policy/target_admission_verdict.hpp>
 #include <endivehinge/policy/target_load.hpp>
+#include <endivehinge/policy/weighted_account.hpp>
 
 namespace endivehinge
 {
@@ -41,6 +43,11 @@
 ///   this target too: they run one at a time, so that a crash shows which one.
 /// - Overload for longer than a burst: only requests that can still meet their
 ///   target time run, since late requests would delay the next ones as well.
+/// - One client account that sends a multiple of its usual load: within a rank,
+///   requests run in the order of what their accounts used over the last
+///   seconds, and a request of an account below its share displaces one of the
+///   account furthest above. Requests without an account take the mean place
+///   and neither displace others nor are displaced.
 /// @note pure; not thread-safe, the owner serialises all calls
 class target_admission_policy
 {
@@ -80,6 +87,7 @@
     /// @param slow_action what to do with the request if the target is slow
     /// @param is_suspect whether the request must not run beside another
     /// suspect
+    /// @param account the client account of the request
     /// @note a waiting request may be able to start immediately: call
     /// take_ready() afterwards
     [[nodiscard]] target_admission_verdict
@@ -87,7 +95,8 @@
           request_urgency const & urgency,
           slow_target_action slow_action,
           time_point now,
-          bool is_suspect = false);
+          bool is_suspect = false,
+          weighted_account const & account = {});
 
     /// @brief records the end of a started request
     /// @param failed whether the target failed the request
@@ -118,6 +127,7 @@
         slow_target_action slow_action = slow_target_action::start_or_refuse;
         time_point offered_at;
         bool is_suspect = false;
+        weighted_account account;
     };
 
     enum class readiness
@@ -135,6 +145,9 @@
         // slowdown of the target when the request started
         double slowdown = 1;
         bool is_suspect = false;
+        account_name account;
+        // run time charged to the account at the start
+        duration estimate{0};
     };
 
     [[nodiscard]] std::size_t limit() const;
@@ -167,14 +180,37 @@
     void update_queueing_since(time_point now);
     void refuse_unservable(std::vector<target_admission_verdict> & verdicts,
                            time_point now);
+    /// @brief under overload, refuses requests that would be late since
+    /// requests of other accounts start before them
+    void refuse_overtaken(std::vector<target_admission_verdict> & verdicts,
+                          time_point now);
     /// @brief expected time until a slot is free for a request, from the
     /// progress of the running ones
     [[nodiscard]] duration slot_wait(std::size_t requests_ahead,
                                      time_point now) const;
-    [[nodiscard]] duration expected_wait(request_urgency const & urgency,
+    [[nodiscard]] duration expected_wait(queued_request const & arrival,
                                          time_point now) const;
+    /// @brief whether the request can be answered in time after the wait
+    [[nodiscard]] bool is_servable(queued_request const & arrival,
+                                   duration wait,
+                                   time_point now) const;
+    /// @brief refuses a waiting request of the account furthest above its
+    /// share, if the arrival can be served then
+    [[nodiscard]] bool displace_for(queued_request const & arrival,
+                                    time_point now);
+    [[nodiscard]] bool has_accounts() const;
+    /// @brief virtual start times of the waiting requests, in their order in
+    /// the queue, if requests of one account and rank run in this order
+    [[nodiscard]] std::vector<double>
+    queued_virtual_starts(time_point now) const;
+    /// @brief virtual start time of a request behind those of its account and
+    /// rank that wait
+    [[nodiscard]] double virtual_start_of(queued_request const & arrival,
+                                          time_point now) const;
     [[nodiscard]] bool runs_before(queued_request const & a,
+                                   double virtual_start_of_a,
                                    queued_request const & b,
+                                   double virtual_start_of_b,
                                    time_point now) const;
     [[nodiscard]] bool can_meet_target_time(queued_request const & request,
                                             time_point now) const;
@@ -184,6 +220,12 @@
     [[nodiscard]] target_admission_verdict refuse(admission_ticket ticket,
                                                   admission_refusal reason,
                                                   duration wait) const;
+    /// @brief refuses a request that the target could run if it had capacity
+    [[nodiscard]] target_admission_verdict
+    refuse_for_capacity(queued_request const & request,
+                        admission_refusal reason,
+                        duration wait,
+                        time_point now) const;
 
     target_admission_options options;
     std::uint32_t slots = 1;
@@ -201,6 +243,9 @@
     time_point last_queueing;
     std::uint64_t last_ticket = 0;
     std::vector<queued_request> waiting;
+    // refusals of displaced requests, until take_ready() returns them
+    std::vector<target_admission_verdict> displaced;
+    account_shares shares;
     absl::flat_hash_map<admission_ticket, running_request> running;
 };
 
--- a/include/endivehinge/policy/target_admission_verdict.hpp
+++ b/include/endivehinge/policy/target_admission_verdict.hpp
@@ -43,6 +43,9 @@
     admission_refusal reason = admission_refusal::none;
     // expected time until the target has capacity
     duration retry_after{0};
+    // whether the request was refused for lack of capacity after its account
+    // had used its share
+    bool share_used = false;
 };
 
 /// @brief the name of a reason in refusals and logs; stable across versions
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -1,7 +1,12 @@
 #include <endivehinge/policy/target_admission_policy.hpp>
 
-#include <algorithm> // any_of, count_if, find_if, max, min, min_element, sort
-#include <iterator>  // make_move_iterator
+#include <algorithm>   // any_of, count_if, find_if, max, min, remove_if, sort
+#include <iterator>    // make_move_iterator
+#include <numeric>     // iota
+#include <string_view> // string_view
+#include <utility>     // exchange, move, pair
+
+#include <absl/container/flat_hash_set.h> // flat_hash_set
 
 namespace endivehinge
 {
@@ -95,7 +100,8 @@
                                request_urgency const & urgency,
                                slow_target_action slow_action,
                                time_point now,
-                               bool is_suspect)
+                               bool is_suspect,
+                               weighted_account const & account)
 {
     admission_ticket const ticket(++this->last_ticket);
     if (!this->open)
@@ -106,29 +112,84 @@
     {
         return this->refuse(ticket, admission_refusal::too_late, duration(0));
     }
-    auto const wait =
-        std::max(this->expected_wait(urgency, now),
-                 is_suspect ? this->suspect_wait(urgency, now) : duration(0));
-    auto const usable_time =
-        scaled(urgency.deadline - now, this->options.usable_time_share);
-    bool const is_late =
-        this->misses_target_time(route, urgency, now, now + wait);
-    bool const misses_deadline =
-        wait > duration(0) &&
-        wait + this->run_times.mean_for(route, now) > usable_time;
-    if (misses_deadline || (is_late && this->is_overloaded(now)) ||
-        this->waiting.size() >= this->options.max_waiting)
+    queued_request arrival{
+        ticket, route, urgency, slow_action, now, is_suspect, account};
+    auto const wait = this->expected_wait(arrival, now);
+    if (!this->is_servable(arrival, wait, now) &&
+        !this->displace_for(arrival, now))
     {
-        return this->refuse(ticket, this->capacity_refusal(now), wait);
+        return this->refuse_for_capacity(
+            arrival, this->capacity_refusal(now), wait, now);
     }
-    this->waiting.push_back(
-        {ticket, route, urgency, slow_action, now, is_suspect});
+    this->waiting.push_back(std::move(arrival));
     return {ticket,
             target_admission_verdict::action::wait,
             admission_refusal::none,
             wait};
 }
 
+bool target_admission_policy::is_servable(queued_request const & arrival,
+                                          duration wait,
+                                          time_point now) const
+{
+    auto const usable_time =
+        scaled(arrival.urgency.deadline - now, this->options.usable_time_share);
+    // requests of accounts that used less will overtake it
+    double const overtaking = arrival.account.name.value().empty()
+                                  ? 1
+                                  : this->options.overtaken_wait_factor;
+    bool const is_late = this->misses_target_time(
+        arrival.route, arrival.urgency, now, now + scaled(wait, overtaking));
+    bool const misses_deadline =
+        wait > duration(0) &&
+        wait + this->run_times.mean_for(arrival.route, now) > usable_time;
+    return !misses_deadline && !(is_late && this->is_overloaded(now)) &&
+           this->waiting.size() < this->options.max_waiting;
+}
+
+bool target_admission_policy::displace_for(queued_request const & arrival,
+                                           time_point now)
+{
+    if (arrival.account.name.value().empty())
+    {
+        return false;
+    }
+    auto const virtual_starts = this->queued_virtual_starts(now);
+    double furthest = this->virtual_start_of(arrival, now);
+    std::optional<std::size_t> chosen;
+    for (std::size_t i = 0; i < this->waiting.size(); ++i)
+    {
+        auto const & request = this->waiting[i];
+        if (!request.account.name.value().empty() &&
+            request.account.name != arrival.account.name &&
+            request.urgency.rank >= arrival.urgency.rank &&
+            virtual_starts[i] > furthest)
+        {
+            furthest = virtual_starts[i];
+            chosen = i;
+        }
+    }
+    if (!chosen)
+    {
+        return false;
+    }
+    auto const position =
+        this->waiting.begin() + static_cast<std::ptrdiff_t>(*chosen);
+    auto request = std::move(*position);
+    this->waiting.erase(position);
+    auto const wait = this->expected_wait(arrival, now);
+    if (!this->is_servable(arrival, wait, now))
+    {
+        this->waiting.insert(this->waiting.begin() +
+                                 static_cast<std::ptrdiff_t>(*chosen),
+                             std::move(request));
+        return false;
+    }
+    this->displaced.push_back(this->refuse_for_capacity(
+        request, this->capacity_refusal(now), wait, now));
+    return true;
+}
+
 void target_admission_policy::finish(admission_ticket ticket,
                                      bool failed,
                                      time_point now)
@@ -146,6 +207,11 @@
                                  scaled(run_time, 1 / found->second.slowdown),
                                  now);
     }
+    if (!found->second.account.value().empty())
+    {
+        this->shares.record_end(
+            found->second.account, found->second.estimate, run_time, now);
+    }
     this->failure_share += this->options.failure_weight *
                            ((failed ? 1.0 : 0.0) - this->failure_share);
     this->running.erase(found);
@@ -164,6 +230,16 @@
     {
         this->waiting.erase(found);
     }
+    auto const refused = std::find_if(this->displaced.begin(),
+                                      this->displaced.end(),
+                                      [ticket](auto const & verdict)
+                                      {
+                                          return verdict.ticket == ticket;
+                                      });
+    if (refused != this->displaced.end())
+    {
+        this->displaced.erase(refused);
+    }
 }
 
 void target_admission_policy::refuse_unservable(
@@ -195,8 +271,11 @@
         {
             reason = admission_refusal::closed;
         }
-        verdicts.push_back(this->refuse(
-            request->ticket, reason, this->run_times.overall_mean()));
+        auto const wait = this->run_times.overall_mean();
+        verdicts.push_back(
+            reason == admission_refusal::busy
+                ? this->refuse_for_capacity(*request, reason, wait, now)
+                : this->refuse(request->ticket, reason, wait));
         request = this->waiting.erase(request);
     }
 }
@@ -204,7 +283,7 @@
 std::vector<target_admission_verdict>
 target_admission_policy::take_ready(time_point now)
 {
-    std::vector<target_admission_verdict> verdicts;
+    auto verdicts = std::exchange(this->displaced, {});
     this->refuse_unservable(verdicts, now);
     std::vector<queued_request> still_waiting;
     while (!this->waiting.empty() && this->can_start(now))
@@ -239,9 +318,58 @@
                          std::make_move_iterator(still_waiting.begin()),
                          std::make_move_iterator(still_waiting.end()));
     this->update_queueing_since(now);
+    this->refuse_overtaken(verdicts, now);
     return verdicts;
 }
 
+void target_admission_policy::refuse_overtaken(
+    std::vector<target_admission_verdict> & verdicts, time_point now)
+{
+    if (!this->is_overloaded(now) || !this->has_accounts())
+    {
+        return;
+    }
+    auto const virtual_starts = this->queued_virtual_starts(now);
+    std::vector<std::size_t> order(this->waiting.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(),
+              order.end(),
+              [&](std::size_t a, std::size_t b)
+              {
+                  return this->runs_before(this->waiting[a],
+                                           virtual_starts[a],
+                                           this->waiting[b],
+                                           virtual_starts[b],
+                                           now);
+              });
+    std::size_t requests_ahead = 0;
+    absl::flat_hash_set<admission_ticket> refused;
+    for (auto const index : order)
+    {
+        auto const & request = this->waiting[index];
+        auto const wait = std::max(this->slot_wait(requests_ahead, now),
+                                   this->rate_wait(requests_ahead + 1, now));
+        if (request.account.name.value().empty() ||
+            !this->misses_target_time(
+                request.route, request.urgency, request.offered_at, now + wait))
+        {
+            ++requests_ahead;
+            continue;
+        }
+        refused.insert(request.ticket);
+        verdicts.push_back(this->refuse_for_capacity(
+            request, this->capacity_refusal(now), wait, now));
+    }
+    this->waiting.erase(std::remove_if(this->waiting.begin(),
+                                       this->waiting.end(),
+                                       [&refused](auto const & request)
+                                       {
+                                           return refused.contains(
+                                               request.ticket);
+                                       }),
+                        this->waiting.end());
+}
+
 void target_admission_policy::update_queueing_since(time_point now)
 {
     bool const within_rate =
@@ -460,21 +588,83 @@
                : readiness::decline;
 }
 
-duration target_admission_policy::expected_wait(request_urgency const & urgency,
+duration target_admission_policy::expected_wait(queued_request const & arrival,
                                                 time_point now) const
 {
+    auto candidate = arrival;
+    // any request that arrives on time counts as one that can meet its target
+    candidate.route.clear();
+    bool const has_account = !arrival.account.name.value().empty();
+    auto const virtual_starts = this->queued_virtual_starts(now);
+    double const virtual_start = this->virtual_start_of(arrival, now);
     std::size_t requests_ahead = 0;
-    queued_request const candidate{admission_ticket(0),
-                                   "",
-                                   urgency,
-                                   slow_target_action::start_or_refuse,
-                                   now};
-    for (auto const & request : this->waiting)
+    for (std::size_t i = 0; i < this->waiting.size(); ++i)
+    {
+        requests_ahead += this->runs_before(candidate,
+                                            virtual_start,
+                                            this->waiting[i],
+                                            virtual_starts[i],
+                                            now)
+                              ? 0
+                              : 1;
+    }
+    auto const wait = std::max(
+        this->slot_wait(requests_ahead, now),
+        this->rate_wait(
+            (has_account ? requests_ahead : this->waiting.size()) + 1, now));
+    return arrival.is_suspect
+               ? std::max(wait, this->suspect_wait(arrival.urgency, now))
+               : wait;
+}
+
+bool target_admission_policy::has_accounts() const
+{
+    return std::any_of(this->waiting.begin(),
+                       this->waiting.end(),
+                       [](auto const & request)
+                       {
+                           return !request.account.name.value().empty();
+                       });
+}
+
+std::vector<double>
+target_admission_policy::queued_virtual_starts(time_point now) const
+{
+    std::vector<double> result(this->waiting.size(), 0);
+    if (!this->has_accounts())
+    {
+        return result;
+    }
+    absl::flat_hash_map<std::pair<std::string_view, std::uint32_t>, std::size_t>
+        requests_ahead;
+    for (std::size_t i = 0; i < this->waiting.size(); ++i)
     {
-        requests_ahead += this->runs_before(candidate, request, now) ? 0 : 1;
+        auto const & request = this->waiting[i];
+        auto & ahead = requests_ahead[{request.account.name.value(),
+                                       request.urgency.rank}];
+        result[i] = this->shares.virtual_start(request.account, ahead, now);
+        ++ahead;
     }
-    return std::max(this->slot_wait(requests_ahead, now),
-                    this->rate_wait(this->waiting.size() + 1, now));
+    return result;
+}
+
+double target_admission_policy::virtual_start_of(queued_request const & arrival,
+                                                 time_point now) const
+{
+    if (arrival.account.name.value().empty() && !this->has_accounts())
+    {
+        return 0;
+    }
+    auto const ahead =
+        std::count_if(this->waiting.begin(),
+                      this->waiting.end(),
+                      [&arrival](auto const & request)
+                      {
+                          return request.urgency.rank == arrival.urgency.rank &&
+                                 request.account.name == arrival.account.name;
+                      });
+    return this->shares.virtual_start(
+        arrival.account, static_cast<std::size_t>(ahead), now);
 }
 
 duration target_admission_policy::slot_wait(std::size_t requests_ahead,
@@ -509,7 +699,9 @@
 }
 
 bool target_admission_policy::runs_before(queued_request const & a,
+                                          double virtual_start_of_a,
                                           queued_request const & b,
+                                          double virtual_start_of_b,
                                           time_point now) const
 {
     bool const a_meets_target_time = this->can_meet_target_time(a, now);
@@ -522,29 +714,55 @@
     {
         return a.urgency.rank < b.urgency.rank;
     }
+    if (virtual_start_of_a != virtual_start_of_b)
+    {
+        return virtual_start_of_a < virtual_start_of_b;
+    }
     return a.urgency.target_time < b.urgency.target_time;
 }
 
 std::vector<target_admission_policy::queued_request>::iterator
 target_admission_policy::next_queued(time_point now)
 {
-    return std::min_element(
-        this->waiting.begin(),
-        this->waiting.end(),
-        [this, now](queued_request const & a, queued_request const & b)
+    bool const uses_shares = this->has_accounts();
+    auto const virtual_start = [&](queued_request const & request)
+    {
+        return uses_shares ? this->shares.virtual_start(request.account, 0, now)
+                           : 0;
+    };
+    auto best = this->waiting.begin();
+    double best_start = virtual_start(*best);
+    for (auto request = best + 1; request != this->waiting.end(); ++request)
+    {
+        double const start = virtual_start(*request);
+        if (this->runs_before(*request, start, *best, best_start, now))
         {
-            return this->runs_before(a, b, now);
-        });
+            best = request;
+            best_start = start;
+        }
+    }
+    return best;
 }
 
 void target_admission_policy::start(queued_request const & request,
                                     time_point now)
 {
+    auto estimate = this->run_times.mean_for(request.route, now);
+    if (estimate == duration(0))
+    {
+        estimate = this->default_run_time(request.urgency, request.offered_at);
+    }
+    if (!request.account.name.value().empty())
+    {
+        this->shares.record_start(request.account, estimate, now);
+    }
     this->running[request.ticket] = {
         request.route,
         now,
         std::max(this->slowdown_state.factor(), 1.0),
-        request.is_suspect};
+        request.is_suspect,
+        request.account.name,
+        estimate};
     this->cold_limiter.record_start();
     this->stated_limiter.record_start();
 }
@@ -555,4 +773,17 @@
     return {ticket, target_admission_verdict::action::refuse, reason, wait};
 }
 
+target_admission_verdict
+target_admission_policy::refuse_for_capacity(queued_request const & request,
+                                             admission_refusal reason,
+                                             duration wait,
+                                             time_point now) const
+{
+    auto verdict = this->refuse(request.ticket, reason, wait);
+    verdict.share_used = this->shares.has_used_share(request.account, now);
+    verdict.retry_after =
+        std::max(wait, this->shares.time_until_share(request.account, now));
+    return verdict;
+}
+
 } // namespace endivehinge
--- a/tests/src/simulation/admission_simulation.cpp
+++ b/tests/src/simulation/admission_simulation.cpp
@@ -32,6 +32,7 @@
     : plan(std::move(chosen))
     , random(seed)
     , load_views(this->plan.nodes, std::vector<load_view>(this->plan.targets))
+    , backoffs(this->plan.nodes)
 {
     for (std::size_t i = 0; i < this->plan.targets; ++i)
     {
@@ -52,22 +53,89 @@
 {
     for (auto arrival = from; arrival < to; arrival += interval)
     {
-        this->events.after(
-            arrival - this->events.now(),
-            [this]
-            {
-                auto const request = std::make_shared<request_state>();
-                request->arrival = this->events.now();
-                request->node = this->requests.size() % this->plan.nodes;
-                request->urgency = {1,
-                                    this->now() + this->plan.latency_target,
-                                    this->now() + this->plan.time_limit};
-                request->limit =
-                    placement_limit(this->now(), this->plan.run_time);
-                this->requests.push_back(request);
-                this->place(request);
-            });
+        this->events.after(arrival - this->events.now(),
+                           [this]
+                           {
+                               auto const request =
+                                   std::make_shared<request_state>();
+                               request->account.rank = 1;
+                               this->requests.push_back(request);
+                               this->arrive(request);
+                           });
+    }
+}
+
+void admission_simulation::add_account_requests(account_load const & load,
+                                                duration from,
+                                                duration to)
+{
+    std::exponential_distribution<double> gap(load.requests_per_second);
+    auto const next_gap = [this, &gap]
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(gap(this->random)));
+    };
+    for (auto arrival = from + next_gap(); arrival < to; arrival += next_gap())
+    {
+        this->events.after(arrival - this->events.now(),
+                           [this, load]
+                           {
+                               auto const request =
+                                   std::make_shared<request_state>();
+                               request->account = load;
+                               this->requests.push_back(request);
+                               this->arrive(request);
+                           });
+    }
+}
+
+void admission_simulation::arrive(request_pointer const & request)
+{
+    // requests without an account have no retries
+    request->arrival =
+        request->retries == 0 ? this->events.now() : request->arrival;
+    request->node =
+        (this->requests.size() - 1 + request->retries) % this->plan.nodes;
+    request->urgency = {request->account.rank,
+                        this->now() + this->plan.latency_target,
+                        this->now() + this->plan.time_limit};
+    request->limit = placement_limit(this->now(), this->plan.run_time);
+    request->rounds = {};
+    request->tried_targets.clear();
+    request->share_used = false;
+    request->retry_after = duration(0);
+    if (this->backoffs[request->node].remaining(service_name(),
+                                                request->account.name,
+                                                request->urgency.rank,
+                                                this->now()))
+    {
+        this->refuse(request);
+        return;
+    }
+    this->place(request);
+}
+
+void admission_simulation::refuse(request_pointer const & request)
+{
+    if (request->share_used)
+    {
+        this->backoffs[request->node].record_refusal(service_name(),
+                                                     request->account.name,
+                                                     request->urgency.rank,
+                                                     request->retry_after,
+                                                     this->now());
+    }
+    if (request->retries < request->account.max_retries)
+    {
+        request->retries += 1;
+        this->events.after(request->account.retry_delay,
+                           [this, request]
+                           {
+                               this->arrive(request);
+                           });
+        return;
     }
+    this->finish_request(*request, true);
 }
 
 void admission_simulation::run()
@@ -110,6 +178,28 @@
     return result;
 }
 
+account_summary admission_simulation::summary_of(account_name const & account,
+                                                 duration from,
+                                                 duration to) const
+{
+    account_summary result;
+    for (auto const & request : this->requests)
+    {
+        if (request->account.name == account && request->arrival >= from &&
+            request->arrival < to)
+        {
+            result.sent += 1;
+            result.answered += request->ended_at && !request->refused ? 1 : 0;
+        }
+    }
+    return result;
+}
+
+std::size_t admission_simulation::offers() const
+{
+    return this->offer_count;
+}
+
 time_point admission_simulation::now() const
 {
     return start_time + this->events.now();
@@ -155,7 +245,7 @@
 {
     if (this->now() >= request->urgency.deadline)
     {
-        this->finish_request(*request, true);
+        this->refuse(request);
         return;
     }
     bool const can_place =
@@ -174,7 +264,7 @@
     }
     if (!chosen)
     {
-        this->finish_request(*request, true);
+        this->refuse(request);
         return;
     }
     request->tried_targets.insert(*chosen);
@@ -197,10 +287,16 @@
 {
     auto & state = *this->targets[target];
     auto const verdict =
-        state.policy.offer("route", request->urgency, slow_action, this->now());
+        state.policy.offer("route",
+                           request->urgency,
+                           slow_action,
+                           this->now(),
+                           false,
+                           {request->account.name, request->account.weight});
+    this->offer_count += 1;
     if (verdict.decision == target_admission_verdict::action::refuse)
     {
-        this->handle_refusal(request, target, verdict.reason);
+        this->handle_refusal(request, target, verdict);
         return;
     }
     request->slow_action = slow_action;
@@ -208,23 +304,30 @@
     this->review(target);
 }
 
-void admission_simulation::handle_refusal(request_pointer const & request,
-                                          std::size_t target,
-                                          admission_refusal reason)
+void admission_simulation::handle_refusal(
+    request_pointer const & request,
+    std::size_t target,
+    target_admission_verdict const & verdict)
 {
-    this->events.after(this->plan.hop_latency,
-                       [this, request, target, reason]
-                       {
-                           this->update_load_view(request->node, target);
-                           request->limit.record_refusal(reason);
-                           if (reason == admission_refusal::slow)
-                           {
-                               request->rounds.record_decline(
-                                   target_id(absl::StrCat(target)),
-                                   request->slow_action);
-                           }
-                           this->place(request);
-                       });
+    this->events.after(
+        this->plan.hop_latency,
+        [this, request, target, verdict]
+        {
+            this->update_load_view(request->node, target);
+            request->limit.record_refusal(verdict.reason);
+            if (verdict.share_used)
+            {
+                request->share_used = true;
+                request->retry_after =
+                    std::max(request->retry_after, verdict.retry_after);
+            }
+            if (verdict.reason == admission_refusal::slow)
+            {
+                request->rounds.record_decline(target_id(absl::StrCat(target)),
+                                               request->slow_action);
+            }
+            this->place(request);
+        });
 }
 
 void admission_simulation::review(std::size_t target)
@@ -238,7 +341,7 @@
             continue;
         }
         auto const entry = state.requests.extract(verdict.ticket);
-        this->handle_refusal(entry.mapped(), target, verdict.reason);
+        this->handle_refusal(entry.mapped(), target, verdict);
     }
     if (state.policy.try_start_probe(this->now()))
     {
@@ -274,13 +377,15 @@
             state.policy.finish(ticket, false, this->now());
             state.policy.set_slowdown(this->current_slowdown(target),
                                       this->now());
-            this->events.after(this->plan.hop_latency,
-                               [this, target, request = entry.mapped()]
-                               {
-                                   this->update_load_view(request->node,
-                                                          target);
-                                   this->finish_request(*request, false);
-                               });
+            this->events.after(
+                this->plan.hop_latency,
+                [this, target, request = entry.mapped()]
+                {
+                    this->update_load_view(request->node, target);
+                    this->backoffs[request->node].record_answer(
+                        service_name(), request->account.name, this->now());
+                    this->finish_request(*request, false);
+                });
             this->review(target);
         });
 }
--- a/tests/src/simulation/admission_simulation.hpp
+++ b/tests/src/simulation/admission_simulation.hpp
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 #include <absl/container/flat_hash_set.h> // flat_hash_set
 
+#include <endivehinge/policy/account_backoff.hpp>
 #include <endivehinge/policy/placement_limit.hpp>
 #include <endivehinge/policy/slow_target_rounds.hpp>
 #include <endivehinge/policy/target_admission_policy.hpp>
@@ -48,6 +49,32 @@
     };
 };
 
+/// @brief requests of one client account
+struct account_load
+{
+    account_name name;
+    // weight at the targets
+    double weight = 1;
+    double requests_per_second = 1;
+    std::uint32_t rank = 1;
+    // a refused request returns after this time, up to max_retries times
+    duration retry_delay{0};
+    std::uint32_t max_retries = 0;
+};
+
+/// @brief number of requests of one account
+struct account_summary
+{
+    std::size_t sent = 0;
+    std::size_t answered = 0;
+
+    [[nodiscard]] double answered_share() const
+    {
+        return static_cast<double>(this->answered) /
+               std::max(static_cast<double>(this->sent), 1.0);
+    }
+};
+
 /// @brief number of requests by outcome
 struct admission_simulation_summary
 {
@@ -89,6 +116,10 @@
     /// @brief schedules requests at a fixed interval
     void add_requests(duration from, duration to, duration interval);
 
+    /// @brief schedules requests of an account at random times
+    void
+    add_account_requests(account_load const & load, duration from, duration to);
+
     /// @brief runs until no event is left
     void run();
 
@@ -96,6 +127,14 @@
     [[nodiscard]] admission_simulation_summary summary(duration from,
                                                        duration to) const;
 
+    /// @brief requests of the account that arrived in [from, to); a request
+    /// that returns after a refusal counts once
+    [[nodiscard]] account_summary
+    summary_of(account_name const & account, duration from, duration to) const;
+
+    /// @brief number of requests that reached a node beside a target
+    [[nodiscard]] std::size_t offers() const;
+
 private:
     struct request_state
     {
@@ -108,7 +147,11 @@
         absl::flat_hash_set<std::size_t> tried_targets;
         std::size_t placements = 0;
         bool refused = false;
+        bool share_used = false;
+        duration retry_after{0};
         std::optional<duration> ended_at;
+        account_load account;
+        std::uint32_t retries = 0;
     };
 
     using request_pointer = std::shared_ptr<request_state>;
@@ -131,13 +174,15 @@
     [[nodiscard]] double current_slowdown(std::size_t target) const;
     [[nodiscard]] std::optional<std::size_t>
     choose(request_state const & request);
+    void arrive(request_pointer const & request);
     void place(request_pointer const & request);
+    void refuse(request_pointer const & request);
     void offer(request_pointer const & request,
                std::size_t target,
                slow_target_action slow_action);
     void handle_refusal(request_pointer const & request,
                         std::size_t target,
-                        admission_refusal reason);
+                        target_admission_verdict const & verdict);
     void review(std::size_t target);
     void start(admission_ticket ticket, std::size_t target);
     void update_load_view(std::size_t node, std::size_t target);
@@ -150,7 +195,10 @@
     std::vector<std::unique_ptr<target_state>> targets;
     // indexed by node, then by target
     std::vector<std::vector<load_view>> load_views;
+    // indexed by node
+    std::vector<account_backoff> backoffs;
     std::vector<request_pointer> requests;
+    std::size_t offer_count = 0;
 };
 
 } // namespace endivehinge::tests
--- a/tests/src/unit-admission-simulation.cpp
+++ b/tests/src/unit-admission-simulation.cpp
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <cmath> // pow
+
+#include <absl/strings/str_cat.h> // StrCat
+
 #include "simulation/admission_simulation.hpp"
 
 namespace endivehinge::tests
@@ -190,6 +194,181 @@
     EXPECT_GE(simulation.summary(seconds(9), seconds(10)).on_time, 490U);
 }
 
+// Client accounts share targets of 6 slots, four of them usable. The first of
+// 76 accounts sends a quarter of all requests, the last ones two a second.
+constexpr std::size_t account_count = 76;
+constexpr double largest_rate = 120;
+constexpr double smallest_rate = 2;
+// of the run time of 80 ms in the usable slots
+constexpr double requests_per_target = 50;
+
+account_load usual_load(std::size_t account)
+{
+    account_load load;
+    load.name = account_name(absl::StrCat("account-", account));
+    load.requests_per_second =
+        std::max(largest_rate / std::pow(account + 1, 1.1), smallest_rate);
+    load.weight = 1.6 * load.requests_per_second;
+    return load;
+}
+
+admission_simulation_plan accounts_plan(std::size_t targets)
+{
+    admission_simulation_plan plan;
+    plan.targets = targets;
+    plan.nodes = targets;
+    plan.slots = 6;
+    plan.run_time = milliseconds(80);
+    plan.latency_target = milliseconds(400);
+    plan.time_limit = milliseconds(1200);
+    return plan;
+}
+
+/// @brief all accounts send their usual load, except for one
+/// @return sums over all accounts but that one
+account_summary simulate_accounts(admission_simulation & simulation,
+                                  account_load const & special,
+                                  double largest_summed_rate)
+{
+    std::vector<account_load> others;
+    for (std::size_t i = 0; i < account_count; ++i)
+    {
+        auto const load = usual_load(i);
+        if (load.name != special.name)
+        {
+            others.push_back(load);
+            simulation.add_account_requests(load, seconds(0), seconds(8));
+        }
+    }
+    simulation.add_account_requests(special, seconds(0), seconds(8));
+    simulation.run();
+    account_summary sum;
+    for (auto const & load : others)
+    {
+        if (load.requests_per_second <= largest_summed_rate)
+        {
+            auto const summary =
+                simulation.summary_of(load.name, seconds(3), seconds(8));
+            sum.sent += summary.sent;
+            sum.answered += summary.answered;
+        }
+    }
+    return sum;
+}
+
+account_load flooding_load(std::size_t account)
+{
+    auto load = usual_load(account);
+    load.requests_per_second *= 7;
+    return load;
+}
+
+// Without the order by use, the flood takes half of what the others need.
+TEST_P(admission_simulation_test, a_flooding_account_takes_nothing_from_others)
+{
+    constexpr std::size_t targets = 13;
+    admission_simulation simulation(accounts_plan(targets), GetParam());
+    auto const flood = flooding_load(0);
+    auto const others = simulate_accounts(simulation, flood, largest_rate);
+    EXPECT_GE(others.answered_share(), 0.97);
+    auto const all = simulation.summary(seconds(3), seconds(8));
+    EXPECT_GE(all.answered(), 0.9 * requests_per_target * targets * 5)
+        << "the flooding account gets what the others leave";
+    EXPECT_LE(to_milliseconds(all.mean_refusal()), 75.0);
+}
+
+// Too little room for the usual load alone
+TEST_P(admission_simulation_test, small_accounts_are_served_beside_large_ones)
+{
+    constexpr std::size_t targets = 8;
+    admission_simulation simulation(accounts_plan(targets), GetParam());
+    auto const flood = flooding_load(5);
+    auto const small = simulate_accounts(simulation, flood, 5);
+    auto const all = simulation.summary(seconds(3), seconds(8));
+    double const all_share = static_cast<double>(all.answered()) /
+                             static_cast<double>(all.answered() + all.refused);
+    EXPECT_GE(small.answered_share(), all_share);
+    for (std::size_t i = 0; i < account_count; ++i)
+    {
+        auto const load = usual_load(i);
+        if (load.name != flood.name)
+        {
+            EXPECT_GE(simulation.summary_of(load.name, seconds(3), seconds(8))
+                          .answered_share(),
+                      all_share / 2)
+                << load.name;
+        }
+    }
+    EXPECT_GE(all.answered(), 0.9 * requests_per_target * targets * 5);
+    EXPECT_EQ(all.unanswered, 0U);
+}
+
+// Each refused request was sent to four of eight targets before.
+TEST_P(admission_simulation_test, a_flood_is_refused_where_it_begins)
+{
+    admission_simulation simulation(accounts_plan(8), GetParam());
+    static_cast<void>(
+        simulate_accounts(simulation, flooding_load(0), largest_rate));
+    auto const all = simulation.summary(seconds(0), seconds(8));
+    EXPECT_LE(simulation.offers(), 1.5 * (all.answered() + all.refused));
+}
+
+// The flood goes on alone: one second later it has all slots.
+TEST_P(admission_simulation_test, capacity_goes_to_the_others_at_once)
+{
+    constexpr std::size_t targets = 8;
+    admission_simulation simulation(accounts_plan(targets), GetParam());
+    auto const flood = flooding_load(0);
+    simulation.add_account_requests(flood, seconds(0), seconds(8));
+    for (std::size_t i = 1; i < account_count; ++i)
+    {
+        simulation.add_account_requests(usual_load(i), seconds(0), seconds(5));
+    }
+    simulation.run();
+    auto const before =
+        simulation.summary_of(flood.name, seconds(4), seconds(5));
+    EXPECT_LE(before.answered, 0.5 * requests_per_target * targets);
+    auto const after =
+        simulation.summary_of(flood.name, seconds(6), seconds(7));
+    EXPECT_GE(after.answered, 0.9 * requests_per_target * targets);
+}
+
+// Two accounts send the same, one of them returns 20 ms after each refusal.
+TEST_P(admission_simulation_test, early_retries_buy_no_capacity)
+{
+    admission_simulation simulation(accounts_plan(8), GetParam());
+    account_load patient;
+    patient.name = account_name("patient");
+    patient.requests_per_second = 400;
+    auto hasty = patient;
+    hasty.name = account_name("hasty");
+    hasty.retry_delay = milliseconds(20);
+    hasty.max_retries = 10;
+    simulation.add_account_requests(patient, seconds(0), seconds(8));
+    simulation.add_account_requests(hasty, seconds(0), seconds(8));
+    simulation.run();
+    auto const answered = [&](account_load const & load)
+    {
+        return simulation.summary_of(load.name, seconds(2), seconds(8))
+            .answered;
+    };
+    EXPECT_LE(answered(hasty), 1.1 * answered(patient));
+}
+
+// An account of the first rank floods; accounts of a later rank that used less
+// do not come before it.
+TEST_P(admission_simulation_test, ranks_hold_across_accounts)
+{
+    admission_simulation simulation(accounts_plan(8), GetParam());
+    auto urgent = usual_load(0);
+    urgent.rank = 0;
+    urgent.requests_per_second = 300;
+    static_cast<void>(simulate_accounts(simulation, urgent, largest_rate));
+    EXPECT_GE(simulation.summary_of(urgent.name, seconds(3), seconds(8))
+                  .answered_share(),
+              0.97);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds,
                          admission_simulation_test,
                          ::testing::Range(1UL, 6UL));
