Pass accounts to the admission of targets and back off where requests begin

Cause: the node beside a target did not use the account of a request, and a refused account went on to send each request to several targets.

Change: local_target passes the account with its rate in the active configuration as weight. A refusal between nodes says whether the account had used its share, in a field of its own that earlier versions ignore. The node where requests begin refuses such an account for a moment.

Requests have no account yet in request_dispatch.

--- a/include/endivehinge/detail/gateway/dispatch_result.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_result.hpp
@@ -34,6 +34,9 @@
     admission_refusal refusal = admission_refusal::none;
     // if refused: expected time until the target has capacity
     duration retry_after{0};
+    // if refused for lack of capacity: whether the request's account had used
+    // its share of the target
+    bool share_used = false;
     // whether the request reached the target and counts as an attempt there
     bool reached_target = false;
     // whether the target crashed during the request, as far as its node knows
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -18,6 +18,7 @@
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/peer_node.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
+#include <endivehinge/policy/account_backoff.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
 #include <endivehinge/policy/stop_schedule.hpp>
 #include <endivehinge/policy/target_selector.hpp>
@@ -69,6 +70,7 @@
     fleet_view fleet;
     traffic_splitter splits;
     target_selector selector;
+    account_backoff account_backoffs;
     response_registry responses;
     local_target target;
     // called when another node sends the versions of its store copies
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -18,6 +18,7 @@
 #include <endivehinge/detail/gateway/target_crash_monitor.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
+#include <endivehinge/policy/client_account.hpp>
 #include <endivehinge/policy/service_properties.hpp>
 #include <endivehinge/policy/target_admission_policy.hpp>
 #include <endivehinge/policy/target_incarnation_tracker.hpp>
@@ -51,6 +52,10 @@
     /// @brief applies the configured properties of the target's service
     void set_properties(service_properties const & configured);
 
+    /// @brief applies the configured rates of client accounts, by which scarce
+    /// capacity is shared
+    void set_accounts(std::vector<client_account> const & accounts);
+
     /// @brief sets whether the target's failure domain is evacuated
     void set_evacuated(bool is_evacuated);
 
@@ -97,6 +102,8 @@
     /// earlier one of the same service
     [[nodiscard]] bool
     address_to_current_incarnation(dispatch_request & request) const;
+    [[nodiscard]] weighted_account
+    weighted_account_of(dispatch_request const & request) const;
     /// @brief decides whether the request may wait for a start
     [[nodiscard]] target_admission_verdict admit(request_state & state);
     void start(admission_ticket ticket);
@@ -155,6 +162,8 @@
     target_admission_policy admission;
     target_incarnation_tracker identity;
     std::optional<service_properties> properties;
+    // of accounts with a limited rate; the others have the weight 1
+    absl::flat_hash_map<account_name, double> account_weights;
     bool evacuated = false;
     time_point cold_until;
     std::function<void()> entry_change_action;
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -53,6 +53,14 @@
     void wait_for_configuration();
     void route_request();
     [[nodiscard]] bool outlives_shutdown() const;
+    /// @brief the client account of the request; empty if it has none
+    [[nodiscard]] account_name name_of_account() const;
+    /// @brief refuses the request if the service has no capacity for its
+    /// account at present
+    /// @return whether it was refused
+    [[nodiscard]] bool refuse_account_share();
+    /// @brief records that no target had capacity for the account
+    void record_share_refusal();
     void prepare_message();
     void place();
     void start_attempt(chosen_target const & chosen);
@@ -101,6 +109,8 @@
     // attempts during which the target crashed
     std::uint32_t crashed_targets = 0;
     std::optional<duration> min_retry_after;
+    // set if a target refused the request since its account had used its share
+    std::optional<duration> share_retry_after;
     std::string last_reason;
     // failure response of a target, sent if no further attempt succeeds
     std::optional<response_message> fallback_response;
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -100,6 +100,7 @@
     auto const & configuration = *this->state.fleet.configuration();
     this->client_listener.set_limits(client_limits_of(configuration.limits));
     this->state.splits.retain(configuration.routes);
+    this->state.target.set_accounts(configuration.accounts);
     if (auto const * const own_service =
             configuration.find_service(this->state.settings.service))
     {
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -50,6 +50,11 @@
 // it, in a result as it is. Only sent if there is such a rate
 constexpr char const * stated_rate_field = "Endivehinge-Rate";
 
+// in a result: the request was refused for lack of capacity after its account
+// had used its share. Only sent if so; a field of its own, because earlier
+// versions reject unknown refusals
+constexpr char const * share_used_field = "Endivehinge-Share-Used";
+
 std::int64_t microsecond_count(duration value)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
@@ -325,6 +330,10 @@
     {
         message.set(suspect_field, "1");
     }
+    if (result.share_used)
+    {
+        message.set(share_used_field, "1");
+    }
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
@@ -367,6 +376,7 @@
     versions = read_versions(
         numbers, result_number_count, extract_field(message, position_field));
     result.reason = extract_field(message, reason_field);
+    result.share_used = !extract_field(message, share_used_field).empty();
     result.target_crashed = !extract_field(message, suspect_field).empty();
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
@@ -395,6 +405,7 @@
                                     load_field,
                                     cold_field,
                                     position_field,
+                                    share_used_field,
                                     suspect_field,
                                     stated_rate_field})
     {
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -76,6 +76,7 @@
         refused.reason = to_string(verdict.reason);
         refused.refusal = verdict.reason;
         refused.retry_after = verdict.retry_after;
+        refused.share_used = verdict.share_used;
         refused.load = this->admission.load(loop_now());
         asio::post(this->io,
                    [state, refused]
@@ -134,7 +135,16 @@
                                  state.request.urgency,
                                  state.request.slow_action,
                                  state.queued_at,
-                                 state.suspect);
+                                 state.suspect,
+                                 this->weighted_account_of(state.request));
+}
+
+weighted_account
+local_target::weighted_account_of(dispatch_request const & request) const
+{
+    auto const found = this->account_weights.find(request.account);
+    return {request.account,
+            found == this->account_weights.end() ? 1 : found->second};
 }
 
 bool local_target::address_to_current_incarnation(
@@ -316,6 +326,7 @@
     result.reason = to_string(verdict.reason);
     result.refusal = verdict.reason;
     result.retry_after = verdict.retry_after;
+    result.share_used = verdict.share_used;
     result.queue_time = loop_now() - state->queued_at;
     result.load = this->admission.load(loop_now());
     if (auto const done = std::exchange(state->done, nullptr))
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -74,6 +74,18 @@
     this->update_admission();
 }
 
+void local_target::set_accounts(std::vector<client_account> const & accounts)
+{
+    this->account_weights.clear();
+    for (auto const & account : accounts)
+    {
+        if (account.requests_per_second > 0)
+        {
+            this->account_weights[account.name] = account.requests_per_second;
+        }
+    }
+}
+
 void local_target::set_evacuated(bool is_evacuated)
 {
     this->evacuated = is_evacuated;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/request_dispatch.hpp>
 
-#include <algorithm> // clamp, min
+#include <algorithm> // clamp, max, min
 
 #include <absl/strings/str_cat.h> // StrCat
 
@@ -138,11 +138,49 @@
         this->reject("node_stops", default_retry_delay);
         return;
     }
+    if (this->refuse_account_share())
+    {
+        return;
+    }
     this->prepare_message();
     this->arm_deadline();
     this->place();
 }
 
+account_name request_dispatch::name_of_account() const
+{
+    return {};
+}
+
+bool request_dispatch::refuse_account_share()
+{
+    auto const account = this->name_of_account();
+    if (account.value().empty())
+    {
+        return false;
+    }
+    auto const remaining = this->state.account_backoffs.remaining(
+        this->service, account, this->urgency.rank, loop_now());
+    if (remaining)
+    {
+        this->state.metrics.increment("account_share_refusals");
+        this->reject("account_share", *remaining);
+    }
+    return remaining.has_value();
+}
+
+void request_dispatch::record_share_refusal()
+{
+    if (this->share_retry_after)
+    {
+        this->state.account_backoffs.record_refusal(this->service,
+                                                    this->name_of_account(),
+                                                    this->urgency.rank,
+                                                    *this->share_retry_after,
+                                                    loop_now());
+    }
+}
+
 bool request_dispatch::outlives_shutdown() const
 {
     if (!this->state.stopping)
@@ -192,6 +230,7 @@
         this->start_attempt(*chosen);
         return;
     }
+    this->record_share_refusal();
     this->finish_without_answer(
         this->last_reason.empty() ? "no target available" : this->last_reason,
         this->min_retry_after.value_or(default_retry_delay));
@@ -302,6 +341,8 @@
     }
     if (!failed)
     {
+        this->state.account_backoffs.record_answer(
+            this->service, this->name_of_account(), loop_now());
         this->state.record_service_time(*this->route,
                                         result.run_time,
                                         result.load ? result.load->slowdown
@@ -323,6 +364,11 @@
         this->placement_rounds.record_decline(target_attempt->candidate.id,
                                               target_attempt->slow_action);
     }
+    if (result.share_used)
+    {
+        this->share_retry_after = std::max(
+            this->share_retry_after.value_or(duration(0)), result.retry_after);
+    }
     if (result.retry_after > duration(0))
     {
         this->min_retry_after =
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -113,6 +113,7 @@
         sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
         sent.refusal = admission_refusal::crashing;
         sent.target_crashed = true;
+        sent.share_used = true;
         sent.retry_after = milliseconds(70);
         sent.run_time = milliseconds(12);
         target_load load;
@@ -133,6 +134,7 @@
         EXPECT_TRUE(read->from_service);
         EXPECT_TRUE(read->reached_target);
         EXPECT_TRUE(read->target_crashed);
+        EXPECT_TRUE(read->share_used);
         EXPECT_EQ(versions.kinds, sample_sender().versions.kinds);
         ASSERT_TRUE(read->load.has_value());
         EXPECT_EQ(read->load->running, 3U);
@@ -148,6 +150,18 @@
     }
 }
 
+// guards against bytes between nodes of deployments without accounts
+TEST(hop_fields, result_names_no_share_unless_it_is_used)
+{
+    replica_versions versions;
+    auto const message = write_hop_result({}, versions);
+    for (auto const & field : message)
+    {
+        EXPECT_EQ(field.name_string().find("Share"), std::string::npos);
+    }
+    EXPECT_FALSE(read_hop_result(message, versions)->share_used);
+}
+
 TEST(hop_fields, rejects_result_with_unknown_refusal)
 {
     dispatch_result sent;
