Send slow requests to a second target where operators allow it

Change: hedge_policy decides, from a quantile of the route's response times, a bucket of the share of this node's requests, overload, the time left and fresh loads. request_dispatch sends a second attempt beside the first on the path of an attempt after silence. It draws on the shared retry budget and counts toward maxAttempts; the node beside the target refuses it unless it can start at once. Requests with a client account are not hedged, since the second token of the allotment cannot be requested yet (hedge_limit::allotment in request_dispatch::choose_hedge).

--- a/include/endivehinge/detail/gateway/dispatch_request.hpp
+++ b/include/endivehinge/detail/gateway/dispatch_request.hpp
@@ -43,6 +43,9 @@
     std::optional<double> stated_rate;
     // whether a target crashed while it ran the request
     bool suspect = false;
+    // a second attempt beside one in progress; refused unless it can start at
+    // once
+    bool hedge = false;
     slow_target_action slow_action = slow_target_action::start_or_refuse;
 };
 
--- a/include/endivehinge/detail/gateway/gateway_settings.hpp
+++ b/include/endivehinge/detail/gateway/gateway_settings.hpp
@@ -78,6 +78,11 @@
     account_bounds accounts;
     // no roll-outs if empty
     std::optional<rollout_bounds> rollouts;
+    // part of this node's requests that may be sent to a second target while
+    // the first one runs; 0: none
+    double hedge_share = 0;
+    // requests of routes with a shorter latency target are sent once
+    duration hedge_min_target = std::chrono::milliseconds(500);
     // time from the confirmation of a change until it is in force everywhere
     duration configuration_delay = std::chrono::milliseconds(2500);
     // memory that the process may use, in bytes; beyond it the platform kills
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -20,6 +20,7 @@
 #include <endivehinge/detail/gateway/response_registry.hpp>
 #include <endivehinge/policy/account_backoff.hpp>
 #include <endivehinge/policy/account_check.hpp>
+#include <endivehinge/policy/hedge_policy.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
 #include <endivehinge/policy/stop_schedule.hpp>
 #include <endivehinge/policy/target_selector.hpp>
@@ -79,6 +80,7 @@
     traffic_splitter splits;
     target_selector selector;
     account_backoff account_backoffs;
+    hedge_policy hedges;
     response_registry responses;
     local_target target;
     // called when another node sends the versions of its store copies
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -47,6 +47,9 @@
         slow_target_action slow_action = slow_target_action::decline;
         target_runner::cancel_action cancel;
         std::size_t index = 0;
+        time_point started_at;
+        // second attempt beside one in progress
+        bool hedge = false;
         bool finished = false;
     };
 
@@ -73,7 +76,15 @@
     // the account is known and the request was not placed yet
     void admit();
     void place();
-    void start_attempt(chosen_target const & chosen);
+    void start_attempt(chosen_target const & chosen, bool hedge = false);
+    /// @brief starts the timer after which a second attempt is sent
+    void arm_hedge();
+    void send_hedge();
+    /// @brief whether the request may be sent to a second target now
+    /// @param chosen set to the target if so
+    [[nodiscard]] hedge_limit
+    choose_hedge(std::optional<chosen_target> & chosen);
+    void record_hedge_result(attempt const & answered);
     void handle_result(attempt_ptr const & target_attempt,
                        dispatch_result result);
     void handle_silence(attempt_ptr const & target_attempt);
@@ -83,6 +94,7 @@
                         dispatch_result const & result);
     void handle_indeterminate(attempt_ptr const & target_attempt,
                               dispatch_result const & result);
+    void record_overload(admission_refusal refusal);
     void refuse_crashing(dispatch_result const & result);
     [[nodiscard]] bool try_acquire_retry();
     // sends the last answer of a target, or a failure or refusal, unless an
@@ -118,6 +130,8 @@
     duration time_left{0};
     request_urgency urgency;
     boost::asio::steady_timer deadline_timer;
+    boost::asio::steady_timer hedge_timer;
+    bool hedged = false;
     std::vector<attempt_ptr> attempts;
     slow_target_rounds placement_rounds;
     request_attempts progress;
--- a/include/endivehinge/detail/gateway/target_chooser.hpp
+++ b/include/endivehinge/detail/gateway/target_chooser.hpp
@@ -32,10 +32,19 @@
     [[nodiscard]] std::optional<chosen_target>
     choose(service_name const & service, service_route const & route);
 
+    /// @brief selects a target that was not selected before and is known to
+    /// have room for a request that starts at once
+    /// @return no value if there is none
+    [[nodiscard]] std::optional<chosen_target>
+    choose_with_room(service_name const & service, service_route const & route);
+
     /// @brief allows a target to be selected again
     void allow_retry(target_id const & target);
 
 private:
+    [[nodiscard]] std::optional<std::size_t>
+    select(std::vector<target_candidate> const & candidates,
+           service_route const & route) const;
     [[nodiscard]] std::vector<target_entry const *>
     eligible_targets(service_name const & service) const;
     [[nodiscard]] target_candidate candidate_of(target_entry const & entry,
--- a/include/endivehinge/policy/request_attempts.hpp
+++ b/include/endivehinge/policy/request_attempts.hpp
@@ -40,6 +40,12 @@
     /// @pre the attempt is running
     void record_unknown_outcome(std::size_t index, bool arrived);
 
+    /// @brief number of attempts that reached a target or may reach it yet
+    [[nodiscard]] std::uint32_t possible_arrivals() const;
+
+    /// @brief number of attempts whose result may still arrive
+    [[nodiscard]] std::size_t running_count() const;
+
     /// @brief whether a result may still arrive
     [[nodiscard]] bool any_running() const;
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -25,6 +25,15 @@
 // requests that wait for the first configuration of this process and are woken
 // by it; bounds memory
 constexpr std::size_t max_configuration_callbacks = 1024;
+
+hedge_options hedge_options_of(gateway_settings const & settings)
+{
+    hedge_options options;
+    options.share = settings.hedge_share;
+    options.min_latency_target = settings.hedge_min_target;
+    return options;
+}
+
 // from the check of a key to the start at the target, which may need a new
 // connection (250 ms at most)
 constexpr duration target_start_margin = std::chrono::milliseconds(300);
@@ -38,6 +47,7 @@
     , settings(std::move(initial_settings))
     , adapter(codec)
     , log(this->settings.node.value(), STDOUT_FILENO)
+    , hedges(hedge_options_of(this->settings))
     , responses(this->settings.memory_limit / response_memory_divisor)
     , target(loop, this->settings, codec, this->log, this->responses)
     , generator(std::random_device{}())
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -50,6 +50,9 @@
 // it, in a result as it is. Only sent if there is such a rate
 constexpr char const * stated_rate_field = "Endivehinge-Rate";
 
+// in a request: refuse it unless it can start at once. Only sent if so
+constexpr char const * hedge_field = "Endivehinge-Hedge";
+
 // in a result: the request was refused for lack of capacity after its account
 // had used its share. Only sent if so; a field of its own, because earlier
 // versions reject unknown refusals
@@ -239,6 +242,10 @@
     {
         message.set(suspect_field, "1");
     }
+    if (request.hedge)
+    {
+        message.set(hedge_field, "1");
+    }
     if (!request.account.value().empty())
     {
         message.set(account_field, request.account.value());
@@ -294,6 +301,7 @@
     request.stated_rate =
         read_stated_rate(extract_field(message, stated_rate_field));
     request.suspect = !extract_field(message, suspect_field).empty();
+    request.hedge = !extract_field(message, hedge_field).empty();
     request.account = account_name(extract_field(message, account_field));
     if (std::uint64_t digest = 0;
         absl::SimpleHexAtoi(extract_field(message, account_key_field), &digest))
@@ -426,6 +434,7 @@
                                     cold_field,
                                     position_field,
                                     share_used_field,
+                                    hedge_field,
                                     suspect_field,
                                     stated_rate_field,
                                     account_field,
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp> // post
 
 #include <endivehinge/detail/gateway/loop_time.hpp>
+#include <endivehinge/policy/hedge_policy.hpp>
 
 namespace endivehinge::detail
 {
@@ -123,6 +124,12 @@
         return refusal;
     }
     this->adopt_rate_limit(state.request);
+    if (state.request.hedge &&
+        !can_start_at_once(this->admission.load(state.queued_at)))
+    {
+        refusal.reason = admission_refusal::busy;
+        return refusal;
+    }
     auto const status = this->crashes.check(state.request);
     if (status.verdict == quarantine_verdict::crashing)
     {
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -54,6 +54,7 @@
     , client(std::move(incoming))
     , chooser(shared_state)
     , deadline_timer(shared_state.io)
+    , hedge_timer(shared_state.io)
 {
 }
 
@@ -154,6 +155,7 @@
     this->service =
         this->state.splits.choose(*this->route, this->state.random());
     this->state.retry_budget_of(this->service).record_request(loop_now());
+    this->state.hedges.record_request();
     if (this->outlives_shutdown())
     {
         this->reject("node_stops", default_retry_delay);
@@ -336,6 +338,7 @@
     if (chosen)
     {
         this->start_attempt(*chosen);
+        this->arm_hedge();
         return;
     }
     this->record_share_refusal();
@@ -344,7 +347,106 @@
         this->min_retry_after.value_or(default_retry_delay));
 }
 
-void request_dispatch::start_attempt(chosen_target const & chosen)
+void request_dispatch::arm_hedge()
+{
+    auto const delay = this->state.hedges.delay(*this->route);
+    if (!delay || this->hedged)
+    {
+        return;
+    }
+    this->hedge_timer.expires_after(*delay);
+    this->hedge_timer.async_wait(
+        [weak = this->weak_from_this()](boost::system::error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self)
+            {
+                self->send_hedge();
+            }
+        });
+}
+
+void request_dispatch::send_hedge()
+{
+    // after silence a second attempt is in progress already
+    if (this->done || this->hedged || !this->progress.any_confirmed() ||
+        this->progress.running_count() > 1)
+    {
+        return;
+    }
+    std::optional<chosen_target> chosen;
+    auto const limit = this->choose_hedge(chosen);
+    if (limit != hedge_limit::none)
+    {
+        this->state.metrics.increment(
+            absl::StrCat("hedges_refused_", to_string(limit)));
+        return;
+    }
+    this->hedged = true;
+    this->state.hedges.record_hedge();
+    this->state.metrics.increment("hedges_sent");
+    this->state.log.write(
+        "request_hedged",
+        {{"id", this->id},
+         {"route", this->route->name},
+         {"target", chosen->entry.id.value()},
+         {"after_ms",
+          format_milliseconds(loop_now() - this->client->arrival)}});
+    this->start_attempt(*chosen, true);
+}
+
+hedge_limit
+request_dispatch::choose_hedge(std::optional<chosen_target> & chosen)
+{
+    auto const limit =
+        this->state.hedges.check(*this->route,
+                                 this->service,
+                                 this->urgency.deadline - loop_now(),
+                                 this->state.mean_service_time(*this->route),
+                                 loop_now());
+    if (limit != hedge_limit::none)
+    {
+        return limit;
+    }
+    if (!this->name_of_account().value().empty())
+    {
+        // the request took one token of its account's allotment; a second run
+        // needs another one
+        return hedge_limit::allotment;
+    }
+    chosen = this->chooser.choose_with_room(this->service, *this->route);
+    if (!chosen)
+    {
+        return hedge_limit::no_room;
+    }
+    if (this->progress.possible_arrivals() >= this->route->attempts ||
+        !this->try_acquire_retry())
+    {
+        this->chooser.allow_retry(chosen->entry.id);
+        return hedge_limit::retry_budget;
+    }
+    return hedge_limit::none;
+}
+
+void request_dispatch::record_hedge_result(attempt const & answered)
+{
+    for (auto const & other : this->attempts)
+    {
+        // an attempt that is overtaken took at least this long
+        if (!other->hedge && (other.get() == &answered || !other->finished))
+        {
+            this->state.hedges.record_response_time(
+                *this->route, loop_now() - other->started_at);
+        }
+    }
+    if (this->hedged)
+    {
+        this->state.metrics.increment(answered.hedge ? "hedges_won"
+                                                     : "hedges_lost");
+    }
+}
+
+void request_dispatch::start_attempt(chosen_target const & chosen, bool hedge)
 {
     auto const & entry = chosen.entry;
     dispatch_request request;
@@ -367,7 +469,11 @@
     target_attempt->candidate = chosen.candidate;
     target_attempt->index = this->progress.start();
     target_attempt->slow_action =
-        this->placement_rounds.next_action(loop_now());
+        hedge ? slow_target_action::decline
+              : this->placement_rounds.next_action(loop_now());
+    target_attempt->started_at = loop_now();
+    target_attempt->hedge = hedge;
+    request.hedge = hedge;
     request.slow_action = target_attempt->slow_action;
     this->placements.record_placement();
     this->attempts.push_back(target_attempt);
@@ -427,7 +533,8 @@
     silence.reason = "no sign of the request from its node";
     this->trace.add(target_attempt->candidate, silence, "silent");
     this->progress.record_silence(target_attempt->index);
-    if (this->route->idempotent && this->try_acquire_retry())
+    if (!this->progress.any_confirmed() && this->route->idempotent &&
+        this->try_acquire_retry())
     {
         this->place();
     }
@@ -455,6 +562,7 @@
     }
     if (!failed)
     {
+        this->record_hedge_result(*target_attempt);
         this->state.account_backoffs.record_answer(
             this->service, this->name_of_account(), loop_now());
         this->state.record_service_time(*this->route,
@@ -472,7 +580,15 @@
     this->trace.add(target_attempt->candidate, result, "refused");
     this->progress.record_refusal(target_attempt->index, result.reached_target);
     this->last_reason = result.reason;
-    this->placements.record_refusal(result.refusal);
+    if (target_attempt->hedge)
+    {
+        this->state.metrics.increment("hedges_refused_by_target");
+    }
+    else
+    {
+        this->placements.record_refusal(result.refusal);
+        this->record_overload(result.refusal);
+    }
     if (result.refusal == admission_refusal::slow)
     {
         this->placement_rounds.record_decline(target_attempt->candidate.id,
@@ -508,6 +624,16 @@
     this->place();
 }
 
+void request_dispatch::record_overload(admission_refusal refusal)
+{
+    if (refusal == admission_refusal::busy ||
+        refusal == admission_refusal::cold ||
+        refusal == admission_refusal::limited)
+    {
+        this->state.hedges.record_overload(this->service, loop_now());
+    }
+}
+
 void request_dispatch::handle_indeterminate(attempt_ptr const & target_attempt,
                                             dispatch_result const & result)
 {
@@ -613,6 +739,7 @@
     }
     this->done = true;
     this->deadline_timer.cancel();
+    this->hedge_timer.cancel();
     this->cancel_attempts();
     this->log_result("client_left", 0);
 }
@@ -637,6 +764,7 @@
     }
     this->done = true;
     this->deadline_timer.cancel();
+    this->hedge_timer.cancel();
     this->cancel_attempts();
     unsigned const status = message.result_int();
     message.keep_alive(true);
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -26,15 +26,7 @@
     {
         candidates.push_back(this->candidate_of(*entry, now));
     }
-    placement_request const request{this->state.mean_service_time(route),
-                                    route.latency_target};
-    auto const selected =
-        this->state.selector.choose(candidates,
-                                    request,
-                                    [this]
-                                    {
-                                        return this->state.random();
-                                    });
+    auto const selected = this->select(candidates, route);
     // if all targets appear closed, one is selected at random, since it may
     // have opened after its load was received
     auto const index = selected.value_or(static_cast<std::size_t>(
@@ -43,6 +35,45 @@
     return chosen_target{*targets[index], candidates[index]};
 }
 
+std::optional<chosen_target>
+target_chooser::choose_with_room(service_name const & service,
+                                 service_route const & route)
+{
+    auto const now = loop_now();
+    std::vector<target_entry const *> targets;
+    std::vector<target_candidate> candidates;
+    for (auto const * const entry : this->eligible_targets(service))
+    {
+        auto candidate = this->candidate_of(*entry, now);
+        if (this->state.hedges.has_room(candidate))
+        {
+            targets.push_back(entry);
+            candidates.push_back(std::move(candidate));
+        }
+    }
+    auto const index = this->select(candidates, route);
+    if (!index)
+    {
+        return std::nullopt;
+    }
+    this->attempted_targets.insert(targets[*index]->id);
+    return chosen_target{*targets[*index], candidates[*index]};
+}
+
+std::optional<std::size_t>
+target_chooser::select(std::vector<target_candidate> const & candidates,
+                       service_route const & route) const
+{
+    placement_request const request{this->state.mean_service_time(route),
+                                    route.latency_target};
+    return this->state.selector.choose(candidates,
+                                       request,
+                                       [this]
+                                       {
+                                           return this->state.random();
+                                       });
+}
+
 void target_chooser::allow_retry(target_id const & target)
 {
     this->attempted_targets.erase(target);
--- a/src/policy/request_attempts.cpp
+++ b/src/policy/request_attempts.cpp
@@ -64,6 +64,28 @@
                        });
 }
 
+std::uint32_t request_attempts::possible_arrivals() const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        this->attempts.begin(),
+        this->attempts.end(),
+        [](attempt const & entry)
+        {
+            return entry.arrived || entry.current == state::running;
+        }));
+}
+
+std::size_t request_attempts::running_count() const
+{
+    return static_cast<std::size_t>(std::count_if(this->attempts.begin(),
+                                                  this->attempts.end(),
+                                                  [](attempt const & entry)
+                                                  {
+                                                      return entry.current ==
+                                                             state::running;
+                                                  }));
+}
+
 std::uint32_t request_attempts::arrivals() const
 {
     return static_cast<std::uint32_t>(std::count_if(this->attempts.begin(),
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -62,6 +62,7 @@
     settings.report_listener = this->reserve_address();
     settings.store = this->store.address();
     settings.seeds = this->seeds;
+    settings.hedge_share = this->hedge_share;
     settings.bounds.retry_burst = 100;
     settings.accounts = this->account_bounds;
     auto adapters = platform::make_adapters(settings);
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -90,6 +90,8 @@
     store_stand_in store;
     std::vector<std::unique_ptr<fleet_member>> members;
     int route_attempts = 2;
+    // in the settings of each new node
+    double hedge_share = 0;
     // seeds in the settings of each new node
     std::vector<endpoint> seeds;
     // written by configure(); no client accounts if null
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -30,6 +30,7 @@
         2, now_time + milliseconds(300), now_time + milliseconds(900)};
     request.idempotent = true;
     request.suspect = true;
+    request.hedge = true;
     request.stated_rate = 3.25;
     request.slow_action = slow_target_action::start_or_refuse;
     request.account = account_name("pulo780");
@@ -66,6 +67,7 @@
     EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
     EXPECT_TRUE(read->idempotent);
     EXPECT_TRUE(read->suspect);
+    EXPECT_TRUE(read->hedge);
     EXPECT_EQ(read->stated_rate, 3.25);
     EXPECT_EQ(read->slow_action, slow_target_action::start_or_refuse);
     EXPECT_EQ(read->account, account_name("pulo780"));
