--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -48,6 +48,9 @@
         slow_target_action slow_action = slow_target_action::decline;
         target_runner::cancel_action cancel;
         std::size_t index = 0;
+        time_point started_at;
+        // second attempt beside one in progress
+        bool hedge = false;
         bool finished = false;
     };
 
@@ -58,6 +61,14 @@
     void wait_for_configuration(time_point end);
     void route_request();
     [[nodiscard]] bool outlives_shutdown() const;
+    /// @brief the client account of the request; empty if it has none
+    [[nodiscard]] account_name name_of_account() const;
+    /// @brief refuses the request if the service has no capacity for its
+    /// account at present
+    /// @return whether it was refused
+    [[nodiscard]] bool refuse_account_share();
+    /// @brief records that no target had capacity for the account
+    void record_share_refusal();
     void prepare_message();
     /// @brief whether the request may run under the active configuration;
     /// refuses it otherwise. Sets its account
@@ -69,7 +80,15 @@
     // gives back the token of a request that ran nowhere
     void release_token();
     void place();
-    void start_attempt(chosen_target const & chosen);
+    void start_attempt(chosen_target const & chosen, bool hedge = false);
+    /// @brief starts the timer after which a second attempt is sent
+    void arm_hedge();
+    void send_hedge();
+    /// @brief whether the request may be sent to a second target now
+    /// @param chosen set to the target if so
+    [[nodiscard]] hedge_limit
+    choose_hedge(std::optional<chosen_target> & chosen);
+    void record_hedge_result(attempt const & answered);
     void handle_result(attempt_ptr const & target_attempt,
                        dispatch_result result);
     void handle_silence(attempt_ptr const & target_attempt);
@@ -79,6 +98,7 @@
                         dispatch_result const & result);
     void handle_indeterminate(attempt_ptr const & target_attempt,
                               dispatch_result const & result);
+    void record_overload(admission_refusal refusal);
     void refuse_crashing(dispatch_result const & result);
     [[nodiscard]] bool try_acquire_retry();
     // sends the last answer of a target, or a failure or refusal, unless an
@@ -119,6 +139,8 @@
     duration time_left{0};
     request_urgency urgency;
     boost::asio::steady_timer deadline_timer;
+    boost::asio::steady_timer hedge_timer;
+    bool hedged = false;
     std::vector<attempt_ptr> attempts;
     slow_target_rounds placement_rounds;
     request_attempts progress;
@@ -126,6 +148,8 @@
     // attempts during which the target crashed
     std::uint32_t crashed_targets = 0;
     std::optional<duration> min_retry_after;
+    // set if a target refused the request since its account had used its share
+    std::optional<duration> share_retry_after;
     std::string last_reason;
     // failure response of a target, sent if no further attempt succeeds
     std::optional<response_message> fallback_response;
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -50,6 +50,14 @@
 // it, in a result as it is. Only sent if there is such a rate
 constexpr char const * stated_rate_field = "Endivehinge-Rate";
 
+// in a request: refuse it unless it can start at once. Only sent if so
+constexpr char const * hedge_field = "Endivehinge-Hedge";
+
+// in a result: the request was refused for lack of capacity after its account
+// had used its share. Only sent if so; a field of its own, because earlier
+// versions reject unknown refusals
+constexpr char const * share_used_field = "Endivehinge-Share-Used";
+
 // name of the client account and digest of its key. Only sent if there is an
 // account; earlier versions ignore them, and the message names the account, too
 constexpr char const * account_field = "Endivehinge-Account";
@@ -234,6 +242,10 @@
     {
         message.set(suspect_field, "1");
     }
+    if (request.hedge)
+    {
+        message.set(hedge_field, "1");
+    }
     if (!request.account.value().empty())
     {
         message.set(account_field, request.account.value());
@@ -289,6 +301,7 @@
     request.stated_rate =
         read_stated_rate(extract_field(message, stated_rate_field));
     request.suspect = !extract_field(message, suspect_field).empty();
+    request.hedge = !extract_field(message, hedge_field).empty();
     request.account = account_name(extract_field(message, account_field));
     if (std::uint64_t digest = 0;
         absl::SimpleHexAtoi(extract_field(message, account_key_field), &digest))
@@ -345,6 +358,10 @@
     {
         message.set(suspect_field, "1");
     }
+    if (result.share_used)
+    {
+        message.set(share_used_field, "1");
+    }
     if (result.load)
     {
         message.set(load_field, write_load(*result.load));
@@ -387,6 +404,7 @@
     versions = read_versions(
         numbers, result_number_count, extract_field(message, position_field));
     result.reason = extract_field(message, reason_field);
+    result.share_used = !extract_field(message, share_used_field).empty();
     result.target_crashed = !extract_field(message, suspect_field).empty();
     result.load = read_load(extract_field(message, load_field));
     auto const cold = extract_field(message, cold_field);
@@ -415,6 +433,8 @@
                                     load_field,
                                     cold_field,
                                     position_field,
+                                    share_used_field,
+                                    hedge_field,
                                     suspect_field,
                                     stated_rate_field,
                                     account_field,
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -58,6 +58,7 @@
     }
     settings.store = this->store.address();
     settings.seeds = this->seeds;
+    settings.hedge_share = this->hedge_share;
     settings.bounds.retry_burst = 100;
     settings.accounts = this->account_bounds;
     this->start_node(*member, std::move(settings));
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -30,6 +30,7 @@
         2, now_time + milliseconds(300), now_time + milliseconds(900)};
     request.idempotent = true;
     request.suspect = true;
+    request.hedge = true;
     request.stated_rate = 3.25;
     request.slow_action = slow_target_action::start_or_refuse;
     request.account = account_name("pulo780");
@@ -66,6 +67,7 @@
     EXPECT_EQ(read->urgency.deadline, sent.urgency.deadline);
     EXPECT_TRUE(read->idempotent);
     EXPECT_TRUE(read->suspect);
+    EXPECT_TRUE(read->hedge);
     EXPECT_EQ(read->stated_rate, 3.25);
     EXPECT_EQ(read->slow_action, slow_target_action::start_or_refuse);
     EXPECT_EQ(read->account, account_name("pulo780"));
@@ -135,6 +137,7 @@
         sent.reason = outcome == dispatch_outcome::answered ? "" : "busy";
         sent.refusal = admission_refusal::crashing;
         sent.target_crashed = true;
+        sent.share_used = true;
         sent.retry_after = milliseconds(70);
         sent.run_time = milliseconds(12);
         target_load load;
@@ -155,6 +158,7 @@
         EXPECT_TRUE(read->from_service);
         EXPECT_TRUE(read->reached_target);
         EXPECT_TRUE(read->target_crashed);
+        EXPECT_TRUE(read->share_used);
         EXPECT_EQ(versions.kinds, sample_sender().versions.kinds);
         ASSERT_TRUE(read->load.has_value());
         EXPECT_EQ(read->load->running, 3U);
@@ -170,6 +174,18 @@
     }
 }
 
+// guards against bytes between nodes of deployments without accounts
+TEST(hop_fields, result_names_no_share_unless_it_is_used)
+{
+    replica_versions versions;
+    auto const message = write_hop_result({}, versions);
+    for (auto const & field : message)
+    {
+        EXPECT_EQ(field.name_string().find("Share"), std::string::npos);
+    }
+    EXPECT_FALSE(read_hop_result(message, versions)->share_used);
+}
+
 TEST(hop_fields, rejects_result_with_unknown_refusal)
 {
     dispatch_result sent;
