--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -7,6 +7,8 @@
 #include <string>     // string
 #include <vector>     // vector
 
+#include <absl/container/flat_hash_map.h> // flat_hash_map
+
 #include <endivehinge/coordination/object_copy.hpp>
 #include <endivehinge/coordination/restored_list_merge.hpp>
 #include <endivehinge/core/clock.hpp>
@@ -44,10 +46,12 @@
         std::function<void()> settling;
     };
 
+    /// @param replicate_rollouts whether roll-outs are in force
     fleet_replica(fleet_view & decoded_view,
                   store_adapter const & codec,
                   event_log & events,
-                  node_name own_node);
+                  node_name own_node,
+                  bool replicate_rollouts);
 
     /// @brief sets the callbacks for changes
     void on_change(handlers new_callbacks);
@@ -75,6 +79,9 @@
     /// @brief the versions of the copies and of the active configuration
     [[nodiscard]] replica_versions versions() const;
 
+    /// @brief the version of the copy of one kind
+    [[nodiscard]] object_version version_of(object_kind kind) const;
+
     /// @brief the stored object of a node's target, or null
     [[nodiscard]] replicated_object const *
     find_target(node_name const & name) const;
@@ -124,6 +131,12 @@
                               std::string const & source);
     void decode_evacuations(object_changes const & updates,
                             std::string const & source);
+    void decode_rollouts(object_changes const & updates,
+                         std::string const & source);
+    void decode_rollout(replicated_object const & object,
+                        std::string const & source);
+    void log_rollout(known_rollout const & known,
+                     std::string const & source) const;
     void decode_targets(object_changes const & updates);
     void decode_target(replicated_object const & object,
                        object_version version);
@@ -132,9 +145,21 @@
     store_adapter const & adapter;
     event_log & log;
     node_name node;
+    bool follows_rollouts;
     handlers callbacks;
     std::array<object_copy, object_kind_count> copies;
     std::array<restored_list_merge, object_kind_count> merges;
+
+    struct rollout_conclusion
+    {
+        rollout_status status;
+        // of the store's answer that contained it
+        store_era era;
+    };
+
+    // the conclusions that the store showed; after a restore from a copy
+    // without them they stay in force
+    absl::flat_hash_map<service_name, rollout_conclusion> conclusions;
     // when the last restored list of targets was applied
     time_point targets_restored_at;
     // name of the object that holds the configuration
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -16,6 +16,7 @@
 #include <endivehinge/detail/gateway/readiness_service.hpp>
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/report_service.hpp>
+#include <endivehinge/detail/gateway/rollout_control.hpp>
 
 namespace endivehinge::detail
 {
@@ -32,12 +33,13 @@
         , adapters(std::move(platform_adapters))
         , state(io, std::move(initial_settings), *adapters.messages)
         , replicas(state, *adapters.store)
+        , rollouts(state, replicas)
         , clients(state)
-        , peers(state, replicas)
+        , peers(state, replicas, rollouts)
         , crash_reports(state)
         , readiness(state)
         , reports(state, *adapters.reports, replicas)
-        , metrics(state)
+        , metrics(state, rollouts)
         , client_listener(io, clients)
         , peer_listener(io, peers)
         , readiness_listener(io, readiness)
@@ -64,6 +66,7 @@
     gateway_adapters adapters;
     gateway_state state;
     replica_sync replicas;
+    rollout_control rollouts;
     client_service clients;
     peer_service peers;
     crash_report_sender crash_reports;
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -18,6 +18,8 @@
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/peer_node.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
+#include <endivehinge/detail/gateway/rollout_participant.hpp>
+#include <endivehinge/detail/gateway/rollout_routing.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
 #include <endivehinge/policy/stop_schedule.hpp>
 #include <endivehinge/policy/target_selector.hpp>
@@ -69,6 +71,11 @@
     fleet_view fleet;
     traffic_splitter splits;
     target_selector selector;
+    // null where roll-outs are not in force
+    std::unique_ptr<rollout_routing> rollouts;
+    // the part of this node's target in the roll-out of its service; null where
+    // roll-outs are not in force
+    std::unique_ptr<rollout_participant> own_rollout;
     response_registry responses;
     local_target target;
     // called when another node sends the versions of its store copies
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -15,6 +15,7 @@
 #include <endivehinge/detail/gateway/health_prober.hpp>
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/report_adapter.hpp>
+#include <endivehinge/detail/gateway/rollout_participant.hpp>
 #include <endivehinge/detail/gateway/target_crash_monitor.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
@@ -54,6 +55,14 @@
     /// @brief sets whether the target's failure domain is evacuated
     void set_evacuated(bool is_evacuated);
 
+    /// @brief sets the gate for versions of the target; null: none
+    /// @param participant must outlive this object
+    void set_rollout(rollout_participant * participant);
+
+    /// @brief the report of this target to the coordinator of a roll-out
+    /// @pre set_rollout() was called with a participant
+    [[nodiscard]] rollout_counts rollout_report() const;
+
     /// @brief starts periodic health probes
     /// @pre called once
     void start_probing();
@@ -99,6 +108,15 @@
     address_to_current_incarnation(dispatch_request & request) const;
     /// @brief decides whether the request may wait for a start
     [[nodiscard]] target_admission_verdict admit(request_state & state);
+    /// @brief whether the version of the target may get requests now
+    [[nodiscard]] bool is_version_open() const;
+    /// @brief the version that the target stated; empty while it is known from
+    /// a health probe only
+    [[nodiscard]] std::optional<software_version> stated_version() const;
+    void record_rollout_response(request_state const & state,
+                                 duration run_time,
+                                 bool failed);
+    void record_rollout_loss(request_state const & state);
     void start(admission_ticket ticket);
     void
     send(admission_ticket ticket, state_pointer const & state, bool force_new);
@@ -155,6 +173,8 @@
     target_admission_policy admission;
     target_incarnation_tracker identity;
     std::optional<service_properties> properties;
+    // null where roll-outs are not in force
+    rollout_participant * rollout = nullptr;
     bool evacuated = false;
     time_point cold_until;
     std::function<void()> entry_change_action;
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -5,6 +5,7 @@
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/request_handler.hpp>
+#include <endivehinge/detail/gateway/rollout_control.hpp>
 
 namespace endivehinge::detail
 {
@@ -14,7 +15,9 @@
 class peer_service final : public request_handler
 {
 public:
-    peer_service(gateway_state & shared_state, replica_sync & sync);
+    peer_service(gateway_state & shared_state,
+                 replica_sync & sync,
+                 rollout_control & service_rollout);
 
     void handle(std::shared_ptr<exchange> incoming) override;
 
@@ -28,6 +31,7 @@
 
     gateway_state & state;
     replica_sync & replicas;
+    rollout_control & rollout;
     time_point started_at;
     in_flight_request_table in_flight_requests;
 };
--- a/include/endivehinge/detail/gateway/replica_exchange.hpp
+++ b/include/endivehinge/detail/gateway/replica_exchange.hpp
@@ -16,8 +16,11 @@
 /// @brief changes to the store copies that one node sends to another
 struct replica_exchange
 {
-    // indexed by object_kind; version 0: the requester's copy is up to date
+    // indexed by object_kind, without the roll-outs; version 0: the
+    // requester's copy is up to date
     std::array<object_changes, 3> kinds;
+    // the same for the roll-outs; empty if the requester replicates none
+    std::optional<object_changes> rollouts;
     // since the last response of the store to this node or to the node that it
     // replicates from
     duration age{0};
@@ -26,6 +29,7 @@
     // kinds whose changes this node has no capacity to send; the requester
     // reads them from the store
     std::array<bool, 3> deferred{};
+    bool rollouts_deferred = false;
 
     /// @brief the length of the objects to send, in bytes
     /// @note thread safety: const; any thread
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>    // uint64_t
 #include <functional> // function
+#include <memory>     // shared_ptr
 #include <optional>   // optional
 #include <string>     // string
 #include <vector>     // vector
@@ -16,6 +17,7 @@
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 #include <endivehinge/detail/gateway/gateway_state.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
+#include <endivehinge/detail/gateway/rollout_write.hpp>
 #include <endivehinge/detail/gateway/store_era_reader.hpp>
 #include <endivehinge/detail/gateway/store_restore_log.hpp>
 #include <endivehinge/detail/gateway/store_session.hpp>
@@ -55,7 +57,22 @@
     /// @brief responds to another node's request for changes
     void serve(exchange & incoming);
 
+    /// @brief writes the status of a roll-out, once
+    /// @param base the entry whose version is the condition of the write
+    /// @param done called once
+    void write_rollout_status(
+        rollout_entry const & base,
+        rollout_status const & status,
+        std::function<void(rollout_write_result const &)> done);
+
+    /// @brief whether this node, or the node that it replicates from, reaches
+    /// the store
+    [[nodiscard]] bool has_store_contact() const;
+
 private:
+    [[nodiscard]] bool follows_rollouts() const;
+    [[nodiscard]] rollout_write_result
+    read_write_response(call_result const & result);
     void learn_eras(replica_versions const & versions);
     void on_era_rise();
     [[nodiscard]] bool
@@ -96,7 +113,6 @@
     [[nodiscard]] bool
     needs_configuration(replica_versions const & requester) const;
     void arm_settle_timer();
-    [[nodiscard]] bool has_store_contact() const;
     [[nodiscard]] bool is_in_local_domain(endpoint const & peer) const;
     [[nodiscard]] duration contact_age() const;
 
@@ -107,6 +123,8 @@
     store_restore_log restores;
     fleet_replica replica;
     store_snapshot_reader snapshot;
+    // expires with this object; calls that end later are ignored
+    std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
     // limits the responses of serve()
     transfer_budget budget;
     store_session session;
--- a/include/endivehinge/detail/gateway/replica_versions.hpp
+++ b/include/endivehinge/detail/gateway/replica_versions.hpp
@@ -1,9 +1,10 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_VERSIONS_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_VERSIONS_HPP
 
-#include <array>   // array
-#include <cstddef> // size_t
-#include <cstdint> // uint64_t
+#include <array>    // array
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <optional> // optional
 
 #include <endivehinge/core/ids.hpp>
 
@@ -13,8 +14,10 @@
 /// @brief what a node's store copies reflect
 struct replica_versions
 {
-    // indexed by object_kind
+    // indexed by object_kind, without the roll-outs
     std::array<object_version, 3> kinds;
+    // the copy of the roll-outs; empty if the node replicates none
+    std::optional<object_version> rollouts;
     // the operators' version of the active configuration; 0: none. A restored
     // store may hold an earlier one at a newer position
     std::uint64_t configuration_version = 0;
@@ -31,6 +34,12 @@
                 return true;
             }
         }
+        // a node without roll-outs never takes any
+        if (this->rollouts && other.rollouts &&
+            *this->rollouts > *other.rollouts)
+        {
+            return true;
+        }
         return this->configuration_version > other.configuration_version;
     }
 
--- a/include/endivehinge/detail/gateway/store_adapter.hpp
+++ b/include/endivehinge/detail/gateway/store_adapter.hpp
@@ -10,6 +10,7 @@
 #include <endivehinge/core/failure.hpp>
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
+#include <endivehinge/policy/rollout_entry.hpp>
 #include <endivehinge/policy/routing_configuration.hpp>
 #include <endivehinge/policy/target_entry.hpp>
 
@@ -22,15 +23,18 @@
     configuration, // the operators' routes and services
     evacuations,   // one object per evacuated failure domain
     targets,       // one object per node's target, written by the nodes
+    // one order per service with its status; read only where the settings have
+    // bounds for roll-outs
+    rollouts,
 };
 
-constexpr std::size_t object_kind_count = 3;
+constexpr std::size_t object_kind_count = 4;
 
 /// @brief the stable name of a kind, used in logs
 [[nodiscard]] constexpr char const * to_string(object_kind kind)
 {
     constexpr char const * names[object_kind_count] = {
-        "configuration", "evacuations", "targets"};
+        "configuration", "evacuations", "targets", "rollouts"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -86,6 +90,15 @@
     [[nodiscard]] virtual request_message
     remove_request(node_name const & node, object_version expected) const = 0;
 
+    /// @brief request to replace the status of a service's roll-out; the order
+    /// stays
+    /// @param expected the version to replace; the store rejects any other with
+    /// a response that contains the object
+    [[nodiscard]] virtual request_message
+    status_request(service_name const & service,
+                   object_version expected,
+                   rollout_status const & status) const = 0;
+
     /// @brief the era that an answer states, whatever its status
     /// @return nullopt if it states none, or none that can be read
     [[nodiscard]] virtual std::optional<store_era>
@@ -93,13 +106,21 @@
 
     /// @param era the era that the positions in the body belong to
     /// @param reason invalid_message if the body is malformed
-    [[nodiscard]] virtual std::optional<store_page> read_page(
-        std::string const & body, store_era era, failure & reason) const = 0;
+    /// @note the content of an object is its spec; that of a roll-out holds its
+    /// status as well
+    [[nodiscard]] virtual std::optional<store_page>
+    read_page(object_kind kind,
+              std::string const & body,
+              store_era era,
+              failure & reason) const = 0;
 
     /// @brief reads the object from the response to a write
     /// @param era the era that the positions in the body belong to
-    [[nodiscard]] virtual std::optional<replicated_object> read_object(
-        std::string const & body, store_era era, failure & reason) const = 0;
+    [[nodiscard]] virtual std::optional<replicated_object>
+    read_object(object_kind kind,
+                std::string const & body,
+                store_era era,
+                failure & reason) const = 0;
 
     /// @param reason invalid_configuration if the content is invalid
     [[nodiscard]] virtual std::optional<routing_configuration>
@@ -110,6 +131,12 @@
     [[nodiscard]] virtual std::optional<target_entry>
     read_target(replicated_object const & object, failure & reason) const = 0;
 
+    /// @brief reads an order and its status; a status that is absent or
+    /// malformed counts as none
+    /// @param reason invalid_message if the order is malformed
+    [[nodiscard]] virtual std::optional<rollout_entry>
+    read_rollout(replicated_object const & object, failure & reason) const = 0;
+
     /// @brief whether an object of kind configuration is the active one
     [[nodiscard]] virtual bool
     is_current_configuration(replicated_object const & object) const = 0;
--- a/include/endivehinge/detail/gateway/store_session.hpp
+++ b/include/endivehinge/detail/gateway/store_session.hpp
@@ -26,12 +26,15 @@
 class store_session
 {
 public:
+    /// @param kinds_to_follow contains the configuration, which shows whether
+    /// the store responds
     store_session(boost::asio::io_context & loop,
                   upstream & connections,
                   store_adapter const & codec,
                   event_log & events,
                   store_era_reader & era_reader,
                   fleet_replica & local_replica,
+                  std::vector<object_kind> kinds_to_follow,
                   std::function<double()> random_source);
 
     /// @brief starts replicating; does nothing if already active
@@ -86,7 +89,7 @@
               void (store_session::*on_response)(object_kind,
                                                  call_result const &));
     [[nodiscard]] std::optional<store_page>
-    read_page(call_result const & result);
+    read_page(object_kind kind, call_result const & result);
     void record_success();
     void record_failure(object_kind kind, std::string const & reason);
     void cancel_calls();
@@ -97,6 +100,7 @@
     event_log & log;
     store_era_reader & eras;
     fleet_replica & replica;
+    std::vector<object_kind> followed_kinds;
     std::function<double()> random;
     boost::asio::steady_timer retry_timer;
     std::array<kind_state, object_kind_count> kinds;
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -34,7 +34,7 @@
     /// progress
     /// @param wanted_kinds indexed by object_kind
     /// @param freshness of the configuration and evacuations; targets may
-    /// always be stale
+    /// always be stale, roll-outs never
     /// @param done called once, after the last response or failure, if any kind
     /// is read
     void read(std::array<bool, object_kind_count> const & wanted_kinds,
@@ -44,8 +44,8 @@
 private:
     void list(object_kind kind, std::string const & after);
     void on_response(object_kind kind, call_result const & result);
-    [[nodiscard]] std::optional<store_page>
-    read_page(call_result const & result, std::string & detail);
+    [[nodiscard]] std::optional<store_page> read_page(
+        object_kind kind, call_result const & result, std::string & detail);
     void finish(object_kind kind);
     [[nodiscard]] read_freshness freshness_of(object_kind kind) const;
 
--- a/include/endivehinge/detail/gateway/target_chooser.hpp
+++ b/include/endivehinge/detail/gateway/target_chooser.hpp
@@ -37,12 +37,14 @@
 
 private:
     [[nodiscard]] std::vector<target_entry const *>
-    eligible_targets(service_name const & service) const;
+    eligible_targets(service_name const & service);
     [[nodiscard]] target_candidate candidate_of(target_entry const & entry,
                                                 time_point now) const;
 
     gateway_state & state;
     absl::flat_hash_set<target_id> attempted_targets;
+    // decides which version the request is sent to during a roll-out
+    std::optional<double> version_draw;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/policy/target_entry.hpp
+++ b/include/endivehinge/policy/target_entry.hpp
@@ -30,6 +30,8 @@
     service_name service;
     failure_domain domain;
     target_state state = target_state::ready;
+    // what the target runs; empty if unknown or if roll-outs are not in force
+    software_version version;
     // requests that the target runs concurrently
     std::uint32_t slots = 0;
     // requests that crash the targets of the service
@@ -39,8 +41,8 @@
     {
         return a.node == b.node && a.peer == b.peer && a.id == b.id &&
                a.service == b.service && a.domain == b.domain &&
-               a.state == b.state && a.slots == b.slots &&
-               a.crashing_requests == b.crashing_requests;
+               a.state == b.state && a.version == b.version &&
+               a.slots == b.slots && a.crashing_requests == b.crashing_requests;
     }
 };
 
--- a/include/endivehinge/policy/target_status_report.hpp
+++ b/include/endivehinge/policy/target_status_report.hpp
@@ -19,6 +19,8 @@
     endpoint address;
     service_name service;
     failure_domain domain;
+    // empty if the report states none
+    software_version version;
     std::uint32_t slots = 0;
     target_state state = target_state::ready;
     // increases with each report of an incarnation; identifies late reports
--- a/src/gateway/entry_publisher.cpp
+++ b/src/gateway/entry_publisher.cpp
@@ -183,8 +183,8 @@
         return;
     }
     failure reason;
-    auto const object =
-        this->adapter.read_object(result.response.body(), *era, reason);
+    auto const object = this->adapter.read_object(
+        object_kind::targets, result.response.body(), *era, reason);
     if (http::to_status_class(status) != http::status_class::successful)
     {
         if (status == http::status::not_found)
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/fleet_replica.hpp>
 
-#include <algorithm> // find_if, min, remove_if
+#include <algorithm> // find, find_if, min, remove_if
 #include <memory>    // make_shared
 
 #include <absl/strings/str_cat.h>  // StrCat
@@ -41,19 +41,63 @@
     return options;
 }
 
+bool is_concluded(std::optional<rollout_status> const & status)
+{
+    return status && (status->state == rollout_state::completed ||
+                      status->state == rollout_state::rolled_back);
+}
+
+/// @brief what a node knows of a roll-out if the store returned from a copy
+/// that may lack its conclusion
+known_rollout restore_conclusion(rollout_entry const & listed,
+                                 rollout_status const & conclusion)
+{
+    known_rollout known{listed, true};
+    auto & status = known.entry.status;
+    if (is_concluded(status) &&
+        status->target_version == conclusion.target_version)
+    {
+        return known;
+    }
+    auto const & version = conclusion.target_version;
+    if (listed.order.target_version == version)
+    {
+        status = conclusion;
+        known.is_conclusion_stored = false;
+        return known;
+    }
+    // a later order: the next status of its coordinator keeps what the
+    // conclusion excludes
+    if (!status || status->target_version != listed.order.target_version)
+    {
+        status = conclusion;
+    }
+    else if (conclusion.state == rollout_state::rolled_back &&
+             std::find(status->excluded.begin(),
+                       status->excluded.end(),
+                       version) == status->excluded.end())
+    {
+        status->excluded.push_back(version);
+    }
+    return known;
+}
+
 } // namespace
 
 fleet_replica::fleet_replica(fleet_view & decoded_view,
                              store_adapter const & codec,
                              event_log & events,
-                             node_name own_node)
+                             node_name own_node,
+                             bool replicate_rollouts)
     : view(decoded_view)
     , adapter(codec)
     , log(events)
     , node(std::move(own_node))
+    , follows_rollouts(replicate_rollouts)
     , merges{restored_list_merge(merge_options(object_kind::configuration)),
              restored_list_merge(merge_options(object_kind::evacuations)),
-             restored_list_merge(merge_options(object_kind::targets))}
+             restored_list_merge(merge_options(object_kind::targets)),
+             restored_list_merge(merge_options(object_kind::rollouts))}
 {
 }
 
@@ -143,10 +187,14 @@
 replica_versions fleet_replica::versions() const
 {
     replica_versions versions;
-    for (std::size_t i = 0; i < object_kind_count; ++i)
+    for (std::size_t i = 0; i < versions.kinds.size(); ++i)
     {
         versions.kinds[i] = this->copies[i].version();
     }
+    if (this->follows_rollouts)
+    {
+        versions.rollouts = this->version_of(object_kind::rollouts);
+    }
     if (auto const & active = this->view.configuration())
     {
         versions.configuration_version = active->version;
@@ -154,6 +202,11 @@
     return versions;
 }
 
+object_version fleet_replica::version_of(object_kind kind) const
+{
+    return this->copy_of(kind).version();
+}
+
 object_changes fleet_replica::changes_since(object_kind kind,
                                             object_version base_version) const
 {
@@ -223,6 +276,11 @@
                                           object_changes const & changes,
                                           std::string const & source)
 {
+    if (kind == object_kind::rollouts)
+    {
+        // conclusions outlast a restore by themselves, see decode_rollout()
+        return this->apply_to_copy(kind, changes, source);
+    }
     auto & copy = this->copy_of(kind);
     bool const is_restored = changes.complete &&
                              copy.version() != object_version() &&
@@ -385,6 +443,11 @@
                            object_changes const & updates,
                            std::string const & source)
 {
+    if (kind == object_kind::rollouts)
+    {
+        this->decode_rollouts(updates, source);
+        return;
+    }
     if (updates.objects.empty())
     {
         return;
@@ -492,6 +555,86 @@
     this->callbacks.evacuations();
 }
 
+void fleet_replica::decode_rollouts(object_changes const & updates,
+                                    std::string const & source)
+{
+    if (updates.version == object_version())
+    {
+        return;
+    }
+    // a copy has a position only after a complete list
+    this->view.set_rollouts_known();
+    for (auto const & object : updates.objects)
+    {
+        this->decode_rollout(object, source);
+    }
+}
+
+void fleet_replica::decode_rollout(replicated_object const & object,
+                                   std::string const & source)
+{
+    service_name const service(object.name);
+    auto const conclusion = this->conclusions.find(service);
+    bool const is_restored = conclusion != this->conclusions.end() &&
+                             conclusion->second.era < object.version.era();
+    failure reason;
+    auto entry = object.deleted ? std::nullopt
+                                : this->adapter.read_rollout(object, reason);
+    if (!entry)
+    {
+        this->log.write(object.deleted ? "rollout_removed"
+                                       : "rollout_unreadable",
+                        {{"service", object.name},
+                         {"reason", reason.describe()},
+                         {"from", source}});
+        if (!is_restored)
+        {
+            this->conclusions.erase(service);
+            this->view.remove_rollout(service);
+        }
+        return;
+    }
+    known_rollout known{*entry, true};
+    if (is_restored)
+    {
+        known = restore_conclusion(*entry, conclusion->second.status);
+    }
+    else if (is_concluded(entry->status))
+    {
+        this->conclusions[service] = {*entry->status, object.version.era()};
+    }
+    else
+    {
+        this->conclusions.erase(service);
+    }
+    this->log_rollout(known, source);
+    this->view.set_rollout(known);
+}
+
+void fleet_replica::log_rollout(known_rollout const & known,
+                                std::string const & source) const
+{
+    auto const & [order, status, version] = known.entry;
+    auto const shown = status.value_or(rollout_status());
+    constexpr char const * states[] = {
+        "none", "running", "completed", "rolled_back"};
+    this->log.write(
+        "rollout_known",
+        {{"service", order.service.value()},
+         {"target_version", order.target_version.value()},
+         {"duration_ms", format_milliseconds(order.length)},
+         {"state", states[static_cast<std::size_t>(state_of(known.entry))]},
+         {"stage",
+          shown.stage == rollout_stage::shifting ? "shifting" : "trial"},
+         {"share", absl::StrCat(shown.share)},
+         {"term", absl::StrCat(shown.term)},
+         {"writer", shown.coordinator.value()},
+         {"reason", shown.reason},
+         {"stored", known.is_conclusion_stored ? "1" : "0"},
+         {"store_version", absl::StrCat(version.value())},
+         {"from", source}});
+}
+
 void fleet_replica::decode_targets(object_changes const & updates)
 {
     for (auto const & object : updates.objects)
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -25,6 +25,7 @@
 void fleet_view::set_evacuated(absl::flat_hash_set<failure_domain> domains)
 {
     this->evacuated = std::move(domains);
+    this->changes += 1;
 }
 
 absl::flat_hash_set<failure_domain> const &
@@ -41,11 +42,61 @@
 void fleet_view::set_target(target_entry const & entry)
 {
     this->targets[entry.node] = std::make_unique<target_entry>(entry);
+    this->changes += 1;
 }
 
 void fleet_view::remove_target(node_name const & node)
 {
     this->targets.erase(node);
+    this->changes += 1;
+}
+
+void fleet_view::set_rollout(known_rollout const & rollout)
+{
+    auto const & service = rollout.entry.order.service;
+    auto const known = this->rollouts_by_service.find(service);
+    if (known != this->rollouts_by_service.end() &&
+        rollout.entry.version < known->second.entry.version)
+    {
+        return;
+    }
+    this->rollouts_by_service[service] = rollout;
+    this->changes += 1;
+}
+
+void fleet_view::remove_rollout(service_name const & service)
+{
+    this->rollouts_by_service.erase(service);
+    this->changes += 1;
+}
+
+known_rollout const *
+fleet_view::find_rollout(service_name const & service) const
+{
+    auto const found = this->rollouts_by_service.find(service);
+    return found == this->rollouts_by_service.end() ? nullptr : &found->second;
+}
+
+absl::btree_map<service_name, known_rollout> const &
+fleet_view::rollouts() const
+{
+    return this->rollouts_by_service;
+}
+
+void fleet_view::set_rollouts_known()
+{
+    this->changes += this->rollouts_received ? 0 : 1;
+    this->rollouts_received = true;
+}
+
+bool fleet_view::knows_rollouts() const
+{
+    return this->rollouts_received;
+}
+
+std::uint64_t fleet_view::change_count() const
+{
+    return this->changes;
 }
 
 std::vector<target_entry const *>
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -92,6 +92,7 @@
             this->apply_configuration();
         });
     this->state.target.start_probing();
+    this->rollouts.start();
     return true;
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -38,6 +38,14 @@
     , target(loop, this->settings, codec, this->log, this->responses)
     , generator(std::random_device{}())
 {
+    if (this->settings.rollouts)
+    {
+        this->rollouts = std::make_unique<rollout_routing>(
+            this->fleet, this->settings.configuration_delay);
+        this->own_rollout = std::make_unique<rollout_participant>(
+            this->settings, this->fleet, *this->rollouts, this->log);
+        this->target.set_rollout(this->own_rollout.get());
+    }
     this->own_sender.peer = this->settings.peer_listener;
     this->own_sender.incarnation_id = absl::StrCat(
         absl::Hex(this->generator()), absl::Hex(this->generator()));
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -1,14 +1,12 @@
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 
-#include <array>  // array
+#include <array>  // array, tuple_size_v
 #include <vector> // vector
 
 #include <absl/strings/numbers.h>   // SimpleAtod, SimpleAtoi
-#include <absl/strings/str_cat.h>   // StrCat
+#include <absl/strings/str_cat.h>   // StrAppend, StrCat
 #include <absl/strings/str_split.h> // StrSplit
 
-#include <endivehinge/detail/gateway/store_adapter.hpp>
-
 namespace endivehinge::detail
 {
 
@@ -37,9 +35,10 @@
 // microseconds until a target with a rate limit may start another request, and
 // between two starts; only sent for such targets
 constexpr char const * cold_field = "Endivehinge-Cold";
-// eras of the sender's replicas, version of its active configuration. A field
-// of its own, because earlier versions reject sender and outcome fields with
-// further numbers
+// eras of the sender's replicas, version of its active configuration, and where
+// roll-outs are in force the revision and the era of their copy. A field of its
+// own, because earlier versions reject sender and outcome fields with further
+// numbers; they ignore further numbers here
 constexpr char const * position_field = "Endivehinge-Position";
 
 // in a request: a target crashed while it ran the request; in a result: the
@@ -50,6 +49,10 @@
 // it, in a result as it is. Only sent if there is such a rate
 constexpr char const * stated_rate_field = "Endivehinge-Rate";
 
+// kinds whose revisions the sender and outcome fields hold
+constexpr std::size_t kind_count =
+    std::tuple_size_v<decltype(replica_versions::kinds)>;
+
 std::int64_t microsecond_count(duration value)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
@@ -160,18 +163,27 @@
 {
     auto const & kinds = versions.kinds;
     if (kinds[0].era() == store_era() && kinds[1].era() == store_era() &&
-        kinds[2].era() == store_era() && versions.configuration_version == 0)
+        kinds[2].era() == store_era() && versions.configuration_version == 0 &&
+        !versions.rollouts)
     {
         return;
     }
-    fields.set(position_field,
-               absl::StrCat(kinds[0].era().value(),
-                            " ",
-                            kinds[1].era().value(),
-                            " ",
-                            kinds[2].era().value(),
-                            " ",
-                            versions.configuration_version));
+    auto position = absl::StrCat(kinds[0].era().value(),
+                                 " ",
+                                 kinds[1].era().value(),
+                                 " ",
+                                 kinds[2].era().value(),
+                                 " ",
+                                 versions.configuration_version);
+    if (versions.rollouts)
+    {
+        absl::StrAppend(&position,
+                        " ",
+                        versions.rollouts->value(),
+                        " ",
+                        versions.rollouts->era().value());
+    }
+    fields.set(position_field, position);
 }
 
 /// @param position the value of position_field; earlier versions send none, and
@@ -180,11 +192,14 @@
                                std::size_t first_index,
                                std::string const & position)
 {
-    std::array<std::uint64_t, object_kind_count + 1> position_numbers{};
+    constexpr std::size_t required_count = kind_count + 1;
+    std::array<std::uint64_t, required_count + 2> position_numbers{};
     std::vector<absl::string_view> const parts =
         absl::StrSplit(position, ' ', absl::SkipEmpty());
-    bool is_valid = parts.size() >= position_numbers.size();
-    for (std::size_t i = 0; is_valid && i < position_numbers.size(); ++i)
+    bool is_valid = parts.size() >= required_count;
+    bool const has_rollouts = parts.size() >= position_numbers.size();
+    auto const count = has_rollouts ? position_numbers.size() : required_count;
+    for (std::size_t i = 0; is_valid && i < count; ++i)
     {
         is_valid = absl::SimpleAtoi(parts[i], &position_numbers[i]);
     }
@@ -199,7 +214,13 @@
             store_era(position_numbers[i]),
             static_cast<std::uint64_t>(numbers[first_index + i]));
     }
-    versions.configuration_version = position_numbers.back();
+    versions.configuration_version = position_numbers[kind_count];
+    if (is_valid && has_rollouts)
+    {
+        versions.rollouts =
+            object_version(store_era(position_numbers[required_count + 1]),
+                           position_numbers[required_count]);
+    }
     return versions;
 }
 
@@ -254,7 +275,7 @@
     failure reason;
     auto const peer = endpoint::parse(text.substr(0, separator), reason);
     auto const numbers = read_numbers(text.substr(separator));
-    if (!peer || numbers.size() != object_kind_count)
+    if (!peer || numbers.size() != kind_count)
     {
         return std::nullopt;
     }
@@ -346,8 +367,7 @@
 {
     auto const numbers = read_numbers(extract_field(message, outcome_field));
     constexpr std::size_t result_number_count = 7;
-    if (numbers.size() != result_number_count + object_kind_count ||
-        numbers[0] < 0 ||
+    if (numbers.size() != result_number_count + kind_count || numbers[0] < 0 ||
         numbers[0] > static_cast<int>(dispatch_outcome::indeterminate) ||
         numbers[6] < 0 ||
         numbers[6] > static_cast<int>(admission_refusal::limited))
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -76,7 +76,7 @@
         refused.reason = to_string(verdict.reason);
         refused.refusal = verdict.reason;
         refused.retry_after = verdict.retry_after;
-        refused.load = this->admission.load(loop_now());
+        refused.load = this->load();
         asio::post(this->io,
                    [state, refused]
                    {
@@ -121,6 +121,11 @@
         refusal.reason = admission_refusal::other_incarnation;
         return refusal;
     }
+    if (!this->is_version_open())
+    {
+        refusal.reason = admission_refusal::closed;
+        return refusal;
+    }
     this->adopt_rate_limit(state.request);
     auto const status = this->crashes.check(state.request);
     if (status.verdict == quarantine_verdict::crashing)
@@ -130,11 +135,17 @@
         return refusal;
     }
     state.suspect = status.verdict == quarantine_verdict::suspect;
-    return this->admission.offer(state.request.route,
-                                 state.request.urgency,
-                                 state.request.slow_action,
-                                 state.queued_at,
-                                 state.suspect);
+    auto const verdict = this->admission.offer(state.request.route,
+                                               state.request.urgency,
+                                               state.request.slow_action,
+                                               state.queued_at,
+                                               state.suspect);
+    if (this->rollout != nullptr &&
+        verdict.decision != target_admission_verdict::action::refuse)
+    {
+        this->rollout->record_accepted(state.request.route);
+    }
+    return verdict;
 }
 
 bool local_target::address_to_current_incarnation(
@@ -245,6 +256,7 @@
     if (result.status != call_status::answered)
     {
         outcome.outcome = dispatch_outcome::indeterminate;
+        this->record_rollout_loss(*state);
         if (result.status != call_status::connection_lost ||
             !this->hold_lost_request(ticket, *state, outcome))
         {
@@ -277,6 +289,7 @@
     bool const failed =
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
+    this->record_rollout_response(*state, outcome.run_time, failed);
     this->crashes.record_answer(state->request);
     outcome.outcome = dispatch_outcome::answered;
     outcome.from_service = head.from_service;
@@ -293,7 +306,7 @@
     auto const state = found->second;
     this->requests.erase(found);
     this->admission.finish(ticket, failed, loop_now());
-    result.load = this->admission.load(loop_now());
+    result.load = this->load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
         done(std::move(result));
@@ -317,7 +330,7 @@
     result.refusal = verdict.reason;
     result.retry_after = verdict.retry_after;
     result.queue_time = loop_now() - state->queued_at;
-    result.load = this->admission.load(loop_now());
+    result.load = this->load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
         done(std::move(result));
@@ -328,7 +341,17 @@
 {
     for (auto const & verdict : this->admission.take_ready(loop_now()))
     {
-        if (verdict.decision == target_admission_verdict::action::start)
+        bool const is_start =
+            verdict.decision == target_admission_verdict::action::start;
+        if (is_start && this->rollout != nullptr &&
+            this->rollout->is_excluded())
+        {
+            this->admission.cancel(verdict.ticket);
+            auto closed = verdict;
+            closed.reason = admission_refusal::closed;
+            this->refuse(verdict.ticket, closed);
+        }
+        else if (is_start)
         {
             this->start(verdict.ticket);
         }
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -99,6 +99,10 @@
     entry.service = this->settings.service;
     entry.domain = this->settings.domain;
     entry.state = current->state;
+    if (this->settings.rollouts)
+    {
+        entry.version = this->stated_version().value_or(software_version());
+    }
     entry.slots = current->slots;
     entry.crashing_requests = this->crashes.crashing();
     return entry;
@@ -111,7 +115,68 @@
 
 target_load local_target::load() const
 {
-    return this->admission.load(loop_now());
+    auto current_load = this->admission.load(loop_now());
+    current_load.closed = current_load.closed || !this->is_version_open();
+    return current_load;
+}
+
+void local_target::set_rollout(rollout_participant * participant)
+{
+    this->rollout = participant;
+}
+
+rollout_counts local_target::rollout_report() const
+{
+    return this->rollout->counts(loop_now() < this->cold_until,
+                                 this->requests.size());
+}
+
+bool local_target::is_version_open() const
+{
+    return this->rollout == nullptr || this->rollout->accepts();
+}
+
+std::optional<software_version> local_target::stated_version() const
+{
+    auto const & current = this->identity.current();
+    // only a report names the service
+    bool const is_reported = current && !current->service.value().empty();
+    return is_reported ? std::optional(current->version) : std::nullopt;
+}
+
+void local_target::record_rollout_response(request_state const & state,
+                                           duration run_time,
+                                           bool failed)
+{
+    if (this->rollout == nullptr)
+    {
+        return;
+    }
+    auto const & route = state.request.route;
+    if (failed)
+    {
+        this->rollout->record_failure(route);
+        return;
+    }
+    auto const now = loop_now();
+    auto const slowdown = std::max(this->admission.load(now).slowdown, 1.0);
+    bool const is_comparable = now >= this->cold_until;
+    this->rollout->record_response(
+        route,
+        is_comparable ? std::optional(std::chrono::duration_cast<duration>(
+                            run_time / slowdown))
+                      : std::nullopt);
+}
+
+void local_target::record_rollout_loss(request_state const & state)
+{
+    auto const & current = this->identity.current();
+    // a target that has announced its end closes its connections
+    if (this->rollout != nullptr && current &&
+        current->state == target_state::ready)
+    {
+        this->rollout->record_failure(state.request.route);
+    }
 }
 
 std::uint64_t local_target::opened_connections() const
@@ -135,6 +200,10 @@
         this->properties ? this->properties->cold_requests_per_second : 0,
         this->settings.bounds.cold_rate);
     this->admission.set_open(open);
+    if (this->rollout != nullptr)
+    {
+        this->rollout->set_version(this->stated_version());
+    }
     this->process_queue();
     if (this->entry_change_action)
     {
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -5,13 +5,27 @@
 
 namespace http = boost::beast::http;
 
-metrics_service::metrics_service(gateway_state & shared_state)
+namespace
+{
+
+constexpr char const * rollouts_path = "/rollouts";
+
+} // namespace
+
+metrics_service::metrics_service(gateway_state & shared_state,
+                                 rollout_control & service_rollout)
     : state(shared_state)
+    , rollout(service_rollout)
 {
 }
 
 void metrics_service::handle(std::shared_ptr<exchange> incoming)
 {
+    if (incoming->request.target() == rollouts_path)
+    {
+        this->respond_with_rollouts(*incoming);
+        return;
+    }
     auto & metrics = this->state.metrics;
     auto const load = this->state.target.load();
     auto const & configuration = this->state.fleet.configuration();
@@ -35,6 +49,20 @@
                       static_cast<double>(crashes.crash_count()));
     metrics.set_gauge("requests_quarantined",
                       static_cast<double>(crashes.crashing().size()));
+    if (this->state.own_rollout)
+    {
+        auto const counts = this->state.target.rollout_report();
+        auto const total = counts.total();
+        metrics.set_gauge("rollout_arrivals",
+                          static_cast<double>(total.arrivals));
+        metrics.set_gauge("rollout_responses",
+                          static_cast<double>(total.responses));
+        metrics.set_gauge("rollout_failures",
+                          static_cast<double>(total.failures));
+        metrics.set_gauge("rollout_gate_open", counts.closed ? 0 : 1);
+        metrics.set_gauge("rollout_coordinator",
+                          this->rollout.is_coordinator() ? 1 : 0);
+    }
     metrics.set_gauge("response_bytes",
                       static_cast<double>(this->state.responses.total()));
     metrics.set_gauge("log_lines_left_out",
@@ -46,4 +74,13 @@
     incoming->respond(std::move(response));
 }
 
+void metrics_service::respond_with_rollouts(exchange & incoming)
+{
+    response_message response{http::status::ok, 11};
+    response.set(http::field::content_type, "application/json");
+    response.body() = this->rollout.describe();
+    response.prepare_payload();
+    incoming.respond(std::move(response));
+}
+
 } // namespace endivehinge::detail
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -7,15 +7,19 @@
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
+#include <endivehinge/detail/gateway/rollout_exchange.hpp>
 
 namespace endivehinge::detail
 {
 
 namespace http = boost::beast::http;
 
-peer_service::peer_service(gateway_state & shared_state, replica_sync & sync)
+peer_service::peer_service(gateway_state & shared_state,
+                           replica_sync & sync,
+                           rollout_control & service_rollout)
     : state(shared_state)
     , replicas(sync)
+    , rollout(service_rollout)
     , started_at(loop_now())
 {
 }
@@ -70,6 +74,11 @@
         this->receive_crash_reports(incoming);
         return true;
     }
+    if (rollout_exchange::is_request(incoming.request))
+    {
+        this->rollout.serve(incoming);
+        return true;
+    }
     if (in_flight_query::is_request(incoming.request))
     {
         incoming.respond(
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -22,7 +22,8 @@
 
 // followed by the requester's revisions, their eras and the version of its
 // active configuration, separated by commas; earlier versions send and read the
-// revisions only
+// revisions only. The revision and the era of the roll-outs follow where they
+// are in force; earlier versions ignore them
 constexpr char const * request_path_prefix = "/endivehinge/replica/";
 constexpr char const * read_step = "parse a replica response of another node";
 
@@ -86,6 +87,16 @@
     return changes;
 }
 
+std::size_t content_size_of(object_changes const & changes)
+{
+    std::size_t size = 0;
+    for (auto const & object : changes.objects)
+    {
+        size += object.name.size() + object.content.size();
+    }
+    return size;
+}
+
 } // namespace
 
 bool replica_exchange::is_request(request_message const & message)
@@ -109,6 +120,11 @@
         numbers.push_back(version.era().value());
     }
     numbers.push_back(known_versions.configuration_version);
+    if (known_versions.rollouts)
+    {
+        numbers.push_back(known_versions.rollouts->value());
+        numbers.push_back(known_versions.rollouts->era().value());
+    }
     return request_message{
         http::verb::get,
         absl::StrCat(request_path_prefix, absl::StrJoin(numbers, ",")),
@@ -128,7 +144,8 @@
     replica_versions known_versions;
     constexpr auto kind_count =
         std::tuple_size_v<decltype(known_versions.kinds)>;
-    std::array<std::uint64_t, 2 * kind_count + 1> numbers{};
+    constexpr std::size_t rollouts_index = 2 * kind_count + 1;
+    std::array<std::uint64_t, rollouts_index + 2> numbers{};
     auto const target = std_view(message.target());
     absl::string_view const versions_text(target.data(), target.size());
     std::vector<absl::string_view> const number_texts = absl::StrSplit(
@@ -146,19 +163,21 @@
         known_versions.kinds[i] =
             object_version(store_era(numbers[kind_count + i]), numbers[i]);
     }
-    known_versions.configuration_version = numbers.back();
+    known_versions.configuration_version = numbers[2 * kind_count];
+    if (number_texts.size() >= numbers.size())
+    {
+        known_versions.rollouts = object_version(
+            store_era(numbers[rollouts_index + 1]), numbers[rollouts_index]);
+    }
     return known_versions;
 }
 
 std::size_t replica_exchange::content_size() const
 {
-    std::size_t size = 0;
+    std::size_t size = this->rollouts ? content_size_of(*this->rollouts) : 0;
     for (auto const & changes : this->kinds)
     {
-        for (auto const & object : changes.objects)
-        {
-            size += object.name.size() + object.content.size();
-        }
+        size += content_size_of(changes);
     }
     return size;
 }
@@ -170,6 +189,9 @@
         this->deferred[i] = this->kinds[i].version > object_version();
         this->kinds[i] = object_changes{};
     }
+    this->rollouts_deferred =
+        this->rollouts && this->rollouts->version > object_version();
+    this->rollouts.reset();
 }
 
 std::string replica_exchange::write() const
@@ -179,13 +201,21 @@
     {
         kinds_json.push_back(write_changes(changes));
     }
-    json const document = {
+    json document = {
         {"age_us",
          std::chrono::duration_cast<std::chrono::microseconds>(this->age)
              .count()},
         {"in_contact", this->in_contact},
         {"deferred", this->deferred},
         {"kinds", std::move(kinds_json)}};
+    if (this->rollouts)
+    {
+        document["rollouts"] = write_changes(*this->rollouts);
+    }
+    if (this->rollouts_deferred)
+    {
+        document["rollouts_deferred"] = true;
+    }
     return document.dump();
 }
 
@@ -209,6 +239,11 @@
         {
             exchange.kinds[i] = read_changes(parsed.at("kinds").at(i));
         }
+        if (auto const found = parsed.find("rollouts"); found != parsed.end())
+        {
+            exchange.rollouts = read_changes(*found);
+        }
+        exchange.rollouts_deferred = parsed.value("rollouts_deferred", false);
         return exchange;
     }
     catch (json::exception const & error)
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // any_of, max
 
 #include <absl/strings/str_cat.h> // StrCat
+#include <boost/asio/post.hpp>    // post
 
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
@@ -51,6 +52,22 @@
 // platform's rate of writes
 constexpr std::size_t max_removals_per_round = 8;
 
+// for the write of a roll-out's status; the store usually responds in
+// milliseconds and may be 100 times slower
+constexpr duration status_write_timeout = std::chrono::milliseconds(1000);
+
+std::vector<object_kind> followed_kinds(gateway_settings const & settings)
+{
+    std::vector<object_kind> kinds{object_kind::configuration,
+                                   object_kind::evacuations,
+                                   object_kind::targets};
+    if (settings.rollouts)
+    {
+        kinds.push_back(object_kind::rollouts);
+    }
+    return kinds;
+}
+
 } // namespace
 
 replica_sync::replica_sync(gateway_state & shared, store_adapter const & codec)
@@ -59,7 +76,11 @@
     , store(shared.io, shared.settings.store, upstream_options{})
     , eras(codec, shared.log)
     , restores(shared.log)
-    , replica(shared.fleet, codec, shared.log, shared.settings.node)
+    , replica(shared.fleet,
+              codec,
+              shared.log,
+              shared.settings.node,
+              shared.settings.rollouts.has_value())
     , snapshot(this->store, codec, shared.log, this->eras, this->replica)
     , session(shared.io,
               this->store,
@@ -67,6 +88,7 @@
               shared.log,
               this->eras,
               this->replica,
+              followed_kinds(shared.settings),
               [&shared]
               {
                   return shared.random();
@@ -136,7 +158,7 @@
     this->started_at = loop_now();
     this->last_store_response = this->started_at;
     this->last_pull_response = this->started_at;
-    this->snapshot.read({true, true, true},
+    this->snapshot.read({true, true, true, this->follows_rollouts()},
                         read_freshness::may_be_stale,
                         [this]
                         {
@@ -187,7 +209,7 @@
         // response would be no use to it
         known_versions.assume_eras_of(own_versions);
     }
-    for (std::size_t i = 0; i < object_kind_count; ++i)
+    for (std::size_t i = 0; i < reply.kinds.size(); ++i)
     {
         if (own_versions.kinds[i] > known_versions.kinds[i])
         {
@@ -195,6 +217,12 @@
                 static_cast<object_kind>(i), known_versions.kinds[i]);
         }
     }
+    if (own_versions.rollouts && known_versions.rollouts &&
+        *own_versions.rollouts > *known_versions.rollouts)
+    {
+        reply.rollouts = this->replica.changes_since(object_kind::rollouts,
+                                                     *known_versions.rollouts);
+    }
     // the message of an earlier build does not say which configuration it has
     if (states_eras && known_versions.configuration_version <
                            own_versions.configuration_version)
@@ -218,6 +246,89 @@
     incoming.respond(std::move(response));
 }
 
+// ---------------------------------------------------------------------------
+// roll-outs
+// ---------------------------------------------------------------------------
+
+void replica_sync::write_rollout_status(
+    rollout_entry const & base,
+    rollout_status const & status,
+    std::function<void(rollout_write_result const &)> done)
+{
+    rollout_write_result unsent;
+    if (base.version.era() < this->eras.newest())
+    {
+        // the revision may have been given out again, to another change
+        unsent.detail = "the store has returned from an older copy";
+    }
+    else
+    {
+        call_options options;
+        options.deadline = loop_now() + status_write_timeout;
+        auto const connection =
+            this->store.send(this->adapter.status_request(
+                                 base.order.service, base.version, status),
+                             options,
+                             false,
+                             [this, done](call_result const & result)
+                             {
+                                 done(this->read_write_response(result));
+                             });
+        if (connection)
+        {
+            return;
+        }
+        unsent.detail = "no free store connection";
+    }
+    boost::asio::post(this->state.io,
+                      [done, unsent]
+                      {
+                          done(unsent);
+                      });
+}
+
+rollout_write_result
+replica_sync::read_write_response(call_result const & result)
+{
+    rollout_write_result read;
+    read.detail = result.detail;
+    if (result.status != call_status::answered)
+    {
+        return read;
+    }
+    auto const era = this->eras.read(result.response);
+    auto const status = result.response.result();
+    if (!era)
+    {
+        read.detail = "answer of an earlier era";
+        return read;
+    }
+    if (status == http::status::not_found)
+    {
+        read.outcome = rollout_write_outcome::absent;
+        return read;
+    }
+    bool const is_conflict = status == http::status::conflict;
+    if (!is_conflict && status != http::status::ok)
+    {
+        read.detail = absl::StrCat("status ", result.response.result_int());
+        return read;
+    }
+    failure reason;
+    auto const object = this->adapter.read_object(
+        object_kind::rollouts, result.response.body(), *era, reason);
+    read.stored =
+        object ? this->adapter.read_rollout(*object, reason) : std::nullopt;
+    if (!read.stored)
+    {
+        read.detail = reason.describe();
+        return read;
+    }
+    read.outcome = is_conflict ? rollout_write_outcome::conflict
+                               : rollout_write_outcome::written;
+    return read;
+}
+
 // ---------------------------------------------------------------------------
 // restores of the store
 // ---------------------------------------------------------------------------
@@ -228,6 +339,10 @@
     {
         this->eras.learn(version.era());
     }
+    if (versions.rollouts)
+    {
+        this->eras.learn(versions.rollouts->era());
+    }
     if (auto const era = this->eras.newest(); era != store_era())
     {
         this->state.metrics.set_gauge("store_era",
@@ -247,13 +362,13 @@
 /// those of this node, e.g. of an earlier version, which knows no eras
 bool replica_sync::follows_earlier_history(replica_exchange const & reply) const
 {
-    return std::any_of(reply.kinds.begin(),
-                       reply.kinds.end(),
-                       [this](object_changes const & changes)
-                       {
-                           return changes.version > object_version() &&
-                                  changes.version.era() < this->eras.newest();
-                       });
+    auto const is_earlier = [this](object_changes const & changes)
+    {
+        return changes.version > object_version() &&
+               changes.version.era() < this->eras.newest();
+    };
+    return std::any_of(reply.kinds.begin(), reply.kinds.end(), is_earlier) ||
+           (reply.rollouts && is_earlier(*reply.rollouts));
 }
 
 // ---------------------------------------------------------------------------
@@ -490,7 +605,12 @@
     {
         return std::nullopt;
     }
-    this->snapshot.read(reply->deferred, read_freshness::current, [] {});
+    this->snapshot.read({reply->deferred[0],
+                         reply->deferred[1],
+                         reply->deferred[2],
+                         reply->rollouts_deferred && this->follows_rollouts()},
+                        read_freshness::current,
+                        [] {});
     if (!this->follows_earlier_history(*reply))
     {
         // the changes of an earlier history are ignored, so that a node which
@@ -499,7 +619,7 @@
         this->last_store_response = std::max(
             this->last_store_response, this->last_pull_response - reply->age);
     }
-    for (std::size_t i = 0; i < object_kind_count; ++i)
+    for (std::size_t i = 0; i < reply->kinds.size(); ++i)
     {
         // a configuration counts at any position
         if (reply->kinds[i].version > object_version() ||
@@ -509,6 +629,12 @@
                 static_cast<object_kind>(i), reply->kinds[i], peer.to_string());
         }
     }
+    if (this->follows_rollouts() && reply->rollouts &&
+        reply->rollouts->version > object_version())
+    {
+        this->replica.apply(
+            object_kind::rollouts, *reply->rollouts, peer.to_string());
+    }
     return reply;
 }
 
@@ -664,6 +790,11 @@
         });
 }
 
+bool replica_sync::follows_rollouts() const
+{
+    return this->state.settings.rollouts.has_value();
+}
+
 bool replica_sync::has_store_contact() const
 {
     return this->session.is_active() ? this->session.is_connected()
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -37,8 +37,6 @@
 constexpr std::uint32_t max_backoff_exponent = 3;
 // requested first, and alone while the store fails
 constexpr object_kind probe_kind = object_kind::configuration;
-constexpr object_kind remaining_kinds[] = {object_kind::evacuations,
-                                           object_kind::targets};
 
 } // namespace
 
@@ -48,6 +46,7 @@
                              event_log & events,
                              store_era_reader & era_reader,
                              fleet_replica & local_replica,
+                             std::vector<object_kind> kinds_to_follow,
                              std::function<double()> random_source)
     : io(loop)
     , store(connections)
@@ -55,6 +54,7 @@
     , log(events)
     , eras(era_reader)
     , replica(local_replica)
+    , followed_kinds(std::move(kinds_to_follow))
     , random(std::move(random_source))
     , retry_timer(loop)
 {
@@ -91,9 +91,9 @@
         return;
     }
     this->cancel_calls();
-    for (std::size_t i = 0; i < object_kind_count; ++i)
+    for (auto const kind : this->followed_kinds)
     {
-        this->synchronize(static_cast<object_kind>(i));
+        this->synchronize(kind);
     }
 }
 
@@ -187,7 +187,7 @@
 void store_session::on_list_response(object_kind kind,
                                      call_result const & result)
 {
-    auto const page = this->read_page(result);
+    auto const page = this->read_page(kind, result);
     if (!page)
     {
         this->record_failure(kind, result.detail);
@@ -239,7 +239,7 @@
 
 object_version store_session::version_of(object_kind kind) const
 {
-    return this->replica.versions().kinds[static_cast<std::size_t>(kind)];
+    return this->replica.version_of(kind);
 }
 
 void store_session::watch(object_kind kind)
@@ -270,7 +270,7 @@
         this->list_later(kind);
         return;
     }
-    auto const page = this->read_page(result);
+    auto const page = this->read_page(kind, result);
     if (!page)
     {
         this->record_failure(kind, result.detail);
@@ -306,7 +306,8 @@
         });
 }
 
-std::optional<store_page> store_session::read_page(call_result const & result)
+std::optional<store_page> store_session::read_page(object_kind kind,
+                                                   call_result const & result)
 {
     if (result.status != call_status::answered)
     {
@@ -321,7 +322,7 @@
     }
     failure reason;
     auto page = this->adapter.read_page(
-        result.response.body(), this->response_era, reason);
+        kind, result.response.body(), this->response_era, reason);
     if (!page)
     {
         this->log.write("store_unreadable", {{"reason", reason.describe()}});
@@ -337,9 +338,12 @@
     {
         this->connected = true;
         this->log.write("store_regained", {});
-        for (auto const kind : remaining_kinds)
+        for (auto const kind : this->followed_kinds)
         {
-            this->synchronize(kind);
+            if (kind != probe_kind)
+            {
+                this->synchronize(kind);
+            }
         }
     }
 }
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -94,7 +94,7 @@
                                         call_result const & result)
 {
     std::string detail;
-    auto page = this->read_page(result, detail);
+    auto page = this->read_page(kind, result, detail);
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
     if (page && !changes.objects.empty() &&
         page->version.era() != changes.version.era())
@@ -127,9 +127,8 @@
     this->finish(kind);
 }
 
-std::optional<store_page>
-store_snapshot_reader::read_page(call_result const & result,
-                                 std::string & detail)
+std::optional<store_page> store_snapshot_reader::read_page(
+    object_kind kind, call_result const & result, std::string & detail)
 {
     if (result.status != call_status::answered)
     {
@@ -148,23 +147,39 @@
         return std::nullopt;
     }
     failure reason;
-    auto page = this->adapter.read_page(result.response.body(), *era, reason);
+    auto page =
+        this->adapter.read_page(kind, result.response.body(), *era, reason);
     detail = reason.detail;
     return page;
 }
 
 read_freshness store_snapshot_reader::freshness_of(object_kind kind) const
 {
-    // a node that addresses an outdated target is told so
-    return kind == object_kind::targets ? read_freshness::may_be_stale
-                                        : this->wanted_freshness;
+    switch (kind)
+    {
+    case object_kind::targets:
+        // a node that addresses an outdated target is told so
+        return read_freshness::may_be_stale;
+    case object_kind::rollouts:
+        // an order that is known as running after its conclusion would send
+        // requests to a version that is rolled back
+        return read_freshness::current;
+    case object_kind::configuration:
+    case object_kind::evacuations:
+        break;
+    }
+    return this->wanted_freshness;
 }
 
 void store_snapshot_reader::finish(object_kind kind)
 {
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
     changes.complete = true;
-    if (!changes.objects.empty())
+    // that there is no roll-out is knowledge, too: without it a node sends
+    // nothing to a version that differs from the others
+    bool const is_known_empty =
+        kind == object_kind::rollouts && changes.version != object_version();
+    if (!changes.objects.empty() || is_known_empty)
     {
         this->replica.apply(kind, changes, "store snapshot");
     }
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -49,7 +49,7 @@
 }
 
 std::vector<target_entry const *>
-target_chooser::eligible_targets(service_name const & service) const
+target_chooser::eligible_targets(service_name const & service)
 {
     std::vector<target_entry const *> eligible;
     for (auto const * const entry : this->state.fleet.ready_targets(service))
@@ -62,7 +62,16 @@
         }
         eligible.push_back(entry);
     }
-    return eligible;
+    if (!this->state.rollouts)
+    {
+        return eligible;
+    }
+    if (!this->version_draw)
+    {
+        this->version_draw = this->state.random();
+    }
+    return this->state.rollouts->filter(
+        service, eligible, *this->version_draw, loop_now());
 }
 
 target_candidate target_chooser::candidate_of(target_entry const & entry,
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -40,10 +40,12 @@
 }
 
 fleet_member & gateway_fleet::add(std::string const & service,
-                                  std::string const & domain)
+                                  std::string const & domain,
+                                  std::string const & version)
 {
     auto const number = std::to_string(this->members.size());
     auto member = std::make_unique<fleet_member>();
+    member->version = version;
     member->target = std::make_unique<target_stand_in>(this->io, "i-" + number);
     detail::gateway_settings settings;
     settings.node = node_name("node-" + number);
@@ -63,6 +65,7 @@
     settings.store = this->store.address();
     settings.seeds = this->seeds;
     settings.bounds.retry_burst = 100;
+    settings.rollouts = this->rollouts;
     auto adapters = platform::make_adapters(settings);
     member->node = std::make_unique<detail::gateway_parts>(
         this->io, std::move(settings), std::move(adapters));
@@ -115,7 +118,7 @@
             {"info",
              {{"service", settings.service.value()},
               {"zone", settings.domain.value()},
-              {"version", "v1"},
+              {"version", member.version},
               {"slots", 10}}},
             {"status",
              {{"state", state}, {"sequence", sequence}, {"coldRemainingS", 0}}}}
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -25,6 +25,8 @@
     // relay between node and target, if use_target_relays is set
     std::unique_ptr<fault_relay> target_link;
     std::unique_ptr<detail::gateway_parts> node;
+    // what the target states in its reports
+    std::string version = "v1";
 };
 
 /// @brief nodes, targets and a store stand-in in one process on one event loop
@@ -35,7 +37,8 @@
 
     /// @brief adds a node with a new target and starts the node
     fleet_member & add(std::string const & service,
-                       std::string const & domain = "d1");
+                       std::string const & domain = "d1",
+                       std::string const & version = "v1");
 
     /// @brief writes a configuration that routes /safe/ as safe and /unsafe/ as
     /// unsafe to a service
@@ -85,6 +88,8 @@
     int route_attempts = 2;
     // seeds in the settings of each new node
     std::vector<endpoint> seeds;
+    // bounds of roll-outs in the settings of each new node; empty: none
+    std::optional<detail::rollout_bounds> rollouts;
     // puts a relay between each new node and its target
     bool use_target_relays = false;
 
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr char const * objects_prefix = "/api/objects/";
+constexpr char const * status_suffix = "/status";
 
 std::string query_value(std::string const & target, std::string const & name)
 {
@@ -72,6 +73,14 @@
     auto const name =
         slash == std::string::npos ? "" : kind_and_name.substr(slash + 1);
     auto const method = incoming->request.method();
+    this->received_requests_of[kind] += 1;
+    auto const status_position = name.rfind(status_suffix);
+    if (method == http::verb::put && status_position != std::string::npos)
+    {
+        this->respond_to_status_write(
+            incoming, kind, name.substr(0, status_position));
+        return;
+    }
     if (method == http::verb::get && target.find("watch=") != std::string::npos)
     {
         this->respond_to_watch(
@@ -97,8 +106,8 @@
                          json spec)
 {
     auto & object = this->kinds[kind][name];
-    object = {{"metadata", {{"name", name}, {"revision", this->revision + 1}}},
-              {"spec", std::move(spec)}};
+    object["metadata"] = {{"name", name}, {"revision", this->revision + 1}};
+    object["spec"] = std::move(spec);
     this->record(kind, object, false);
 }
 
@@ -120,6 +129,33 @@
     return found->second.at(name).at("spec");
 }
 
+void store_stand_in::put_status(std::string const & kind,
+                                std::string const & name,
+                                json new_status)
+{
+    auto & object = this->kinds.at(kind).at(name);
+    object["status"] = std::move(new_status);
+    object["metadata"]["revision"] = this->revision + 1;
+    this->record(kind, object, false);
+}
+
+json store_stand_in::status_of(std::string const & kind,
+                               std::string const & name) const
+{
+    auto const found = this->kinds.find(kind);
+    if (found == this->kinds.end() || found->second.count(name) == 0)
+    {
+        return nullptr;
+    }
+    return found->second.at(name).value("status", json());
+}
+
+std::uint64_t store_stand_in::request_count_of(std::string const & kind) const
+{
+    auto const found = this->received_requests_of.find(kind);
+    return found == this->received_requests_of.end() ? 0 : found->second;
+}
+
 void store_stand_in::end_watches_without_events()
 {
     for (auto const & watch : std::exchange(this->watches, {}))
@@ -374,6 +410,47 @@
         return;
     }
     this->put(kind, object_name, body.at("spec"));
+    this->respond_to_applied_write(incoming, objects.at(object_name));
+}
+
+void store_stand_in::respond_to_status_write(
+    std::shared_ptr<detail::exchange> const & incoming,
+    std::string const & kind,
+    std::string const & name)
+{
+    auto const body = json::parse(incoming->request.body());
+    if (!this->ignored_status.empty() &&
+        body.at("status").value("state", "") == this->ignored_status)
+    {
+        this->ignored_writes += 1;
+        return;
+    }
+    auto & objects = this->kinds[kind];
+    auto const found = objects.find(name);
+    if (found == objects.end())
+    {
+        this->send_response(*incoming, 404, json::object());
+        return;
+    }
+    if (body.at("metadata").at("revision") !=
+        found->second.at("metadata").at("revision"))
+    {
+        this->send_response(*incoming, 409, found->second);
+        return;
+    }
+    this->status_writes.push_back(body.at("status"));
+    this->put_status(kind, name, body.at("status"));
+    if (this->status_responses_to_drop > 0)
+    {
+        this->status_responses_to_drop -= 1;
+        return;
+    }
+    this->respond_to_applied_write(incoming, found->second);
+}
+
+void store_stand_in::respond_to_applied_write(
+    std::shared_ptr<detail::exchange> const & incoming, json const & object)
+{
     if (this->responses_to_drop > 0)
     {
         this->responses_to_drop -= 1;
@@ -382,11 +459,10 @@
     if (this->responses_to_hold > 0)
     {
         this->responses_to_hold -= 1;
-        this->held_responses.push_back(
-            {incoming, objects.at(object_name), this->era});
+        this->held_responses.push_back({incoming, object, this->era});
         return;
     }
-    this->send_response(client, 200, objects.at(object_name));
+    this->send_response(*incoming, 200, object);
 }
 
 void store_stand_in::respond_to_delete(detail::exchange & client,
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -25,7 +25,7 @@
 
     void handle(std::shared_ptr<detail::exchange> incoming) override;
 
-    /// @brief creates or replaces an object, as an operator would
+    /// @brief creates an object or replaces its spec, as an operator would
     void put(std::string const & kind,
              std::string const & name,
              nlohmann::json spec);
@@ -37,6 +37,16 @@
     [[nodiscard]] nlohmann::json spec(std::string const & kind,
                                       std::string const & name) const;
 
+    /// @brief replaces the status of an object, as another node would
+    /// @pre the object exists
+    void put_status(std::string const & kind,
+                    std::string const & name,
+                    nlohmann::json new_status);
+
+    /// @brief the status of an object; null if it has none
+    [[nodiscard]] nlohmann::json status_of(std::string const & kind,
+                                           std::string const & name) const;
+
     /// @brief ends all pending watches without events, at the latest revision
     void end_watches_without_events();
 
@@ -72,6 +82,18 @@
     /// @brief number of requests received
     [[nodiscard]] std::uint64_t request_count() const;
 
+    /// @brief number of requests received for one kind
+    [[nodiscard]] std::uint64_t
+    request_count_of(std::string const & kind) const;
+
+    // the statuses that were written, in order
+    std::vector<nlohmann::json> status_writes;
+    // while not empty, writes of a status with this state are received, but not
+    // applied and not answered
+    std::string ignored_status;
+    std::size_t ignored_writes = 0;
+    // number of status writes to apply without ever responding
+    int status_responses_to_drop = 0;
     // while set, watches receive no events
     bool withhold_events = false;
     // while set, requests are received but not answered
@@ -121,6 +143,14 @@
     void respond_to_write(std::shared_ptr<detail::exchange> const & incoming,
                           std::string const & kind,
                           std::string const & name);
+    void
+    respond_to_status_write(std::shared_ptr<detail::exchange> const & incoming,
+                            std::string const & kind,
+                            std::string const & name);
+    /// @brief responds to a write, unless the response is to be dropped or held
+    void
+    respond_to_applied_write(std::shared_ptr<detail::exchange> const & incoming,
+                             nlohmann::json const & object);
     void respond_to_delete(detail::exchange & client,
                            std::string const & kind,
                            std::string const & name);
@@ -147,6 +177,7 @@
     std::uint64_t era = 1;
     std::uint64_t history_start = 0;
     std::uint64_t received_requests = 0;
+    std::map<std::string, std::uint64_t> received_requests_of;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
     std::vector<change> history;
     std::vector<pending_watch> watches;
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -171,6 +171,7 @@
 {
     failure reason;
     auto const list = store_adapter_under_test.read_page(
+        detail::object_kind::targets,
         R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},
             {"metadata":{"name":"b"}}, 5],"hasMore":true,"storeRevision":9})",
         store_era(2),
@@ -183,6 +184,7 @@
     EXPECT_EQ(list->version, object_version(store_era(2), 9));
     EXPECT_EQ(list->objects[0].version, object_version(store_era(2), 3));
     auto const watch = store_adapter_under_test.read_page(
+        detail::object_kind::targets,
         R"({"events":[{"object":{"metadata":{"name":"a","revision":3}},
             "deleted":true},{}],"storeRevision":10})",
         store_era(2),
@@ -194,7 +196,9 @@
     for (auto const * const bad : {"{}", ""})
     {
         EXPECT_FALSE(
-            store_adapter_under_test.read_page(bad, store_era(2), reason)
+            store_adapter_under_test
+                .read_page(
+                    detail::object_kind::targets, bad, store_era(2), reason)
                 .has_value());
     }
 }
@@ -314,7 +318,7 @@
     EXPECT_EQ(request.method(), http::verb::put);
     failure reason;
     auto const object = store_adapter_under_test.read_object(
-        request.body(), store_era(2), reason);
+        detail::object_kind::targets, request.body(), store_era(2), reason);
     ASSERT_TRUE(object.has_value()) << reason.describe();
     EXPECT_EQ(object->version, object_version(store_era(2), 4));
     auto const restored = store_adapter_under_test.read_target(*object, reason);
