Ignore the response to a status write after its node ended

Cause: the callback of a write used the destroyed replica_sync when a node ended in a test; the one of a poll had crashed the test of a killed coordinator.

--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -265,15 +265,19 @@
     {
         call_options options;
         options.deadline = loop_now() + status_write_timeout;
-        auto const connection =
-            this->store.send(this->adapter.status_request(
-                                 base.order.service, base.version, status),
-                             options,
-                             false,
-                             [this, done](call_result const & result)
-                             {
-                                 done(this->read_write_response(result));
-                             });
+        auto const connection = this->store.send(
+            this->adapter.status_request(
+                base.order.service, base.version, status),
+            options,
+            false,
+            [this, alive = std::weak_ptr<bool>(this->lifetime), done](
+                call_result const & result)
+            {
+                if (!alive.expired())
+                {
+                    done(this->read_write_response(result));
+                }
+            });
         if (connection)
         {
             return;
