--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -18,6 +18,7 @@
 #include <endivehinge/detail/gateway/readiness_service.hpp>
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 #include <endivehinge/detail/gateway/report_service.hpp>
+#include <endivehinge/detail/gateway/rollout_control.hpp>
 
 namespace endivehinge::detail
 {
@@ -34,14 +35,15 @@
         , adapters(std::move(platform_adapters))
         , state(io, std::move(initial_settings), *adapters.messages)
         , replicas(state, *adapters.store)
+        , rollouts(state, replicas)
         , clients(state)
         , allotments(state)
         , allotment_messages(state, allotments)
-        , peers(state, replicas, allotment_messages)
+        , peers(state, replicas, allotment_messages, rollouts)
         , crash_reports(state)
         , readiness(state)
         , reports(state, *adapters.reports, replicas)
-        , metrics(state)
+        , metrics(state, rollouts)
         , client_listener(io, clients)
         , peer_listener(io, peers)
         , readiness_listener(io, readiness)
@@ -69,6 +71,7 @@
     gateway_adapters adapters;
     gateway_state state;
     replica_sync replicas;
+    rollout_control rollouts;
     client_service clients;
     allotment_client allotments;
     allotment_service allotment_messages;
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -18,6 +18,8 @@
 #include <endivehinge/detail/gateway/message_adapter.hpp>
 #include <endivehinge/detail/gateway/peer_node.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
+#include <endivehinge/detail/gateway/rollout_participant.hpp>
+#include <endivehinge/detail/gateway/rollout_routing.hpp>
 #include <endivehinge/policy/account_backoff.hpp>
 #include <endivehinge/policy/account_check.hpp>
 #include <endivehinge/policy/hedge_policy.hpp>
@@ -83,6 +85,11 @@
     target_selector selector;
     account_backoff account_backoffs;
     hedge_policy hedges;
+    // null where roll-outs are not in force
+    std::unique_ptr<rollout_routing> rollouts;
+    // the part of this node's target in the roll-out of its service; null where
+    // roll-outs are not in force
+    std::unique_ptr<rollout_participant> own_rollout;
     response_registry responses;
     local_target target;
     // called when another node sends the versions of its store copies
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -78,7 +78,7 @@
         refused.refusal = verdict.reason;
         refused.retry_after = verdict.retry_after;
         refused.share_used = verdict.share_used;
-        refused.load = this->admission.load(loop_now());
+        refused.load = this->load();
         asio::post(this->io,
                    [state, refused]
                    {
@@ -123,6 +123,11 @@
         refusal.reason = admission_refusal::other_incarnation;
         return refusal;
     }
+    if (!this->is_version_open())
+    {
+        refusal.reason = admission_refusal::closed;
+        return refusal;
+    }
     this->adopt_rate_limit(state.request);
     if (state.request.hedge &&
         !can_start_at_once(this->admission.load(state.queued_at)))
@@ -138,12 +143,19 @@
         return refusal;
     }
     state.suspect = status.verdict == quarantine_verdict::suspect;
-    return this->admission.offer(state.request.route,
-                                 state.request.urgency,
-                                 state.request.slow_action,
-                                 state.queued_at,
-                                 state.suspect,
-                                 this->weighted_account_of(state.request));
+    auto const verdict =
+        this->admission.offer(state.request.route,
+                              state.request.urgency,
+                              state.request.slow_action,
+                              state.queued_at,
+                              state.suspect,
+                              this->weighted_account_of(state.request));
+    if (this->rollout != nullptr &&
+        verdict.decision != target_admission_verdict::action::refuse)
+    {
+        this->rollout->record_accepted(state.request.route);
+    }
+    return verdict;
 }
 
 weighted_account
@@ -293,6 +305,7 @@
     if (result.status != call_status::answered)
     {
         outcome.outcome = dispatch_outcome::indeterminate;
+        this->record_rollout_loss(*state);
         if (result.status != call_status::connection_lost ||
             !this->hold_lost_request(ticket, *state, outcome))
         {
@@ -325,6 +338,7 @@
     bool const failed =
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
+    this->record_rollout_response(*state, outcome.run_time, failed);
     this->crashes.record_answer(state->request);
     outcome.outcome = dispatch_outcome::answered;
     outcome.from_service = head.from_service;
@@ -341,7 +355,7 @@
     auto const state = found->second;
     this->requests.erase(found);
     this->admission.finish(ticket, failed, loop_now());
-    result.load = this->admission.load(loop_now());
+    result.load = this->load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
         done(std::move(result));
@@ -366,7 +380,7 @@
     result.retry_after = verdict.retry_after;
     result.share_used = verdict.share_used;
     result.queue_time = loop_now() - state->queued_at;
-    result.load = this->admission.load(loop_now());
+    result.load = this->load();
     if (auto const done = std::exchange(state->done, nullptr))
     {
         done(std::move(result));
@@ -377,7 +391,17 @@
 {
     for (auto const & verdict : this->admission.take_ready(loop_now()))
     {
-        if (verdict.decision == target_admission_verdict::action::start)
+        bool const is_start =
+            verdict.decision == target_admission_verdict::action::start;
+        if (is_start && this->rollout != nullptr &&
+            this->rollout->is_excluded())
+        {
+            this->admission.cancel(verdict.ticket);
+            auto closed = verdict;
+            closed.reason = admission_refusal::closed;
+            this->refuse(verdict.ticket, closed);
+        }
+        else if (is_start)
         {
             this->start(verdict.ticket);
         }
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -7,6 +7,7 @@
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
+#include <endivehinge/detail/gateway/rollout_exchange.hpp>
 
 namespace endivehinge::detail
 {
@@ -15,10 +16,12 @@
 
 peer_service::peer_service(gateway_state & shared_state,
                            replica_sync & sync,
-                           allotment_service & allotment_messages)
+                           allotment_service & allotment_messages,
+                           rollout_control & service_rollout)
     : state(shared_state)
     , replicas(sync)
     , allotments(allotment_messages)
+    , rollout(service_rollout)
     , started_at(loop_now())
 {
 }
@@ -87,6 +90,11 @@
     {
         return true;
     }
+    if (rollout_exchange::is_request(incoming.request))
+    {
+        this->rollout.serve(incoming);
+        return true;
+    }
     if (in_flight_query::is_request(incoming.request))
     {
         incoming.respond(
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -40,10 +40,12 @@
 }
 
 fleet_member & gateway_fleet::add(std::string const & service,
-                                  std::string const & domain)
+                                  std::string const & domain,
+                                  std::string const & version)
 {
     auto const number = std::to_string(this->members.size());
     auto member = std::make_unique<fleet_member>();
+    member->version = version;
     member->target = std::make_unique<target_stand_in>(this->io, "i-" + number);
     detail::gateway_settings settings;
     settings.node = node_name("node-" + number);
@@ -61,6 +63,7 @@
     settings.hedge_share = this->hedge_share;
     settings.bounds.retry_burst = 100;
     settings.accounts = this->account_bounds;
+    settings.rollouts = this->rollouts;
     this->start_node(*member, std::move(settings));
     this->members.push_back(std::move(member));
     return *this->members.back();
@@ -139,7 +142,7 @@
             {"info",
              {{"service", settings.service.value()},
               {"zone", settings.domain.value()},
-              {"version", "v1"},
+              {"version", member.version},
               {"slots", 10}}},
             {"status",
              {{"state", state}, {"sequence", sequence}, {"coldRemainingS", 0}}}}
