--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -356,6 +356,7 @@
     {
         failure reason;
         auto const page = store_adapter_under_test.read_page(
+            detail::object_kind::targets,
             std::string(R"({"storeRevision":7,"items":[
                 {"metadata":{"name":"a","revision":1},
                  "spec":{"rate":)") +
@@ -368,7 +369,10 @@
     }
     failure reason;
     EXPECT_FALSE(store_adapter_under_test.read_page(
-        R"({"storeRevision":nan,"items":[]})", store_era(1), reason));
+        detail::object_kind::targets,
+        R"({"storeRevision":nan,"items":[]})",
+        store_era(1),
+        reason));
 }
 
 // A quadratic pass over the accounts would take minutes.
