Wait for rights at each hand-over of an account

Cause: on the first start of a fleet the whole rate may be granted at once, but the book of allotments never read the limit on that time, so that a process of the first start granted it also when it took over an account later, beside the rights that the previous owner had given out. The linter's report of an unused constant led there.

allotment_book.later_owner_waits_for_rights_after_a_first_start fails without the limit and passes with it. Also passes four parameters by reference, as the linter asks.

--- a/include/endivehinge/detail/gateway/allotment_client.hpp
+++ b/include/endivehinge/detail/gateway/allotment_client.hpp
@@ -39,7 +39,7 @@
     /// @return the verdict, if it is known at once
     [[nodiscard]] std::optional<allotment_verdict>
     begin(client_account const & account,
-          verdict_handler done,
+          verdict_handler const & done,
           std::uint64_t & number);
 
     /// @brief ends the wait of a request for its token
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -64,7 +64,7 @@
     void write_rollout_status(
         rollout_entry const & base,
         rollout_status const & status,
-        std::function<void(rollout_write_result const &)> done);
+        std::function<void(rollout_write_result const &)> const & done);
 
     /// @brief whether this node, or the node that it replicates from, reaches
     /// the store
--- a/include/endivehinge/detail/gateway/rollout_control.hpp
+++ b/include/endivehinge/detail/gateway/rollout_control.hpp
@@ -57,7 +57,7 @@
     [[nodiscard]] bool is_in_charge(rollout_entry const & entry);
     void run_term(rollout_entry const & entry);
     void poll(target_entry const & target);
-    void record(rollout_counts counts, std::uint64_t term);
+    void record(rollout_counts const & counts, std::uint64_t term);
     void on_poll_response(endpoint const & peer,
                           std::uint64_t term,
                           call_result const & result);
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -72,7 +72,7 @@
 
 std::optional<allotment_verdict>
 allotment_client::begin(client_account const & account,
-                        verdict_handler done,
+                        verdict_handler const & done,
                         std::uint64_t & number)
 {
     this->update_nodes();
@@ -85,7 +85,7 @@
                                            this->state.random());
     if (!verdict)
     {
-        this->handlers.emplace(number, std::move(done));
+        this->handlers.emplace(number, done);
     }
     this->log_events();
     this->poll_soon(verdict ? allotment_agent::poll_interval()
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -326,7 +326,7 @@
 void replica_sync::write_rollout_status(
     rollout_entry const & base,
     rollout_status const & status,
-    std::function<void(rollout_write_result const &)> done)
+    std::function<void(rollout_write_result const &)> const & done)
 {
     rollout_write_result unsent;
     if (base.version.era() < this->eras.newest())
--- a/src/gateway/rollout_control.cpp
+++ b/src/gateway/rollout_control.cpp
@@ -346,7 +346,7 @@
     this->record(*counts, term);
 }
 
-void rollout_control::record(rollout_counts counts, std::uint64_t term)
+void rollout_control::record(rollout_counts const & counts, std::uint64_t term)
 {
     // a node that does not know this order yet reports counts and the age of
     // an earlier one
--- a/src/policy/allotment_book.cpp
+++ b/src/policy/allotment_book.cpp
@@ -72,10 +72,10 @@
                        allotment_directory const & directory,
                        time_point now)
 {
+    bool const is_first_owner = this->options.first_start &&
+                                owner_since - this->started < first_start_time;
     auto const known_from =
-        this->options.first_start
-            ? now
-            : owner_since + allotment_timing::right_validity;
+        is_first_owner ? now : owner_since + allotment_timing::right_validity;
     bool const is_known = known_from <= now;
     this->opened += 1;
     this->accounts.erase(account);
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -307,11 +307,12 @@
     }
     for (auto & message : todo.messages)
     {
-        this->send(node, std::move(message));
+        this->send(node, message);
     }
 }
 
-void allotment_fleet::send(std::size_t from, allotment_agent::outgoing message)
+void allotment_fleet::send(std::size_t from,
+                           allotment_agent::outgoing const & message)
 {
     this->messages += 1;
     auto const to = std::stoul(message.to.value().substr(1));
--- a/tests/src/simulation/allotment_fleet.hpp
+++ b/tests/src/simulation/allotment_fleet.hpp
@@ -107,7 +107,7 @@
 
     void step();
     void poll(std::size_t node);
-    void send(std::size_t from, allotment_agent::outgoing message);
+    void send(std::size_t from, allotment_agent::outgoing const & message);
     void at(time_point when, std::function<void()> run);
     void
     deliver(std::size_t node, std::uint64_t process, std::function<void()> run);
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -21,6 +21,29 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+// In a process of the first start, a hand-over gave the new owner the whole
+// rate at once, beside the rights that the previous owner had given out.
+TEST(allotment_book, later_owner_waits_for_rights_after_a_first_start)
+{
+    time_point const start(std::chrono::seconds(100));
+    allotment_directory directory(node_name("a"), start);
+    directory.set_nodes({{node_name("a"), {}}, {node_name("b"), {}}}, start);
+    allotment_book book({20, true}, start);
+    auto const handed_over = start + std::chrono::seconds(60);
+    static_cast<void>(book.open(account_name("first"),
+                                allotment_limits{100, 100},
+                                start,
+                                directory,
+                                handed_over));
+    EXPECT_FALSE(book.is_recovering(handed_over));
+    static_cast<void>(book.open(account_name("handed-over"),
+                                allotment_limits{100, 100},
+                                handed_over,
+                                directory,
+                                handed_over));
+    EXPECT_TRUE(book.is_recovering(handed_over));
+}
+
 // Guards against refusals below the allotment if all requests enter at one node
 TEST(allotment_fleet, account_that_enters_through_one_node_gets_its_rate)
 {
