--- a/tests/src/system-gateway-hedging.cpp
+++ b/tests/src/system-gateway-hedging.cpp
@@ -45,8 +45,10 @@
                 this->held.emplace_back(target, incoming);
             };
         }
+        constexpr std::size_t warm_up_requests = 24;
         std::vector<std::shared_ptr<client_call>> calls;
-        for (int i = 0; i < 24; ++i)
+        calls.reserve(warm_up_requests);
+        for (std::size_t i = 0; i < warm_up_requests; ++i)
         {
             calls.push_back(
                 this->send(*this->sender, path, "warm-" + std::to_string(i)));
--- a/tests/src/unit-account-check.cpp
+++ b/tests/src/unit-account-check.cpp
@@ -1,3 +1,5 @@
+#include <optional> // optional
+
 #include <gtest/gtest.h>
 
 #include <endivehinge/policy/account_check.hpp>
@@ -36,10 +38,11 @@
 // wrong name.
 TEST(account_directory, finds_the_account_of_each_key)
 {
-    auto const original = configuration_with(
+    std::optional original = configuration_with(
         {account("b", {"key-3"}), account("a", {"key-1", "key-2", "key-1"})});
     // the index must not refer to the accounts that it was copied from
-    auto const copy = original;
+    auto const copy = *original;
+    original.reset();
     for (auto const & [text, name] :
          {std::pair("key-1", "a"), {"key-2", "a"}, {"key-3", "b"}})
     {
