--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/str_cat.h> // StrAppend
 #include <gtest/gtest.h>
 
 #include <platform/platform.hpp>
@@ -382,8 +383,14 @@
     for (int i = 0; i < 100000; ++i)
     {
         auto const number = std::to_string(i);
-        tenants += (i == 0 ? "\"t" : ",\"t") + number + R"(":{"apiKeys":["x)" +
-                   number + R"(","y)" + number + R"("],"ratePerS":1})";
+        absl::StrAppend(&tenants,
+                        i == 0 ? "\"t" : ",\"t",
+                        number,
+                        R"(":{"apiKeys":["x)",
+                        number,
+                        R"(","y)",
+                        number,
+                        R"("],"ratePerS":1})");
     }
     failure reason;
     auto const configuration = read_tenants(tenants + "}", reason);
