Keep one clock that counts suspension and one name of each roll-out state

Cause: two parts had each added a clock on CLOCK_BOOTTIME, of which one hid a failed read, and the names of roll-out states stood in two places. Removes suspension_clock in favour of boot_clock, moves the names beside the states, and rewords three comments. No behaviour and no test changes.

Tests and linter were not run on this commit.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -46,7 +46,7 @@
                                     result_handler done,
                                     silence_handler on_silence) override;
 
-    /// @brief applies a report of a target
+    /// @brief applies a status report that a target sent to this node
     /// @return whether the report is about this target
     bool report(target_notice const & notice);
 
--- a/include/endivehinge/policy/rollout_status.hpp
+++ b/include/endivehinge/policy/rollout_status.hpp
@@ -26,6 +26,14 @@
     shifting, // the traffic moves to the new version in steps
 };
 
+/// @brief the name of a state in logs and reports; stable across versions
+/// @note thread safety: any thread
+[[nodiscard]] char const * to_string(rollout_state state);
+
+/// @brief the name of a stage in logs and reports; stable across versions
+/// @note thread safety: any thread
+[[nodiscard]] char const * to_string(rollout_stage stage);
+
 /// @brief state of a roll-out as written to the store
 struct rollout_status
 {
--- a/include/endivehinge/policy/target_admission_options.hpp
+++ b/include/endivehinge/policy/target_admission_options.hpp
@@ -13,8 +13,8 @@
 {
     // share of the slots to fill; targets slow down when nearly full
     double usable_slot_share = 0.8;
-    // largest queue length; bounds memory only, since the expected wait limits
-    // the queue much earlier
+    // largest queue length; bounds memory only: requests with a long expected
+    // wait are refused before the queue is this long
     std::size_t max_waiting = 256;
     // weight of the newest request in the mean run time
     double run_time_weight = 0.1;
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -616,23 +616,19 @@
 {
     auto const & [order, status, version] = known.entry;
     auto const shown = status.value_or(rollout_status());
-    constexpr char const * states[] = {
-        "none", "running", "completed", "rolled_back"};
-    this->log.write(
-        "rollout_known",
-        {{"service", order.service.value()},
-         {"target_version", order.target_version.value()},
-         {"duration_ms", format_milliseconds(order.length)},
-         {"state", states[static_cast<std::size_t>(state_of(known.entry))]},
-         {"stage",
-          shown.stage == rollout_stage::shifting ? "shifting" : "trial"},
-         {"share", absl::StrCat(shown.share)},
-         {"term", absl::StrCat(shown.term)},
-         {"writer", shown.coordinator.value()},
-         {"reason", shown.reason},
-         {"stored", known.is_conclusion_stored ? "1" : "0"},
-         {"store_version", absl::StrCat(version.value())},
-         {"from", source}});
+    this->log.write("rollout_known",
+                    {{"service", order.service.value()},
+                     {"target_version", order.target_version.value()},
+                     {"duration_ms", format_milliseconds(order.length)},
+                     {"state", endivehinge::to_string(state_of(known.entry))},
+                     {"stage", endivehinge::to_string(shown.stage)},
+                     {"share", absl::StrCat(shown.share)},
+                     {"term", absl::StrCat(shown.term)},
+                     {"writer", shown.coordinator.value()},
+                     {"reason", shown.reason},
+                     {"stored", known.is_conclusion_stored ? "1" : "0"},
+                     {"store_version", absl::StrCat(version.value())},
+                     {"from", source}});
 }
 
 void fleet_replica::decode_targets(object_changes const & updates)
--- a/src/gateway/rollout_control.cpp
+++ b/src/gateway/rollout_control.cpp
@@ -21,27 +21,6 @@
 // domains, and is shorter than the interval of the polls
 constexpr duration poll_timeout = std::chrono::milliseconds(180);
 
-char const * to_string(rollout_state state)
-{
-    switch (state)
-    {
-    case rollout_state::running:
-        return "running";
-    case rollout_state::completed:
-        return "completed";
-    case rollout_state::rolled_back:
-        return "rolled_back";
-    case rollout_state::none:
-        break;
-    }
-    return "none";
-}
-
-char const * to_string(rollout_stage stage)
-{
-    return stage == rollout_stage::shifting ? "shifting" : "trial";
-}
-
 char const * to_string(rollout_verdict verdict)
 {
     switch (verdict)
--- a/src/gateway/rollout_participant.cpp
+++ b/src/gateway/rollout_participant.cpp
@@ -4,7 +4,7 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
-#include <endivehinge/core/suspension_clock.hpp>
+#include <endivehinge/core/boot_clock.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 
 namespace endivehinge::detail
@@ -29,7 +29,7 @@
 
 duration suspension_time()
 {
-    return suspension_clock::now().time_since_epoch();
+    return boot_clock::now().time_since_epoch();
 }
 
 } // namespace
--- a/src/policy/rollout_exposure_ledger.cpp
+++ b/src/policy/rollout_exposure_ledger.cpp
@@ -23,8 +23,8 @@
 // a coordinator that stops leaves no grant in use for longer
 constexpr duration trial_validity = seconds(1);
 // at all traffic the old targets are closed, so that grants must last until
-// another coordinator took over (1.5 s) and polled; the gates still close
-// by themselves after a few bad responses
+// another coordinator has taken over (after 1.5 s) and polled. The node beside
+// a new target still stops accepting requests after a few bad responses
 constexpr duration full_share_validity = seconds(3);
 // a grant covers two poll intervals (200 ms), so that a late poll does not
 // interrupt the load of a target
