--- a/tests/src/system-gateway-crashing-request.cpp
+++ b/tests/src/system-gateway-crashing-request.cpp
@@ -1,3 +1,5 @@
+#include <optional> // optional
+
 #include <gtest/gtest.h>
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
@@ -59,6 +61,37 @@
         return member;
     }
 
+    /// @brief sends the crashing request at once to all nodes, then to one
+    /// after another; its targets return meanwhile and crash again
+    void send_in_rounds(int count)
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            this->send_crashing_request(i);
+        }
+        for (int i = 3; i < count; ++i)
+        {
+            this->run_for(milliseconds(300));
+            this->send_crashing_request(i);
+        }
+    }
+
+    /// @brief runs of the crashing request later than 3 s after the third
+    /// crash; the users allow three
+    [[nodiscard]] std::size_t late_runs() const
+    {
+        std::size_t late = 0;
+        for (std::size_t i = 3; i < this->crash_times.size(); ++i)
+        {
+            late += this->crash_times[i] > this->crash_times[2] + seconds(3)
+                        ? 1
+                        : 0;
+        }
+        return late;
+    }
+
+    // status of the responses to the crashing request while targets survive it
+    std::optional<unsigned> harmless_status;
     // requests that targets survive
     std::vector<std::shared_ptr<client_call>> others;
     // times of the runs of the crashing request
@@ -71,9 +104,11 @@
         member.target->request_hook =
             [this, &member](std::shared_ptr<detail::exchange> const & incoming)
         {
-            if (incoming->request.target() != crashing_path)
+            if (incoming->request.target() != crashing_path ||
+                this->harmless_status)
             {
-                member.target->respond(*incoming, 200);
+                member.target->respond(*incoming,
+                                       this->harmless_status.value_or(200));
                 return;
             }
             this->crash_times.push_back(std::chrono::steady_clock::now());
@@ -110,16 +145,53 @@
     }
     // the users' bound is three runs later than 3 s after the third crash
     ASSERT_FALSE(fleet.crash_times.empty());
-    std::size_t late_runs = 0;
-    for (std::size_t i = 3; i < fleet.crash_times.size(); ++i)
+    EXPECT_LE(fleet.late_runs(), 3U);
+    EXPECT_LE(fleet.crash_times.size(), 3U);
+}
+
+// All targets crash before any report of a crash arrives, return and receive
+// the request again; configurations change in the meantime.
+TEST(gateway_crashing_request, is_refused_when_all_targets_return)
+{
+    crashing_fleet fleet(3);
+    for (int version = 2; version < 6; ++version)
     {
-        late_runs +=
-            fleet.crash_times[i] > fleet.crash_times[2] + seconds(3) ? 1 : 0;
+        fleet.send_in_rounds(8);
+        fleet.configure(version, "web");
     }
-    EXPECT_LE(late_runs, 3U);
-    EXPECT_LE(fleet.crash_times.size(), 3U);
+    ASSERT_GE(fleet.crash_times.size(), 3U);
+    EXPECT_LE(fleet.late_runs(), 3U);
+    EXPECT_LE(fleet.crash_times.size(), 6U);
 }
 
+class gateway_request_that_turns_crashing
+    : public ::testing::TestWithParam<unsigned>
+{
+};
+
+// A response shows that a request did not crash its target then, not that it
+// never will: a new version or other data can change that.
+TEST_P(gateway_request_that_turns_crashing, is_refused_after_a_few_crashes)
+{
+    crashing_fleet fleet(3);
+    fleet.harmless_status = GetParam();
+    for (int i = 0; i < 6; ++i)
+    {
+        fleet.send_crashing_request(i);
+    }
+    fleet.run_for(milliseconds(200));
+    ASSERT_TRUE(fleet.crash_times.empty());
+    fleet.harmless_status.reset();
+    fleet.send_in_rounds(40);
+    ASSERT_GE(fleet.crash_times.size(), 3U);
+    EXPECT_LE(fleet.late_runs(), 3U);
+    EXPECT_LE(fleet.crash_times.size(), 6U);
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses,
+                         gateway_request_that_turns_crashing,
+                         ::testing::Values(200U, 500U));
+
 TEST(gateway_crashing_request, other_requests_of_the_service_are_answered)
 {
     crashing_fleet fleet(3);
