Pull once more before replacing a source that just lost the store

Cause: a node whose pull met its source in the moment in which that listed the store again, or had not learnt the new era, took the source for failed for 4 s and called the store itself.

--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -116,6 +116,13 @@
     [[nodiscard]] bool
     needs_configuration(replica_versions const & requester) const;
     void arm_settle_timer();
+    void arm_source_timer(duration delay);
+    /// @return null if the replication source may stay
+    [[nodiscard]] char const *
+    source_fault(replica_exchange const & reply) const;
+    /// @brief replaces a source, unless it was in contact to the store a moment
+    /// ago
+    void handle_source_fault(endpoint const & peer, char const * fault);
     /// @brief publishes again when the time to find the target has passed
     void arm_discovery_timer();
     [[nodiscard]] bool is_in_local_domain(endpoint const & peer) const;
@@ -167,6 +174,9 @@
     time_point last_store_response;
     // until then the replication source counts as connected to the store
     time_point source_contact_until;
+    // the present source was found without contact to the store and is pulled
+    // once more
+    bool source_rechecked = false;
     // until then, no pull for a newer configuration alone
     time_point next_configuration_pull;
     // newest version of a configuration that a requester of changes has
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 
 #include <algorithm> // any_of, max
+#include <utility>   // exchange
 
 #include <absl/strings/str_cat.h> // StrCat
 #include <boost/asio/post.hpp>    // post
@@ -33,6 +34,9 @@
 constexpr duration max_pull_response_age = std::chrono::milliseconds(2400);
 // how long a node is excluded as replication source while a fleet may start
 constexpr duration starting_source_exclusion = std::chrono::milliseconds(300);
+// a source that lists the store again, after a lost watch or a restore, is in
+// contact with it again within this time
+constexpr duration lost_source_recheck_delay = std::chrono::milliseconds(300);
 // how long a failed node is excluded as replication source
 constexpr duration failed_source_exclusion = std::chrono::milliseconds(4000);
 // with an older last response of the store a node counts as disconnected; the
@@ -523,8 +527,12 @@
     }
     auto const interval = this->awaits_source() ? starting_source_exclusion
                                                 : source_check_interval;
-    auto const delay = std::chrono::duration_cast<duration>(
-        interval * (0.75 + this->state.random() / 2));
+    this->arm_source_timer(std::chrono::duration_cast<duration>(
+        interval * (0.75 + this->state.random() / 2)));
+}
+
+void replica_sync::arm_source_timer(duration delay)
+{
     this->source_timer.expires_after(delay);
     this->source_timer.async_wait(
         [this](boost::system::error_code error)
@@ -654,20 +662,41 @@
     {
         return;
     }
-    if (!reply->in_contact || reply->age > max_contact_age)
+    if (auto const * const fault = this->source_fault(*reply))
     {
-        this->mark_failed(peer, "source has no recent contact to the store");
-        this->update_source();
+        this->handle_source_fault(peer, fault);
         return;
     }
-    if (this->follows_earlier_history(*reply))
+    this->source_rechecked = false;
+    this->source_contact_until = loop_now() + contact_validity;
+    this->session.stop();
+}
+
+char const * replica_sync::source_fault(replica_exchange const & reply) const
+{
+    if (!reply.in_contact || reply.age > max_contact_age)
     {
-        this->mark_failed(peer, "source states no or an earlier era");
-        this->update_source();
+        return "source has no recent contact to the store";
+    }
+    return this->follows_earlier_history(reply)
+               ? "source states no or an earlier era"
+               : nullptr;
+}
+
+void replica_sync::handle_source_fault(endpoint const & peer,
+                                       char const * fault)
+{
+    // otherwise each node that pulls in this moment would call the store as
+    // well
+    bool const was_in_contact = loop_now() < this->source_contact_until;
+    if (was_in_contact && !std::exchange(this->source_rechecked, true))
+    {
+        this->arm_source_timer(lost_source_recheck_delay);
         return;
     }
-    this->source_contact_until = loop_now() + contact_validity;
-    this->session.stop();
+    this->source_rechecked = false;
+    this->mark_failed(peer, fault);
+    this->update_source();
 }
 
 std::optional<replica_exchange>
