Pull once more before a held change of a restored store ends

Cause: a node that does not follow the store gets the operator's word by its next pull, up to 1 s later; by then its hold of 4 s had ended.

--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -116,6 +116,9 @@
     [[nodiscard]] bool
     needs_configuration(replica_versions const & requester) const;
     void arm_settle_timer();
+    /// @brief ends holds whose time has passed, after a last pull if this node
+    /// does not follow the store
+    void settle();
     void arm_source_timer(duration delay);
     /// @return null if the replication source may stay
     [[nodiscard]] char const *
@@ -177,6 +180,8 @@
     // the present source was found without contact to the store and is pulled
     // once more
     bool source_rechecked = false;
+    // a pull before holds end is in progress
+    bool settle_pull_pending = false;
     // until then, no pull for a newer configuration alone
     time_point next_configuration_pull;
     // newest version of a configuration that a requester of changes has
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -896,12 +896,49 @@
         {
             if (!error)
             {
-                this->replica.settle(loop_now());
-                this->arm_settle_timer();
+                this->settle();
             }
         });
 }
 
+void replica_sync::settle()
+{
+    if (this->settle_pull_pending)
+    {
+        return;
+    }
+    auto const source = this->select_source().peer;
+    auto const finish = [this]
+    {
+        this->settle_pull_pending = false;
+        this->replica.settle(loop_now());
+        this->arm_settle_timer();
+    };
+    if (this->session.is_active() || !source)
+    {
+        finish();
+        return;
+    }
+    this->settle_pull_pending = true;
+    // the operator may have repeated a change that the next regular pull would
+    // bring only after the settle time
+    this->state.peer(*source).call(
+        replica_exchange::write_request(this->replica.versions()),
+        pull_timeout,
+        [this, peer = *source, finish, sent = boot_clock::now()](
+            call_result const & result)
+        {
+            std::string detail;
+            if (!this->apply_pull_response(peer, sent, result, detail))
+            {
+                this->state.log.write(
+                    "replica_source_failed",
+                    {{"peer", peer.to_string()}, {"reason", detail}});
+            }
+            finish();
+        });
+}
+
 bool replica_sync::follows_rollouts() const
 {
     return this->state.settings.rollouts.has_value();
