Refuse with 503 while the owner of an allotment recovers

Cause: a new owner that does not know all rights grants few tokens, and a holder took each lack of tokens for an exhausted account.

Change: the grant says that the owner recovers; the holder then refuses with 503 and the same Retry-After.

--- a/include/endivehinge/policy/allotment_grant.hpp
+++ b/include/endivehinge/policy/allotment_grant.hpp
@@ -20,6 +20,9 @@
     double right = 0;
     // if fewer tokens than needed were granted: time until the next one
     duration next_token{0};
+    // the owner does not know all rights yet, so that a lack of tokens does not
+    // mean that the account is exhausted
+    bool recovering = false;
     // no right of the account exists, and the owner issues none for so long
     duration rights_free{0};
 };
--- a/include/endivehinge/policy/allotment_holder.hpp
+++ b/include/endivehinge/policy/allotment_holder.hpp
@@ -115,6 +115,8 @@
     time_point last_ask;
     // the account is taken to be exhausted until then
     time_point exhausted_until;
+    // not exhausted: the owner does not know all rights yet
+    bool owner_recovers = false;
     // as stated by the owner
     time_point next_token_at;
     allotment_retry retry;
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -150,6 +150,7 @@
         written["right"] = grant.right;
         written["next_us"] = grant.next_token / microseconds(1);
         written["free_us"] = grant.rights_free / microseconds(1);
+        written["recovering"] = grant.recovering;
     }
     return written;
 }
@@ -163,6 +164,7 @@
     grant.right = read_rate(value, "right");
     grant.next_token = read_time(value, "next_us");
     grant.rights_free = read_time(value, "free_us");
+    grant.recovering = value.value("recovering", false);
     return grant;
 }
 
--- a/src/policy/allotment_holder.cpp
+++ b/src/policy/allotment_holder.cpp
@@ -142,7 +142,8 @@
     }
     if (this->is_exhausted(now))
     {
-        verdict.outcome = allotment_outcome::exhausted;
+        verdict.outcome = this->owner_recovers ? allotment_outcome::no_contact
+                                               : allotment_outcome::exhausted;
         verdict.retry_after =
             this->retry.next(now,
                              this->exhausted_until,
@@ -324,6 +325,7 @@
                                     time_point now)
 {
     this->contact = true;
+    this->owner_recovers = grant.recovering;
     this->acknowledged = grant.sequence;
     auto const expires = sent_at + allotment_timing::token_lifetime;
     if (grant.tokens > 0 && expires > now)
--- a/src/policy/allotment_ledger.cpp
+++ b/src/policy/allotment_ledger.cpp
@@ -223,6 +223,7 @@
     allotment_grant grant;
     grant.sequence = ask.sequence;
     grant.from_owner = true;
+    grant.recovering = this->is_recovering(now);
     bool const is_known = this->holders.contains(asker.node);
     bool const has_room = this->holders.size() < max_holders;
     if (is_known || (ask.wants_right && has_room))
--- a/tests/src/unit-allotment-exchange.cpp
+++ b/tests/src/unit-allotment-exchange.cpp
@@ -58,6 +58,7 @@
     grant.right = 2.5;
     grant.next_token = milliseconds(40);
     grant.rights_free = milliseconds(3000);
+    grant.recovering = true;
     sent.grants.emplace_back(account_name("a"), grant);
     sent.claims.emplace_back(account_name("b"),
                              allotment_claim{true,
@@ -76,6 +77,7 @@
     EXPECT_EQ(read->claims.at(0).second.begins, milliseconds(500));
     EXPECT_EQ(read->claims.at(0).second.remaining, milliseconds(5000));
     EXPECT_EQ(read->grants.at(0).second.rights_free, milliseconds(3000));
+    EXPECT_TRUE(read->grants.at(0).second.recovering);
     EXPECT_EQ(read->claims.at(0).second.rights_free, milliseconds(2000));
 }
 
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -52,6 +52,21 @@
     EXPECT_TRUE(book.is_recovering(handed_over));
 }
 
+// Guards against 429 for an account that is within its allotment
+TEST(allotment_holder, account_of_a_recovering_owner_is_not_exhausted)
+{
+    time_point const now(seconds(100));
+    allotment_ledger ledger({100, 100}, 0, now, now + seconds(6));
+    allotment_holder holder({100, 100});
+    EXPECT_FALSE(holder.begin(now, 0, 0).has_value());
+    auto const ask = holder.ask(now, 1);
+    auto const grant = ledger.answer({node_name("b"), 1}, ask, now);
+    holder.record_grant(grant, now, now);
+    auto const verdict = holder.decide(now, 0, true);
+    ASSERT_TRUE(verdict.has_value());
+    EXPECT_EQ(verdict->outcome, allotment_outcome::no_contact);
+}
+
 // Guards against proofs that never expire, since each node that passes one on
 // adds the time of the transmission
 TEST(allotment_directory, proof_of_another_node_is_not_passed_on)
