Reword comments that a newcomer could not follow alone

Seen: a reader who knows no other line of the project could not tell what ten comments meant, and four of the new ones on allotments; the memory of completed requests stated a size that no longer held, since times are kept.

Change: comments only. The size is taken out, as no run stands behind one.

The tests were not run again.

--- a/include/endivehinge/coordination/domain_monitor.hpp
+++ b/include/endivehinge/coordination/domain_monitor.hpp
@@ -51,7 +51,7 @@
     /// @brief returns the status of a domain, created if missing
     [[nodiscard]] domain_status & status(failure_domain const & domain);
 
-    /// @brief returns the status of all domains
+    /// @brief the status of each failure domain that is known, by name
     [[nodiscard]] domain_map & all();
 
     /// @brief chooses random active members of a domain
--- a/include/endivehinge/coordination/restored_list_merge.hpp
+++ b/include/endivehinge/coordination/restored_list_merge.hpp
@@ -33,9 +33,8 @@
     /// @param last the deleted object; its version is that of the deletion
     void record_deletion(std::string const & name, object_digest const & last);
 
-    /// @brief a deletion of an object that the copy of the store lacks; ends
-    /// its
-    ///        hold, and a remembered deletion stays
+    /// @brief records that an object which the restored store does not contain
+    /// was deleted again; ends its hold and keeps a deletion that is remembered
     void record_repeated_deletion(std::string const & name);
 
     /// @brief a change of an object that the store reported after the restored
--- a/include/endivehinge/detail/control/lease_codec.hpp
+++ b/include/endivehinge/detail/control/lease_codec.hpp
@@ -30,8 +30,9 @@
 [[nodiscard]] lease_grant decode_grant(wire::lease_response const & source);
 
 /// @brief writes a handover as messages of a bounded size, to be sent in order
-/// @param greatest_bytes of the records in a message; a longer answer is left
-///        out, so that its key arrives as indeterminate
+/// @param greatest_bytes the maximum size of the records in one message. A
+///        stored response that is larger is omitted, and the receiver treats
+///        the outcome of its request as unknown
 [[nodiscard]] std::vector<wire::handover_request>
 encode_handover(service_name const & service,
                 record_handover const & source,
--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -16,7 +16,8 @@
 namespace endivehinge::detail
 {
 
-/// @brief HTTP server that listens on one address
+/// @brief accepts HTTP connections on one address and passes their requests to
+/// a handler
 /// @note thread safety: none; used on the event loop only
 class http_listener
 {
--- a/include/endivehinge/detail/settings/yaml_reader.hpp
+++ b/include/endivehinge/detail/settings/yaml_reader.hpp
@@ -12,21 +12,21 @@
 {
 
 /// @brief reads and checks the settings of a node as a whole
-/// @param text YAML
+/// @param text the content of the document, in YAML
 /// @param source what errors call it, such as its file name
 /// @param reason the line, the field and the fix
 [[nodiscard]] std::optional<node_settings> read_node_settings(
     std::string const & text, std::string const & source, failure & reason);
 
 /// @brief reads and checks the operators' configuration as a whole
-/// @param text YAML
+/// @param text the content of the document, in YAML
 /// @param source what errors call it, such as its file name
 /// @param reason the line, the field and the fix
 [[nodiscard]] std::optional<configuration> read_configuration(
     std::string const & text, std::string const & source, failure & reason);
 
 /// @brief reads one service by itself, as the platform keeps it
-/// @param text YAML
+/// @param text the content of the document, in YAML
 /// @param source what errors call it
 /// @param reason the line, the field and the fix
 /// @note does not look at the services that it depends on
--- a/include/endivehinge/policy/account_directory.hpp
+++ b/include/endivehinge/policy/account_directory.hpp
@@ -27,7 +27,7 @@
 ///
 /// Holds digests and positions instead of the keys or references to them, so
 /// that it needs little memory and can be copied together with the accounts.
-/// @note thread safety: const members from any thread
+/// @note thread safety: const member functions may be called from any thread
 class account_directory
 {
 public:
--- a/include/endivehinge/policy/allotment_book.hpp
+++ b/include/endivehinge/policy/allotment_book.hpp
@@ -100,7 +100,8 @@
         allotment_ledger ledger;
         time_point owner_since;
         time_point opened;
-        // of the last owner that no right exists; the latest that was heard
+        // until when no right exists, as the last owner promised; the latest
+        // such time that is known
         time_point promise;
         // nodes that were not heard, and when each is asked next
         absl::btree_map<node_name, time_point> unheard;
--- a/include/endivehinge/policy/allotment_directory.hpp
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -95,7 +95,7 @@
         // of the proof that its process has ended, if there is one
         time_point ended_until;
         time_point ended_since;
-        // the same, of proofs of this node only
+        // the same, for connections that were refused to this node itself
         time_point refused_until;
         time_point refused_since;
         time_point last_alive;
--- a/include/endivehinge/policy/allotment_ledger.hpp
+++ b/include/endivehinge/policy/allotment_ledger.hpp
@@ -154,9 +154,9 @@
     time_point updated;
     time_point known_time;
     bool confirmed = true;
-    // of the latest promise that no right exists
+    // end of the latest promise that no right exists; none is issued before
     time_point rights_from;
-    // latest ask of a node that wanted a right
+    // when a node last asked for a right
     time_point right_wanted;
     absl::btree_map<node_name, holder> holders;
     std::vector<claimed_right> claims;
--- a/include/endivehinge/policy/routing_configuration.hpp
+++ b/include/endivehinge/policy/routing_configuration.hpp
@@ -17,7 +17,7 @@
 {
 
 /// @brief one version of the routes and services set by the operators
-/// @note thread safety: const members from any thread
+/// @note thread safety: const member functions may be called from any thread
 class routing_configuration
 {
 public:
@@ -25,8 +25,8 @@
     std::vector<service_route> routes;
     std::vector<service_properties> services;
     client_limits limits;
-    // whether requests need the key of an account, unless their route is
-    // public; true also if there is no account
+    // whether requests on non-public routes need the key of an account. If this
+    // is set and no account is configured, all of them are refused
     bool requires_accounts = false;
     // sorted by name; set with set_accounts()
     std::vector<client_account> accounts;
--- a/src/coordination/restored_list_merge.cpp
+++ b/src/coordination/restored_list_merge.cpp
@@ -15,8 +15,9 @@
     auto lowest = std::numeric_limits<std::uint64_t>::max();
     for (auto const & [name, known, listed] : objects)
     {
-        // within one history the revision of an object never decreases. A
-        // missing object proves nothing: it may have been deleted since
+        // Without a restore of the store the revision of an object never
+        // decreases. A missing object is no sign of a restore, since it may
+        // have been deleted.
         if (known && listed &&
             (listed->version.value() < known->version.value() ||
              (listed->version.value() == known->version.value() &&
--- a/src/policy/completed_request_set.cpp
+++ b/src/policy/completed_request_set.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// of one generation; bounds memory to some 20 kB
+// of one generation; bounds memory
 constexpr std::size_t max_requests = 512;
 // a request that crashes its targets may run without limit for 3 s after the
 // third crash, which follows its last completion
--- a/src/policy/rollout_exposure_ledger.cpp
+++ b/src/policy/rollout_exposure_ledger.cpp
@@ -298,8 +298,9 @@
                                     duration validity)
 {
     target.max_accepted = max_accepted;
-    // the report was made before it was received, so that the grant ends at
-    // the holder no later than this
+    // The holder counts the validity from the time at which it sent the report,
+    // which is before its receipt here, so its grant never outlasts this
+    // expiry.
     target.expiry =
         std::max(target.expiry.value_or(target.last_report + validity),
                  target.last_report + validity);
