Pass on that the target of an owner has left

The target beside the owner had left at 2.6 s; its node took itself out of its own view but could not reach the store, so that all other views named it, and its answers that it is not the owner moved nobody. From 10.1 s on its machine was gone: it refused no connection, which is the only proof of an end, and its entry stays for 60 s.

A node whose target has left now states so in its messages and answers, by the target's id; all nodes pass it on. It holds as long as the entry names this target. As the node grants nothing from then on, a promise of the last owner lets the next one grant the whole rate at once.

The bound holds over 100 random schedules of departures. Open: a machine that is gone without a word.

--- a/include/endivehinge/policy/allotment_agent.hpp
+++ b/include/endivehinge/policy/allotment_agent.hpp
@@ -80,6 +80,7 @@
             ownership,      // this node began to grant tokens of the account
             owner_lost,     // no answer from the owner
             owner_regained, // the owner answers again
+            owner_departed, // a node states that its target has left
         };
 
         kind what = kind::exhausted;
@@ -238,6 +239,11 @@
     [[nodiscard]] allotment_claim answer_question(node_name const & from,
                                                   account_name const & account,
                                                   time_point now);
+    /// @brief takes what another node states about departures
+    /// @param from whose own departure is included if it has departed
+    void record_departures(node_name const & from,
+                           std::vector<allotment_departure> const & departures,
+                           time_point now);
     void record_outcome(node_name const & node, bool reached, time_point now);
     [[nodiscard]] bool reaches_most_nodes(time_point now) const;
     void add_probes(time_point now, actions & todo);
--- a/include/endivehinge/policy/allotment_directory.hpp
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -3,7 +3,6 @@
 
 #include <cstdint>  // uint64_t
 #include <optional> // optional
-#include <utility>  // pair
 #include <vector>   // vector
 
 #include <absl/container/btree_map.h> // btree_map
@@ -11,6 +10,7 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/core/ids.hpp>
+#include <endivehinge/policy/allotment_member.hpp>
 
 namespace endivehinge
 {
@@ -20,13 +20,16 @@
 /// The owner is the node with the highest rank whose process is not known to
 /// have ended. Answers the load after the death of an owner: a refused
 /// connection proves that its process grants nothing, so that the next node
-/// takes over before the store removes the entry.
+/// takes over before the store removes the entry. Answers the load after a
+/// target has left while its node cannot remove its entry: the node states
+/// that it has departed, and all nodes pass this on, since its machine may be
+/// gone soon and then refuses nothing.
 /// @note pure: time is an argument; not thread-safe, the owner serialises all
 /// calls
 class allotment_directory
 {
 public:
-    using node_list = std::vector<std::pair<node_name, endpoint>>;
+    using node_list = std::vector<allotment_member>;
 
     /// @brief a node whose process has ended, and how long to assume so
     struct ended_node
@@ -57,6 +60,28 @@
     /// @return whether the node was taken to have ended before
     bool record_alive(node_name const & node, time_point now);
 
+    /// @brief records that a node states, itself or through another one, that
+    /// its target has left; ignored if its entry names another target
+    /// @return whether it was not known
+    bool record_departure(allotment_departure const & departure,
+                          time_point now);
+
+    /// @brief records that a node that departed is a member again
+    /// @return whether it was taken to have departed
+    bool record_return(node_name const & node, time_point now);
+
+    /// @brief all departures of nodes whose entries are still in the view, and
+    /// that of this node
+    ///
+    /// They are passed on by everyone. One does not expire: it is true as long
+    /// as the entry names the same target.
+    [[nodiscard]] std::vector<allotment_departure> departures() const;
+
+    /// @brief the departure of this node; no value while its entry is in the
+    /// view, or if it never was
+    [[nodiscard]] std::optional<allotment_departure> const &
+    own_departure() const;
+
     /// @return no value if no node is known
     [[nodiscard]] std::optional<node_name> owner(account_name const & account,
                                                  time_point now) const;
@@ -99,6 +124,9 @@
         time_point refused_until;
         time_point refused_since;
         time_point last_alive;
+        target_id target;
+        // since when its target is known to have left
+        std::optional<time_point> departed_since;
     };
 
     struct removed_node
@@ -107,7 +135,10 @@
         time_point since;
     };
 
+    [[nodiscard]] static bool can_own(entry const & known, time_point now);
+
     node_name self;
+    std::optional<allotment_departure> departure;
     time_point started;
     // the entry of an earlier process was in the first view, so that the other
     // nodes knew this one before
--- /dev/null
+++ b/include/endivehinge/policy/allotment_member.hpp
@@ -0,0 +1,31 @@
+#ifndef ENDIVEHINGE_POLICY_ALLOTMENT_MEMBER_HPP
+#define ENDIVEHINGE_POLICY_ALLOTMENT_MEMBER_HPP
+
+#include <endivehinge/core/endpoint.hpp>
+#include <endivehinge/core/ids.hpp>
+
+namespace endivehinge
+{
+
+/// @brief a node that may own accounts, as its entry in the fleet view states
+struct allotment_member
+{
+    node_name node;
+    endpoint address;
+    // the incarnation of the target beside it
+    target_id target;
+};
+
+/// @brief states that a node's target has left, so that the node owns nothing
+///
+/// It holds for the entry of this target: the node becomes a member again with
+/// its next target.
+struct allotment_departure
+{
+    node_name node;
+    target_id target;
+};
+
+} // namespace endivehinge
+
+#endif
--- a/include/endivehinge/policy/allotment_message.hpp
+++ b/include/endivehinge/policy/allotment_message.hpp
@@ -17,6 +17,8 @@
     // nodes whose processes have ended, so that the receiver does not take one
     // of them for an owner
     std::vector<allotment_directory::ended_node> ended;
+    // nodes whose targets have left although their entries remain
+    std::vector<allotment_departure> departures;
     std::vector<std::pair<account_name, allotment_ask>> asks;
     // accounts that the sender owns and whose rights it does not know
     std::vector<account_name> questions;
--- a/include/endivehinge/policy/allotment_response.hpp
+++ b/include/endivehinge/policy/allotment_response.hpp
@@ -15,6 +15,8 @@
 struct allotment_response
 {
     allotment_process from;
+    // as in an allotment_message
+    std::vector<allotment_departure> departures;
     // in the order of the asks
     std::vector<std::pair<account_name, allotment_grant>> grants;
     // in the order of the questions
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -132,7 +132,7 @@
     {
         if (entry->state != target_state::removed)
         {
-            present.emplace_back(entry->node, entry->peer);
+            present.push_back({entry->node, entry->peer, entry->id});
         }
     }
     this->agent.set_nodes(present, now_with_suspension());
@@ -284,6 +284,10 @@
             this->state.log.write("allotment_owner_regained",
                                   {{"peer", event.node.value()}});
             break;
+        case kind::owner_departed:
+            this->state.log.write("allotment_owner_departed",
+                                  {{"peer", event.node.value()}});
+            break;
         }
     }
 }
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -100,6 +100,31 @@
     return *found;
 }
 
+void write_departures(json & document,
+                      std::vector<allotment_departure> const & departures)
+{
+    // the first is that of the sender, if it has departed
+    auto const count = std::min(departures.size(), max_entries);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        document["departures"].push_back(
+            {{"node", departures[i].node.value()},
+             {"target", departures[i].target.value()}});
+    }
+}
+
+std::vector<allotment_departure> read_departures(json const & document)
+{
+    std::vector<allotment_departure> departures;
+    for (auto const & value : read_list(document, "departures"))
+    {
+        departures.push_back(
+            {node_name(value.at("node").get<std::string>()),
+             target_id(value.at("target").get<std::string>())});
+    }
+    return departures;
+}
+
 json write_ask(account_name const & account, allotment_ask const & ask)
 {
     json written = {{"account", account.value()},
@@ -216,6 +241,7 @@
             break;
         }
     }
+    write_departures(document, message.departures);
     for (auto const & [account, ask] : message.asks)
     {
         document["asks"].push_back(write_ask(account, ask));
@@ -250,6 +276,7 @@
                 {node_name(value.at("node").get<std::string>()),
                  read_time(value, "remaining_us")});
         }
+        message.departures = read_departures(document);
         for (auto const & value : read_list(document, "asks"))
         {
             message.asks.emplace_back(read_account(value), read_ask(value));
@@ -271,6 +298,7 @@
 allotment_exchange::write_response(allotment_response const & response)
 {
     json document = write_process(response.from);
+    write_departures(document, response.departures);
     for (auto const & [account, grant] : response.grants)
     {
         document["grants"].push_back(write_grant(account, grant));
@@ -290,6 +318,7 @@
         auto const document = json::parse(body);
         allotment_response response;
         response.from = read_process(document);
+        response.departures = read_departures(document);
         for (auto const & value : read_list(document, "grants"))
         {
             response.grants.emplace_back(read_account(value),
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/allotment_agent.hpp>
 
-#include <algorithm> // find_if, max, min
+#include <algorithm> // any_of, find_if, max, min
 
 namespace endivehinge
 {
@@ -470,6 +470,7 @@
     allotment_message message;
     message.from = this->self;
     message.ended = this->directory.ended_nodes(now);
+    message.departures = this->directory.departures();
     return message;
 }
 
@@ -507,6 +508,7 @@
 {
     this->generation +=
         this->directory.record_alive(message.from.node, now) ? 1 : 0;
+    this->record_departures(message.from.node, message.departures, now);
     for (auto const & ended : message.ended)
     {
         bool const is_new =
@@ -515,6 +517,7 @@
     }
     allotment_response response;
     response.from = this->self;
+    response.departures = this->directory.departures();
     for (auto const & [account, ask] : message.asks)
     {
         response.grants.emplace_back(
@@ -528,6 +531,33 @@
     return response;
 }
 
+void allotment_agent::record_departures(
+    node_name const & from,
+    std::vector<allotment_departure> const & departures,
+    time_point now)
+{
+    bool const has_departed = std::any_of(departures.begin(),
+                                          departures.end(),
+                                          [&from](auto const & departure)
+                                          {
+                                              return departure.node == from;
+                                          });
+    if (!has_departed)
+    {
+        this->generation += this->directory.record_return(from, now) ? 1 : 0;
+    }
+    for (auto const & departure : departures)
+    {
+        bool const is_new = this->directory.record_departure(departure, now);
+        this->generation += is_new ? 1 : 0;
+        if (is_new && this->events.size() < max_events)
+        {
+            this->events.push_back(
+                {event::kind::owner_departed, {}, departure.node});
+        }
+    }
+}
+
 allotment_grant allotment_agent::answer_ask(allotment_process const & from,
                                             account_name const & account,
                                             allotment_ask const & ask,
@@ -573,6 +603,7 @@
                                       time_point now)
 {
     this->generation += this->directory.record_alive(sent.to, now) ? 1 : 0;
+    this->record_departures(sent.to, response.departures, now);
     this->record_outcome(sent.to, true, now);
     if (!sent.message.asks.empty())
     {
--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -27,13 +27,17 @@
 {
     bool const is_first_view = this->nodes.empty() && present.size() > 1;
     absl::btree_map<node_name, entry> next;
-    for (auto const & [node, address] : present)
+    for (auto const & [node, address, target] : present)
     {
         auto const known = this->nodes.find(node);
         auto & added = next[node];
         if (known != this->nodes.end())
         {
             added = known->second;
+            if (added.target != target)
+            {
+                added.departed_since.reset();
+            }
         }
         else if (node == this->self)
         {
@@ -42,6 +46,7 @@
             this->was_known = is_first_view;
         }
         added.address = address;
+        added.target = target;
         this->removed.erase(node);
     }
     for (auto const & [node, known] : this->nodes)
@@ -51,6 +56,15 @@
             this->removed[node] = {known.address, now};
         }
     }
+    if (next.contains(this->self))
+    {
+        this->departure.reset();
+    }
+    else if (auto const own = this->nodes.find(this->self);
+             own != this->nodes.end())
+    {
+        this->departure = {this->self, own->second.target};
+    }
     this->nodes = std::move(next);
     for (auto node = this->removed.begin(); node != this->removed.end();)
     {
@@ -125,6 +139,60 @@
     return was_ended;
 }
 
+bool allotment_directory::record_departure(allotment_departure const & stated,
+                                           time_point now)
+{
+    auto const found = this->nodes.find(stated.node);
+    if (found == this->nodes.end() || stated.node == this->self ||
+        found->second.target != stated.target || found->second.departed_since)
+    {
+        return false;
+    }
+    found->second.departed_since = now;
+    return true;
+}
+
+bool allotment_directory::record_return(node_name const & node, time_point now)
+{
+    auto const found = this->nodes.find(node);
+    if (found == this->nodes.end() || !found->second.departed_since)
+    {
+        return false;
+    }
+    found->second.departed_since.reset();
+    // the node may own accounts that this one has taken over
+    this->restart(now);
+    return true;
+}
+
+std::vector<allotment_departure> allotment_directory::departures() const
+{
+    std::vector<allotment_departure> all;
+    if (this->departure)
+    {
+        all.push_back(*this->departure);
+    }
+    for (auto const & [node, known] : this->nodes)
+    {
+        if (known.departed_since)
+        {
+            all.push_back({node, known.target});
+        }
+    }
+    return all;
+}
+
+std::optional<allotment_departure> const &
+allotment_directory::own_departure() const
+{
+    return this->departure;
+}
+
+bool allotment_directory::can_own(entry const & known, time_point now)
+{
+    return now >= known.ended_until && !known.departed_since;
+}
+
 std::optional<node_name>
 allotment_directory::owner(account_name const & account, time_point now) const
 {
@@ -132,7 +200,7 @@
     std::uint64_t best_rank = 0;
     for (auto const & [node, known] : this->nodes)
     {
-        if (now < known.ended_until)
+        if (!can_own(known, now))
         {
             continue;
         }
@@ -153,10 +221,11 @@
     auto since = this->started;
     for (auto const & [node, known] : this->nodes)
     {
-        if (now < known.ended_until &&
+        if (!can_own(known, now) &&
             allotment_owner_rank(account, node) > own_rank)
         {
-            since = std::max(since, known.ended_since);
+            since = std::max(since,
+                             known.departed_since.value_or(known.ended_since));
         }
     }
     for (auto const & [node, removal] : this->removed)
@@ -191,11 +260,17 @@
     }
     for (auto const & [node, known] : this->nodes)
     {
-        if (now >= known.ended_until ||
+        if (can_own(known, now) ||
             allotment_owner_rank(account, node) < own_rank)
         {
             continue;
         }
+        if (known.departed_since)
+        {
+            // the node grants nothing since it stated so
+            from = std::max(from, *known.departed_since);
+            continue;
+        }
         if (now > known.refused_until + ended_proof_gap)
         {
             return std::nullopt;
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -1,6 +1,6 @@
 #include "allotment_fleet.hpp"
 
-#include <algorithm> // max
+#include <algorithm> // max, remove_if
 #include <utility>   // exchange
 
 namespace endivehinge::tests
@@ -106,6 +106,7 @@
     auto & data = this->nodes[node];
     data.process = ++this->last_process;
     data.next_poll = time_point();
+    data.departed = false;
     data.agent = std::make_unique<allotment_agent>(
         allotment_process{name_of(node), data.process},
         allotment_book_options{slack, this->first_start},
@@ -196,12 +197,44 @@
     {
         if (this->nodes[i].present)
         {
-            present.emplace_back(name_of(i), endpoint{"host", 1});
+            present.push_back({name_of(i), endpoint{"host", 1}, {}});
         }
     }
     return present;
 }
 
+allotment_directory::node_list
+allotment_fleet::nodes_seen_by(std::size_t node) const
+{
+    auto seen = this->present_nodes();
+    if (this->nodes[node].departed)
+    {
+        seen.erase(std::remove_if(seen.begin(),
+                                  seen.end(),
+                                  [node](auto const & member)
+                                  {
+                                      return member.node == name_of(node);
+                                  }),
+                   seen.end());
+    }
+    return seen;
+}
+
+void allotment_fleet::depart(std::size_t node)
+{
+    this->nodes[node].departed = true;
+    this->nodes[node].agent->set_nodes(this->nodes_seen_by(node), this->now);
+}
+
+void allotment_fleet::vanish(std::size_t node)
+{
+    this->kill(node);
+    for (std::size_t i = 0; i < this->nodes.size(); ++i)
+    {
+        this->set_cut(i, node, true);
+    }
+}
+
 void allotment_fleet::update_views()
 {
     for (std::size_t i = 0; i < this->nodes.size(); ++i)
@@ -218,7 +251,7 @@
         {
             if (!this->nodes[i].isolated)
             {
-                this->nodes[i].agent->set_nodes(this->present_nodes(),
+                this->nodes[i].agent->set_nodes(this->nodes_seen_by(i),
                                                 this->now);
             }
         };
--- a/tests/src/simulation/allotment_fleet.hpp
+++ b/tests/src/simulation/allotment_fleet.hpp
@@ -67,6 +67,11 @@
     /// @brief removes the entry of a node from all views, or adds it
     void set_present(std::size_t node, bool present);
 
+    /// @brief a node's target leaves while the node cannot remove its entry
+    void depart(std::size_t node);
+    /// @brief a machine is gone: it neither answers nor refuses
+    void vanish(std::size_t node);
+
     /// @brief removes the entries of nodes that are dead, paused or isolated
     void remove_lapsed();
 
@@ -85,6 +90,7 @@
         bool paused = false;
         bool present = true;
         bool isolated = false;
+        bool departed = false;
         time_point isolated_since;
         time_point next_poll;
         // what arrived while the process was paused
@@ -112,6 +118,8 @@
     void
     deliver(std::size_t node, std::uint64_t process, std::function<void()> run);
     [[nodiscard]] allotment_directory::node_list present_nodes() const;
+    [[nodiscard]] allotment_directory::node_list
+    nodes_seen_by(std::size_t node) const;
     void update_views();
     void set_store_age(std::size_t node);
     void count(std::string const & account, allotment_verdict const & verdict);
--- a/tests/src/system-gateway-allotments.cpp
+++ b/tests/src/system-gateway-allotments.cpp
@@ -95,8 +95,9 @@
         allotment_directory::node_list nodes;
         for (auto const & member : this->fleet.members)
         {
-            nodes.emplace_back(member->node->state.settings.node,
-                               endpoint{"127.0.0.1", 1});
+            nodes.push_back({member->node->state.settings.node,
+                             endpoint{"127.0.0.1", 1},
+                             {}});
         }
         directory.set_nodes(nodes, time_point());
         auto const name =
--- a/tests/src/unit-allotment-exchange.cpp
+++ b/tests/src/unit-allotment-exchange.cpp
@@ -14,6 +14,7 @@
     allotment_message message;
     message.from = {node_name("n1"), ~std::uint64_t{0}};
     message.ended.push_back({node_name("n2"), milliseconds(300)});
+    message.departures.push_back({node_name("n3"), target_id("t3")});
     allotment_ask ask;
     ask.sequence = 7;
     ask.acknowledged = 6;
@@ -37,6 +38,9 @@
     EXPECT_EQ(read->from.process, ~std::uint64_t{0});
     ASSERT_EQ(read->ended.size(), 1U);
     EXPECT_EQ(read->ended[0].remaining, milliseconds(300));
+    ASSERT_EQ(read->departures.size(), 1U);
+    EXPECT_EQ(read->departures[0].node, node_name("n3"));
+    EXPECT_EQ(read->departures[0].target, target_id("t3"));
     ASSERT_EQ(read->asks.size(), 1U);
     EXPECT_EQ(read->asks[0].second.needed, 2U);
     EXPECT_EQ(read->asks[0].second.wanted, 5U);
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -33,7 +33,8 @@
 {
     time_point const start(std::chrono::seconds(100));
     allotment_directory directory(node_name("a"), start);
-    directory.set_nodes({{node_name("a"), {}}, {node_name("b"), {}}}, start);
+    directory.set_nodes({{node_name("a"), {}, {}}, {node_name("b"), {}, {}}},
+                        start);
     allotment_book book({20, true}, start);
     auto const handed_over = start + std::chrono::seconds(60);
     static_cast<void>(book.open(account_name("first"),
@@ -72,8 +73,9 @@
 TEST(allotment_directory, proof_of_another_node_is_not_passed_on)
 {
     time_point const start(seconds(100));
-    allotment_directory::node_list const nodes{
-        {node_name("a"), {}}, {node_name("b"), {}}, {node_name("c"), {}}};
+    allotment_directory::node_list const nodes{{node_name("a"), {}, {}},
+                                               {node_name("b"), {}, {}},
+                                               {node_name("c"), {}, {}}};
     allotment_directory directory(node_name("a"), start);
     directory.set_nodes(nodes, start);
     EXPECT_TRUE(
@@ -89,7 +91,8 @@
 {
     time_point const start(seconds(100));
     allotment_directory directory(node_name("a"), start);
-    directory.set_nodes({{node_name("a"), {}}, {node_name("b"), {}}}, start);
+    directory.set_nodes({{node_name("a"), {}, {}}, {node_name("b"), {}, {}}},
+                        start);
     auto const now = start + milliseconds(200);
     static_cast<void>(directory.record_alive(node_name("b"), now));
     EXPECT_FALSE(directory.record_ended(
@@ -449,6 +452,68 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, allotment_recovery, testing::Range(1U, 4U));
 
+// The target of an owner left while its node could not reach the store, and its
+// machine was gone some seconds later. Its accounts were refused for the rest
+// of the day: its entry stayed, and a machine that is gone refuses no
+// connection.
+class allotment_departure_test : public testing::TestWithParam<unsigned>
+{
+};
+
+TEST_P(allotment_departure_test, accounts_of_a_departed_owner_are_served)
+{
+    constexpr std::size_t nodes = 12;
+    allotment_fleet fleet(nodes, GetParam(), false);
+    fleet.add_account("a", {40, 40});
+    std::vector<std::size_t> entries(nodes);
+    std::iota(entries.begin(), entries.end(), 0);
+    fleet.run_load("a", 23, entries, seconds(4));
+    auto const owner = fleet.owner("a");
+    entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(owner));
+    fleet.depart(owner);
+    fleet.run_load("a", 23, entries, seconds(2));
+    fleet.vanish(owner);
+    auto & a = fleet.accounts.at("a");
+    for (int second = 0; second < 12; ++second)
+    {
+        a.requests = 0;
+        a.granted = 0;
+        fleet.run_load("a", 23, entries, seconds(1));
+        EXPECT_GE(share(a.granted, a.requests), 0.95)
+            << second << " s after the machine was gone";
+    }
+    EXPECT_EQ(a.violations, 0U);
+}
+
+// A departed node's next target makes it an owner again.
+TEST_P(allotment_departure_test, departure_holds_for_one_target)
+{
+    time_point const start(seconds(100));
+    allotment_directory directory(node_name("a"), start);
+    allotment_directory::node_list nodes{{node_name("a"), {}, target_id("t1")},
+                                         {node_name("b"), {}, target_id("t2")}};
+    directory.set_nodes(nodes, start);
+    EXPECT_FALSE(
+        directory.record_departure({node_name("b"), target_id("old")}, start));
+    EXPECT_TRUE(
+        directory.record_departure({node_name("b"), target_id("t2")}, start));
+    auto const account = account_name(std::to_string(GetParam()));
+    EXPECT_EQ(directory.owner(account, start), node_name("a"));
+    ASSERT_EQ(directory.departures().size(), 1U);
+    nodes[1].target = target_id("t3");
+    directory.set_nodes(nodes, start);
+    EXPECT_TRUE(directory.departures().empty());
+    EXPECT_FALSE(directory.own_departure().has_value());
+    nodes.erase(nodes.begin());
+    directory.set_nodes(nodes, start);
+    ASSERT_TRUE(directory.own_departure().has_value());
+    EXPECT_EQ(directory.own_departure()->target, target_id("t1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds,
+                         allotment_departure_test,
+                         testing::Range(1U, 11U));
+
 // ---------------------------------------------------------------------------
 // random schedules
 // ---------------------------------------------------------------------------
@@ -521,6 +586,36 @@
     }
 }
 
+// Guards against two owners at once while targets leave and come back
+TEST_P(allotment_schedule, bound_holds_while_nodes_depart_and_return)
+{
+    constexpr std::size_t nodes = 5;
+    allotment_fleet fleet(nodes, GetParam(), false);
+    fleet.add_account("large", {80, 80});
+    std::uniform_int_distribution<std::size_t> any(0, nodes - 1);
+    for (int round = 0; round < 30; ++round)
+    {
+        auto const node = any(fleet.generator);
+        if (!fleet.is_running(node))
+        {
+            fleet.start(node);
+        }
+        else if (round % 3 == 0)
+        {
+            fleet.depart(node);
+        }
+        else
+        {
+            fleet.kill(node);
+        }
+        auto const first = any(fleet.generator);
+        auto const second = any(fleet.generator);
+        fleet.run_load("large", 320, {first, second}, milliseconds(700));
+    }
+    auto const & large = fleet.accounts.at("large");
+    EXPECT_EQ(large.violations, 0U) << large.most_in_window;
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, allotment_schedule, testing::Range(1U, 101U));
 
 // of 1,500 seeds, those that exceed the bound, now or earlier
