Learn how many requests a target runs at once

concurrency_estimate compares run times of requests that started beside many others with those that started beside few, route by route, and uses nine or ten tenths only where that completes more requests a second. Unknown levels are tried under load.

Tests that counted on eight of ten usable slots state eight slots instead; what they bound is unchanged.

--- a/include/endivehinge/policy/target_admission_options.hpp
+++ b/include/endivehinge/policy/target_admission_options.hpp
@@ -11,8 +11,6 @@
 /// @brief limits and weights of a target_admission_policy
 struct target_admission_options
 {
-    // share of the slots to fill; targets slow down when nearly full
-    double usable_slot_share = 0.8;
     // largest queue length; bounds memory only: requests with a long expected
     // wait are refused before the queue is this long
     std::size_t max_waiting = 256;
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -9,6 +9,7 @@
 
 #include <endivehinge/policy/account_shares.hpp>
 #include <endivehinge/policy/cold_rate_limiter.hpp>
+#include <endivehinge/policy/concurrency_estimate.hpp>
 #include <endivehinge/policy/request_urgency.hpp>
 #include <endivehinge/policy/run_time_estimates.hpp>
 #include <endivehinge/policy/slow_target_action.hpp>
@@ -148,6 +149,9 @@
         account_name account;
         // run time charged to the account at the start
         duration estimate{0};
+        // requests that ran when it started, itself included
+        std::size_t concurrency = 1;
+        bool was_cold = false;
     };
 
     [[nodiscard]] std::size_t limit() const;
@@ -228,7 +232,6 @@
                         time_point now) const;
 
     target_admission_options options;
-    std::uint32_t slots = 1;
     bool open = false;
     double failure_share = 0;
     cold_rate_limiter cold_limiter;
@@ -237,6 +240,7 @@
     run_time_estimates run_times;
     // run times divided by the slowdown at the start of each request
     run_time_estimates base_run_times;
+    concurrency_estimate concurrency;
     // since when all usable slots have been busy with requests in the queue,
     // apart from short interruptions
     std::optional<time_point> queueing_since;
--- /dev/null
+++ b/src/policy/concurrency_estimate.cpp
@@ -0,0 +1,163 @@
+#include <endivehinge/policy/concurrency_estimate.hpp>
+
+#include <algorithm> // max, nth_element
+#include <vector>    // vector
+
+namespace endivehinge
+{
+namespace
+{
+
+// bounds memory; routes beyond this number are not compared
+constexpr std::size_t max_routes = 64;
+constexpr std::size_t lowest_level_tenths = 5;
+// eight tenths of the slots: the concurrency that slows no target much
+constexpr std::size_t always_used_level = 3;
+
+} // namespace
+
+concurrency_estimate::concurrency_estimate(concurrency_estimate_options chosen)
+    : options(chosen)
+{
+}
+
+void concurrency_estimate::set_slots(std::uint32_t count)
+{
+    if (count != this->slots)
+    {
+        this->slots = count;
+        this->reset();
+    }
+}
+
+void concurrency_estimate::reset()
+{
+    this->routes.clear();
+    this->current_limit = this->slots;
+}
+
+void concurrency_estimate::record(std::string const & route,
+                                  std::size_t concurrency,
+                                  duration run_time,
+                                  time_point now)
+{
+    if (this->routes.size() >= max_routes && !this->routes.contains(route))
+    {
+        return;
+    }
+    auto & levels = this->routes[route];
+    levels[this->level_of(concurrency)].samples.push_back({run_time, now});
+    for (auto & measured : levels)
+    {
+        this->remove_expired(measured, now);
+    }
+    this->update_quartile(levels[this->level_of(concurrency)]);
+    this->update_limit();
+}
+
+std::size_t concurrency_estimate::limit() const
+{
+    return this->current_limit;
+}
+
+std::size_t concurrency_estimate::slots_of(std::size_t index) const
+{
+    return std::max<std::size_t>(
+        this->slots * (lowest_level_tenths + index) / 10, 1);
+}
+
+std::size_t concurrency_estimate::level_of(std::size_t concurrency) const
+{
+    std::size_t index = 0;
+    while (index + 1 < level_count && this->slots_of(index) < concurrency)
+    {
+        ++index;
+    }
+    return index;
+}
+
+void concurrency_estimate::remove_expired(level & measured,
+                                          time_point now) const
+{
+    auto & samples = measured.samples;
+    bool const has_expired =
+        !samples.empty() &&
+        now - samples.front().recorded_at > this->options.max_sample_age;
+    while (!samples.empty() &&
+           (samples.size() > this->options.samples_per_level ||
+            now - samples.front().recorded_at > this->options.max_sample_age))
+    {
+        samples.pop_front();
+    }
+    if (has_expired)
+    {
+        this->update_quartile(measured);
+    }
+}
+
+void concurrency_estimate::update_quartile(level & measured) const
+{
+    if (measured.samples.size() < this->options.min_samples)
+    {
+        measured.quartile = 0;
+        return;
+    }
+    std::vector<duration> run_times;
+    run_times.reserve(measured.samples.size());
+    for (auto const & entry : measured.samples)
+    {
+        run_times.push_back(entry.run_time);
+    }
+    auto const position =
+        run_times.begin() + static_cast<std::ptrdiff_t>(run_times.size() / 4);
+    std::nth_element(run_times.begin(), position, run_times.end());
+    measured.quartile = to_milliseconds(*position);
+}
+
+double concurrency_estimate::slowdown_at(std::size_t index) const
+{
+    double sum = 0;
+    double weight = 0;
+    for (auto const & [route, levels] : this->routes)
+    {
+        double base = 0;
+        for (std::size_t lower = 0; lower < index && base == 0; ++lower)
+        {
+            base = levels[lower].quartile;
+        }
+        auto const & measured = levels[index];
+        if (base > 0 && measured.quartile > 0)
+        {
+            auto const count = static_cast<double>(measured.samples.size());
+            sum += count * measured.quartile / base;
+            weight += count;
+        }
+    }
+    return weight > 0 ? sum / weight : 0;
+}
+
+void concurrency_estimate::update_limit()
+{
+    double slowdown = 1;
+    double best = 0;
+    for (std::size_t index = 1; index < level_count; ++index)
+    {
+        if (auto const measured = this->slowdown_at(index); measured > 0)
+        {
+            slowdown = measured;
+        }
+        if (index < always_used_level)
+        {
+            continue;
+        }
+        double const throughput =
+            static_cast<double>(this->slots_of(index)) / slowdown;
+        if (throughput >= best * this->options.min_gain)
+        {
+            best = throughput;
+            this->current_limit = this->slots_of(index);
+        }
+    }
+}
+
+} // namespace endivehinge
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -58,7 +58,7 @@
 
 void target_admission_policy::set_slots(std::uint32_t count)
 {
-    this->slots = count;
+    this->concurrency.set_slots(count);
 }
 
 void target_admission_policy::set_cold(time_point until,
@@ -206,6 +206,14 @@
         this->base_run_times.add(found->second.route,
                                  scaled(run_time, 1 / found->second.slowdown),
                                  now);
+        if (!found->second.was_cold)
+        {
+            this->concurrency.record(
+                found->second.route,
+                found->second.concurrency,
+                scaled(run_time, 1 / found->second.slowdown),
+                now);
+        }
     }
     if (!found->second.account.value().empty())
     {
@@ -473,9 +481,7 @@
 
 std::size_t target_admission_policy::limit() const
 {
-    auto const usable_slots =
-        static_cast<std::size_t>(this->options.usable_slot_share * this->slots);
-    return std::max<std::size_t>(usable_slots, 1);
+    return this->concurrency.limit();
 }
 
 bool target_admission_policy::is_suspect_running() const
@@ -756,13 +762,15 @@
     {
         this->shares.record_start(request.account, estimate, now);
     }
-    this->running[request.ticket] = {
-        request.route,
-        now,
-        std::max(this->slowdown_state.factor(), 1.0),
-        request.is_suspect,
-        request.account.name,
-        estimate};
+    running_request const started{request.route,
+                                  now,
+                                  std::max(this->slowdown_state.factor(), 1.0),
+                                  request.is_suspect,
+                                  request.account.name,
+                                  estimate,
+                                  this->running.size() + 1,
+                                  this->cold_limiter.is_cold(now)};
+    this->running[request.ticket] = started;
     this->cold_limiter.record_start();
     this->stated_limiter.record_start();
 }
--- a/tests/src/simulation/admission_simulation.cpp
+++ b/tests/src/simulation/admission_simulation.cpp
@@ -366,8 +366,12 @@
 
 void admission_simulation::start(admission_ticket ticket, std::size_t target)
 {
+    auto const load = this->targets[target]->policy.load(this->now());
+    bool const is_nearly_full = load.running * 10 > this->plan.slots * 8;
     auto const run_time = std::chrono::duration_cast<duration>(
-        this->plan.run_time * this->current_slowdown(target));
+        this->plan.run_time * this->current_slowdown(target) *
+        (is_nearly_full ? this->plan.nearly_full_slowdown(this->events.now())
+                        : 1.0));
     this->events.after(
         run_time,
         [this, ticket, target]
--- a/tests/src/simulation/admission_simulation.hpp
+++ b/tests/src/simulation/admission_simulation.hpp
@@ -28,7 +28,7 @@
     std::size_t targets = 3;
     // nodes that receive requests; each has its own view of the target loads
     std::size_t nodes = 8;
-    std::uint32_t slots = 20;
+    std::uint32_t slots = 16;
     // run time on a target without slowdown
     duration run_time = std::chrono::milliseconds(40);
     // measured from the arrival of the request
@@ -47,6 +47,12 @@
     {
         return 1.0;
     };
+    // slowdown of a run that starts while over eight tenths of the slots are in
+    // use, by the time since the start of the simulation
+    std::function<double(duration since)> nearly_full_slowdown = [](duration)
+    {
+        return 1.0;
+    };
 };
 
 /// @brief requests of one client account
--- a/tests/src/unit-admission-simulation.cpp
+++ b/tests/src/unit-admission-simulation.cpp
@@ -85,7 +85,7 @@
 {
     admission_simulation_plan plan;
     plan.targets = 4;
-    plan.slots = 12;
+    plan.slots = 9;
     plan.run_time = milliseconds(72);
     plan.slowdown = [](std::size_t target, duration since)
     {
@@ -112,7 +112,7 @@
     admission_simulation_plan plan;
     plan.targets = 24;
     plan.nodes = 24;
-    plan.slots = 12;
+    plan.slots = 9;
     plan.run_time = milliseconds(160);
     plan.latency_target = milliseconds(500);
     plan.time_limit = milliseconds(1200);
@@ -173,7 +173,7 @@
     admission_simulation_plan plan;
     plan.targets = 24;
     plan.nodes = 24;
-    plan.slots = 12;
+    plan.slots = 9;
     plan.run_time = milliseconds(300);
     plan.latency_target = milliseconds(600);
     plan.time_limit = milliseconds(2500);
@@ -194,12 +194,12 @@
     EXPECT_GE(simulation.summary(seconds(9), seconds(10)).on_time, 490U);
 }
 
-// Client accounts share targets of 6 slots, four of them usable. The first of
+// Client accounts share targets of four slots. The first of
 // 76 accounts sends a quarter of all requests, the last ones two a second.
 constexpr std::size_t account_count = 76;
 constexpr double largest_rate = 120;
 constexpr double smallest_rate = 2;
-// of the run time of 80 ms in the usable slots
+// of the run time of 80 ms in the slots
 constexpr double requests_per_target = 50;
 
 account_load usual_load(std::size_t account)
@@ -217,7 +217,7 @@
     admission_simulation_plan plan;
     plan.targets = targets;
     plan.nodes = targets;
-    plan.slots = 6;
+    plan.slots = 4;
     plan.run_time = milliseconds(80);
     plan.latency_target = milliseconds(400);
     plan.time_limit = milliseconds(1200);
--- a/tests/src/unit-target-admission-policy.cpp
+++ b/tests/src/unit-target-admission-policy.cpp
@@ -23,11 +23,11 @@
     return {rank, now + target, now + deadline};
 }
 
-/// @brief policy of an open target with ten slots, eight of them usable
+/// @brief policy of an open target with eight slots
 target_admission_policy make_open_policy()
 {
     target_admission_policy policy;
-    policy.set_slots(10);
+    policy.set_slots(8);
     policy.set_open(true);
     return policy;
 }
