Send nothing for an entry that its address has disproved

Callers' requests, above all calls of running requests, were refused after a hop to a target that no longer exists: its machine was lost, another one with another service got its address, and the entry stayed for 60 s with the load of the new target, which looked free.

A node that is told so skips the entry for 60 s. Targets that all say they are closed are no longer tried one after the other once another one has refused the request; only a request that found nothing else goes to one of them.

--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -7,9 +7,10 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include <absl/container/btree_map.h>  // btree_map
-#include <boost/asio/io_context.hpp>   // io_context
-#include <boost/asio/steady_timer.hpp> // steady_timer
+#include <absl/container/btree_map.h>     // btree_map
+#include <absl/container/flat_hash_map.h> // flat_hash_map
+#include <boost/asio/io_context.hpp>      // io_context
+#include <boost/asio/steady_timer.hpp>    // steady_timer
 
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
@@ -62,6 +63,11 @@
     /// placement and checked periodically
     [[nodiscard]] bool is_suspended() const;
 
+    /// @brief whether the node has stated that its target is of another
+    /// service than that of an entry with its address: the machine of the
+    /// entry is gone, and another one has its address
+    [[nodiscard]] bool has_disproved(target_id const & target) const;
+
     /// @brief time since the node became unreachable; 0 if it is reachable
     [[nodiscard]] duration unreachable_duration() const;
 
@@ -109,6 +115,7 @@
     void notify_silence_of_all();
     void handle_completed_request(std::uint64_t sequence);
     void record_failure_share(bool failed);
+    void disprove(target_id const & target);
     void record_result(dispatch_result const & result, call_status status);
 
     boost::asio::io_context & io;
@@ -117,6 +124,8 @@
     upstream connections;
     versions_handler versions_callback;
     event_log & events;
+    // targets that the node's own statement excludes, and until when
+    absl::flat_hash_map<target_id, time_point> disproved_targets;
     std::optional<target_load> last_load;
     time_point load_received;
     bool suspended = false;
--- a/include/endivehinge/detail/gateway/target_chooser.hpp
+++ b/include/endivehinge/detail/gateway/target_chooser.hpp
@@ -47,6 +47,7 @@
            service_route const & route) const;
     [[nodiscard]] std::vector<target_entry const *>
     eligible_targets(service_name const & service);
+    [[nodiscard]] bool is_usable(target_entry const & entry);
     [[nodiscard]] target_candidate candidate_of(target_entry const & entry,
                                                 time_point now) const;
 
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -39,6 +39,11 @@
 constexpr duration response_arrival_limit = 2 * silence_limit;
 // concurrent requests to one node; limits file descriptors
 constexpr std::size_t max_peer_connections = 256;
+// how long an entry is taken to be out of date after its address stated so; the
+// store removes it within this time
+constexpr duration disproved_time = std::chrono::seconds(60);
+// bounds memory; an address rarely has more than one earlier target
+constexpr std::size_t max_disproved_targets = 16;
 // weight of the latest outcome in the moving average of failures
 constexpr double failure_share_weight = 0.1;
 
@@ -91,11 +96,16 @@
     auto & entry = this->in_flight_requests[sequence];
     entry.sent_at = loop_now();
     entry.on_silence = std::move(on_silence);
-    entry.finish = [this, done = std::move(done)](call_result result)
+    entry.finish = [this, target = request.target, done = std::move(done)](
+                       call_result result)
     {
         auto const status = result.status;
         auto parsed = this->read_result(std::move(result));
         this->record_result(parsed, status);
+        if (parsed.refusal == admission_refusal::other_incarnation)
+        {
+            this->disprove(target);
+        }
         done(std::move(parsed));
     };
     entry.connection = this->connections.send(
@@ -442,6 +452,34 @@
     return parsed;
 }
 
+void peer_node::disprove(target_id const & target)
+{
+    auto const now = loop_now();
+    absl::erase_if(this->disproved_targets,
+                   [now](auto const & entry)
+                   {
+                       return entry.second <= now;
+                   });
+    bool const is_new = !this->disproved_targets.contains(target);
+    if (is_new && this->disproved_targets.size() >= max_disproved_targets)
+    {
+        return;
+    }
+    this->disproved_targets[target] = now + disproved_time;
+    if (is_new)
+    {
+        this->events.write(
+            "entry_disproved",
+            {{"target", target.value()}, {"peer", this->peer.to_string()}});
+    }
+}
+
+bool peer_node::has_disproved(target_id const & target) const
+{
+    auto const found = this->disproved_targets.find(target);
+    return found != this->disproved_targets.end() && loop_now() < found->second;
+}
+
 void peer_node::record_result(dispatch_result const & result,
                               call_status status)
 {
--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -27,6 +27,10 @@
         candidates.push_back(this->candidate_of(*entry, now));
     }
     auto const selected = this->select(candidates, route);
+    if (!selected && !this->attempted_targets.empty())
+    {
+        return std::nullopt;
+    }
     // if all targets appear closed, one is selected at random, since it may
     // have opened after its load was received
     auto const index = selected.value_or(static_cast<std::size_t>(
@@ -87,7 +91,7 @@
     {
         bool const local = entry->node == this->state.settings.node;
         if (this->attempted_targets.contains(entry->id) ||
-            (!local && this->state.peer(entry->peer).is_suspended()))
+            (!local && !this->is_usable(*entry)))
         {
             continue;
         }
@@ -105,6 +109,12 @@
         service, eligible, *this->version_draw, loop_now());
 }
 
+bool target_chooser::is_usable(target_entry const & entry)
+{
+    auto const & peer = this->state.peer(entry.peer);
+    return !peer.is_suspended() && !peer.has_disproved(entry.id);
+}
+
 target_candidate target_chooser::candidate_of(target_entry const & entry,
                                               time_point now) const
 {
--- a/tests/src/system-gateway-restart.cpp
+++ b/tests/src/system-gateway-restart.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <vector> // vector
+#include <optional> // optional
+#include <string>   // to_string
+#include <vector>   // vector
 
 #include "gateway/gateway_fleet.hpp"
 
@@ -144,6 +146,76 @@
     EXPECT_EQ(fleet.execution_count("id-1"), 1U);
 }
 
+// After a restart of all nodes, their targets got a few requests a second for
+// three seconds, although they had run all the time.
+TEST(gateway_start, target_that_ran_before_its_node_is_not_taken_for_cold)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    auto const restart = [&fleet, &member]
+    {
+        fleet.restart_node(member);
+        return fleet.run_until(
+            [&member]
+            {
+                return member.node->state.target.entry().has_value() &&
+                       !member.node->state.target.load().closed;
+            });
+    };
+    EXPECT_TRUE(restart());
+    EXPECT_EQ(member.node->state.target.load().start_interval, duration(0));
+    member.target->extra_fields["Cold-Ms"] = "60000";
+    EXPECT_TRUE(restart());
+    EXPECT_GT(member.node->state.target.load().start_interval, duration(0));
+}
+
+// The machine of a target was lost and its address went to a node of another
+// service: its entry, with the load of the new target, attracted requests for
+// as long as it stayed.
+TEST(gateway_start, entry_is_not_used_after_its_address_disproved_it)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & other = fleet.add("other");
+    auto & entrance = fleet.add("entrance");
+    EXPECT_EQ(fleet.report(other, "ready", 1), 200U);
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-1").is_null();
+        }));
+    auto lost = fleet.store.spec("targets", "node-1");
+    lost["service"] = "web";
+    lost["target"] = "i-lost";
+    fleet.store.put("targets", "node-lost", lost);
+    EXPECT_TRUE(fleet.run_until(
+        [&entrance]
+        {
+            auto const & view = entrance.node->state.fleet;
+            return view.configuration() &&
+                   view.ready_targets(service_name("web")).size() == 2;
+        }));
+    auto & peer =
+        entrance.node->state.peer(other.node->state.settings.peer_listener);
+    std::optional<time_point> disproved_by;
+    for (int i = 0; i < 60; ++i)
+    {
+        auto const number = std::to_string(i);
+        EXPECT_EQ(
+            fleet.send_and_wait(entrance, "/safe/" + number, "id-" + number)
+                .response.result_int(),
+            200U);
+        if (peer.has_disproved(target_id("i-lost")))
+        {
+            disproved_by = disproved_by.value_or(peer.load_time());
+            EXPECT_EQ(peer.load_time(), *disproved_by)
+                << "request " << i << " was sent there";
+        }
+    }
+    EXPECT_TRUE(disproved_by.has_value());
+}
+
 // The snapshot's first page, taken for the whole list, hid all targets of the
 // other pages until their entries changed.
 TEST(gateway_start, a_list_that_fails_after_its_first_page_hides_no_target)
