Do not take a target for cold because its node has restarted

A node that learnt of its target by a probe assumed that it had just started and let it have a few requests a second, as after an incarnation that nobody announced.

The test with restarts over serve fails without it (its interval between starts is not 0).

--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -463,9 +463,10 @@
         {
             this->handle_replacement(before->id, before->state);
         }
-        if (!head.cold_remaining && this->properties)
+        // a cold target states so in its health response; one that replaced
+        // another a moment ago may not have noticed yet
+        if (before && !head.cold_remaining && this->properties)
         {
-            // an incarnation that was not announced may have just started
             this->cold_until =
                 loop_now() + this->properties->cold_start_duration;
         }
