Judge calls of running requests by the time of their parents

call_route_detector finds the routes on which the target beside a node makes calls: most refusals on them are followed within 5 ms by a failed run. Their latency target becomes 0.7 of the time that they have. Nothing is read from ids.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -19,6 +19,7 @@
 #include <endivehinge/detail/gateway/target_crash_monitor.hpp>
 #include <endivehinge/detail/gateway/target_runner.hpp>
 #include <endivehinge/detail/gateway/upstream.hpp>
+#include <endivehinge/policy/call_route_detector.hpp>
 #include <endivehinge/policy/client_account.hpp>
 #include <endivehinge/policy/service_properties.hpp>
 #include <endivehinge/policy/target_admission_policy.hpp>
@@ -82,6 +83,9 @@
     /// may be long after its arrival
     void set_start_check(start_check new_check);
 
+    /// @brief on which routes the target makes calls while it runs requests
+    [[nodiscard]] call_route_detector & call_routes();
+
     /// @brief sets the action to run when entry() may have changed
     void on_entry_change(std::function<void()> action);
 
@@ -206,6 +210,7 @@
     absl::flat_hash_map<admission_ticket, state_pointer> requests;
     boost::asio::steady_timer queue_timer;
     time_point last_response;
+    call_route_detector calls;
     // requests per second that the target states to take
     std::optional<double> rate_limit;
     bool logged_invalid_rate_limit = false;
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -200,6 +200,11 @@
     this->check_start = std::move(new_check);
 }
 
+call_route_detector & local_target::call_routes()
+{
+    return this->calls;
+}
+
 void local_target::abandon(admission_ticket ticket, char const * reason)
 {
     auto const state = this->requests.at(ticket);
@@ -339,7 +344,11 @@
         result.response.result_int() >=
         static_cast<unsigned>(http::status::internal_server_error);
     this->record_rollout_response(*state, outcome.run_time, failed);
-    if (!failed)
+    if (failed)
+    {
+        this->calls.record_failed_run(loop_now());
+    }
+    else
     {
         this->crashes.record_success(state->request);
     }
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -37,6 +37,9 @@
 // a request that arrives within this time before the process ends is accepted
 // only if its deadline is earlier; clients have been notified to leave by then
 constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
+// share of its time that a call of a running request may take; the rest is left
+// to the request that made it
+constexpr double usable_call_time_share = 0.7;
 // maximum jitter relative to the retry delay; spreads out the retries of
 // refused clients
 constexpr double retry_jitter = 0.5;
@@ -151,6 +154,14 @@
                              : this->route->rank;
     this->urgency.target_time = arrival + this->route->latency_target;
     this->urgency.deadline = arrival + this->time_left;
+    if (this->state.target.call_routes().is_call(this->route->name))
+    {
+        // what counts is whether the request that made the call is answered
+        this->urgency.target_time =
+            std::max(this->urgency.target_time,
+                     arrival + std::chrono::duration_cast<duration>(
+                                   this->time_left * usable_call_time_share));
+    }
     this->placements =
         placement_limit(arrival, this->state.mean_service_time(*this->route));
     this->service =
@@ -872,6 +883,12 @@
 
 void request_dispatch::log_result(char const * outcome, unsigned status)
 {
+    if (this->route != nullptr &&
+        status >= static_cast<unsigned>(http::status::internal_server_error))
+    {
+        this->state.target.call_routes().record_refusal(this->route->name,
+                                                        loop_now());
+    }
     auto const elapsed = loop_now() - this->client->arrival;
     std::string const name =
         this->route == nullptr ? "none" : this->route->name;
