--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -490,8 +490,11 @@
 {
     time_point const start(seconds(100));
     allotment_directory directory(node_name("a"), start);
-    allotment_directory::node_list nodes{{node_name("a"), {}, target_id("t1")},
-                                         {node_name("b"), {}, target_id("t2")}};
+    allotment_directory::node_list nodes(2);
+    nodes[0].node = node_name("a");
+    nodes[0].target = target_id("t1");
+    nodes[1].node = node_name("b");
+    nodes[1].target = target_id("t2");
     directory.set_nodes(nodes, start);
     EXPECT_FALSE(
         directory.record_departure({node_name("b"), target_id("old")}, start));
