--- a/include/endivehinge/detail/gateway/health_prober.hpp
+++ b/include/endivehinge/detail/gateway/health_prober.hpp
@@ -48,9 +48,6 @@
     void record_response(time_point now);
 
 private:
-    /// @brief asks for the target of a node that has just started, which
-    /// refuses requests until it knows it
-    void probe_at_start();
     void schedule();
     void probe();
     [[nodiscard]] bool
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -38,25 +38,13 @@
 
 void health_prober::set_path(std::string const & health_path)
 {
-    bool const is_first = this->path.empty();
     this->path = health_path;
-    if (is_first && this->handler)
-    {
-        this->probe_at_start();
-    }
 }
 
 void health_prober::start(response_handler on_response)
 {
     this->handler = std::move(on_response);
     this->schedule();
-    this->probe_at_start();
-}
-
-void health_prober::probe_at_start()
-{
-    // without a path or a connection, the next interval retries
-    static_cast<void>(this->send(probe_timeout, false, this->handler));
 }
 
 bool health_prober::probe_now(response_handler done)
