--- a/tests/src/unit-concurrency-estimate.cpp
+++ b/tests/src/unit-concurrency-estimate.cpp
@@ -109,8 +109,8 @@
 
 TEST(admission_simulation_test, last_slots_are_used_where_they_add_throughput)
 {
-    // 3 targets x 16 slots x 10 a second
-    constexpr std::size_t base_capacity = 2 * 480;
+    // 3 targets x 16 slots x 10 a second, in 2 s
+    constexpr std::size_t base_capacity = 960;
     EXPECT_GE(on_time_under_overload(1), base_capacity * 105 / 100);
     EXPECT_GE(on_time_under_overload(1.7), base_capacity * 85 / 100);
 }
