Try targets that say they are closed again

In a roll-out, callers got refusals: a version that opens is reported as closed for up to a second, and since such targets were not tried once another one had refused. gateway_rollout.good_version_is_completed_and_old_ targets_get_nothing failed twice with it and passes without.

--- a/src/gateway/target_chooser.cpp
+++ b/src/gateway/target_chooser.cpp
@@ -27,10 +27,6 @@
         candidates.push_back(this->candidate_of(*entry, now));
     }
     auto const selected = this->select(candidates, route);
-    if (!selected && !this->attempted_targets.empty())
-    {
-        return std::nullopt;
-    }
     // if all targets appear closed, one is selected at random, since it may
     // have opened after its load was received
     auto const index = selected.value_or(static_cast<std::size_t>(
