Take only a target that has left for a departure

A node whose entry was missing from its own view stated that its target had left. The store also removes the entry of a node that was silent for long, and the node writes the same entry again: other nodes then took it for departed and for an owner in turns.

The node beside the target says so itself, by the target's last id, and the directory no longer concludes it from its view.

Over serve, a test lets the target beside the owner leave while the store is away and its address fall silent.

--- a/include/endivehinge/detail/gateway/allotment_client.hpp
+++ b/include/endivehinge/detail/gateway/allotment_client.hpp
@@ -76,6 +76,8 @@
     std::uint64_t last_number = 0;
     absl::flat_hash_map<std::uint64_t, verdict_handler> handlers;
     // of the fleet view
+    // the last incarnation of the target beside this node
+    std::optional<target_id> last_target;
     std::optional<std::uint64_t> known_changes;
 };
 
--- a/include/endivehinge/policy/allotment_agent.hpp
+++ b/include/endivehinge/policy/allotment_agent.hpp
@@ -101,6 +101,9 @@
     void set_nodes(allotment_directory::node_list const & present,
                    time_point now);
 
+    /// @brief sets the target that has left this node, if it has none any more
+    void set_own_departure(std::optional<target_id> const & target);
+
     /// @brief sets the time since this node, or one that it replicates from,
     /// had contact to the store
     ///
--- a/include/endivehinge/policy/allotment_directory.hpp
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -10,6 +10,7 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/core/ids.hpp>
+#include <endivehinge/policy/allotment_departure.hpp>
 #include <endivehinge/policy/allotment_member.hpp>
 
 namespace endivehinge
@@ -66,7 +67,8 @@
     bool record_departure(allotment_departure const & departure,
                           time_point now);
 
-    /// @brief records that a node that departed is a member again
+    /// @brief records a message of a node that does not state its departure:
+    /// a new process beside the same target
     /// @return whether it was taken to have departed
     bool record_return(node_name const & node, time_point now);
 
@@ -77,10 +79,14 @@
     /// as the entry names the same target.
     [[nodiscard]] std::vector<allotment_departure> departures() const;
 
-    /// @brief the departure of this node; no value while its entry is in the
-    /// view, or if it never was
-    [[nodiscard]] std::optional<allotment_departure> const &
-    own_departure() const;
+    /// @brief sets the target that has left this node, which owns nothing until
+    /// its next target
+    /// @param target no value while it has a target, or never had one
+    ///
+    /// That its entry is missing from the view is no reason: the store may have
+    /// removed the entry of a node that was silent for long, and the node
+    /// writes it again.
+    void set_own_departure(std::optional<target_id> const & target);
 
     /// @return no value if no node is known
     [[nodiscard]] std::optional<node_name> owner(account_name const & account,
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -136,6 +136,12 @@
         }
     }
     this->agent.set_nodes(present, now_with_suspension());
+    auto const own_entry = this->state.target.entry();
+    if (own_entry)
+    {
+        this->last_target = own_entry->id;
+    }
+    this->agent.set_own_departure(own_entry ? std::nullopt : this->last_target);
 }
 
 void allotment_client::update_store_age()
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -67,6 +67,12 @@
     this->generation += 1;
 }
 
+void allotment_agent::set_own_departure(std::optional<target_id> const & target)
+{
+    this->directory.set_own_departure(target);
+    this->generation += 1;
+}
+
 void allotment_agent::set_store_age(duration age, time_point now)
 {
     this->store_age = age;
--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -56,15 +56,6 @@
             this->removed[node] = {known.address, now};
         }
     }
-    if (next.contains(this->self))
-    {
-        this->departure.reset();
-    }
-    else if (auto const own = this->nodes.find(this->self);
-             own != this->nodes.end())
-    {
-        this->departure = {this->self, own->second.target};
-    }
     this->nodes = std::move(next);
     for (auto node = this->removed.begin(); node != this->removed.end();)
     {
@@ -182,10 +173,12 @@
     return all;
 }
 
-std::optional<allotment_departure> const &
-allotment_directory::own_departure() const
+void allotment_directory::set_own_departure(
+    std::optional<target_id> const & target)
 {
-    return this->departure;
+    this->departure =
+        target ? std::optional(allotment_departure{this->self, *target})
+               : std::nullopt;
 }
 
 bool allotment_directory::can_own(entry const & known, time_point now)
@@ -200,7 +193,8 @@
     std::uint64_t best_rank = 0;
     for (auto const & [node, known] : this->nodes)
     {
-        if (!can_own(known, now))
+        bool const has_left = node == this->self && this->departure;
+        if (has_left || !can_own(known, now))
         {
             continue;
         }
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -106,7 +106,11 @@
     auto & data = this->nodes[node];
     data.process = ++this->last_process;
     data.next_poll = time_point();
-    data.departed = false;
+    if (std::exchange(data.departed, false))
+    {
+        data.target = target_id(std::to_string(data.process));
+        this->update_views();
+    }
     data.agent = std::make_unique<allotment_agent>(
         allotment_process{name_of(node), data.process},
         allotment_book_options{slack, this->first_start},
@@ -197,7 +201,8 @@
     {
         if (this->nodes[i].present)
         {
-            present.push_back({name_of(i), endpoint{"host", 1}, {}});
+            present.push_back(
+                {name_of(i), endpoint{"host", 1}, this->nodes[i].target});
         }
     }
     return present;
@@ -222,8 +227,10 @@
 
 void allotment_fleet::depart(std::size_t node)
 {
-    this->nodes[node].departed = true;
-    this->nodes[node].agent->set_nodes(this->nodes_seen_by(node), this->now);
+    auto & data = this->nodes[node];
+    data.departed = true;
+    data.agent->set_nodes(this->nodes_seen_by(node), this->now);
+    data.agent->set_own_departure(data.target);
 }
 
 void allotment_fleet::vanish(std::size_t node)
--- a/tests/src/simulation/allotment_fleet.hpp
+++ b/tests/src/simulation/allotment_fleet.hpp
@@ -91,6 +91,8 @@
         bool present = true;
         bool isolated = false;
         bool departed = false;
+        // the incarnation of the target in its entry
+        target_id target;
         time_point isolated_since;
         time_point next_poll;
         // what arrived while the process was paused
--- a/tests/src/system-gateway-allotments.cpp
+++ b/tests/src/system-gateway-allotments.cpp
@@ -152,5 +152,31 @@
     EXPECT_GE(load.count(200), load.calls.size() * 95 / 100);
 }
 
+// The target beside the owner leaves while its node cannot reach the store, and
+// the machine is gone some time later. Its entry stays in all views.
+TEST_F(allotments, departure_of_the_owner_is_bridged_without_the_store)
+{
+    this->start(4, 40, 40);
+    auto const owner = this->owner();
+    auto const entry = (owner + 1) % 4;
+    account_load load(this->fleet);
+    load.run(20, {entry}, seconds(1));
+    this->fleet.store.status = 503;
+    EXPECT_EQ(this->fleet.report(*this->fleet.members[owner], "leave", 2),
+              200U);
+    load.run(20, {entry}, seconds(1));
+    EXPECT_FALSE(
+        this->fleet.store.spec("targets", "node-" + std::to_string(owner))
+            .is_null());
+    // accepts connections from now on, but answers nothing
+    this->fleet.members[owner]->node->peer_listener.abort();
+    boost::asio::ip::tcp::acceptor const silent(
+        this->fleet.io,
+        {boost::asio::ip::make_address("127.0.0.1"),
+         this->fleet.members[owner]->node->state.settings.peer_listener.port});
+    load.run(20, {entry}, seconds(2));
+    EXPECT_GE(load.count(200), load.calls.size() * 95 / 100);
+}
+
 } // namespace
 } // namespace endivehinge::tests
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -496,21 +496,26 @@
     nodes[1].node = node_name("b");
     nodes[1].target = target_id("t2");
     directory.set_nodes(nodes, start);
+    auto const account = account_name(std::to_string(GetParam()));
+    auto const higher = directory.owner(account, start);
     EXPECT_FALSE(
         directory.record_departure({node_name("b"), target_id("old")}, start));
     EXPECT_TRUE(
         directory.record_departure({node_name("b"), target_id("t2")}, start));
-    auto const account = account_name(std::to_string(GetParam()));
     EXPECT_EQ(directory.owner(account, start), node_name("a"));
     ASSERT_EQ(directory.departures().size(), 1U);
     nodes[1].target = target_id("t3");
     directory.set_nodes(nodes, start);
     EXPECT_TRUE(directory.departures().empty());
-    EXPECT_FALSE(directory.own_departure().has_value());
-    nodes.erase(nodes.begin());
+    EXPECT_EQ(directory.owner(account, start), higher);
+    // an entry that the store has lost is no departure
+    directory.set_nodes({nodes[1]}, start);
+    EXPECT_TRUE(directory.departures().empty());
     directory.set_nodes(nodes, start);
-    ASSERT_TRUE(directory.own_departure().has_value());
-    EXPECT_EQ(directory.own_departure()->target, target_id("t1"));
+    directory.set_own_departure(target_id("t1"));
+    ASSERT_EQ(directory.departures().size(), 1U);
+    EXPECT_EQ(directory.departures()[0].target, target_id("t1"));
+    EXPECT_EQ(directory.owner(account, start), node_name("b"));
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds,
