--- a/include/endivehinge/coordination/conditional_writer.hpp
+++ b/include/endivehinge/coordination/conditional_writer.hpp
@@ -30,8 +30,8 @@
 class conditional_writer
 {
 public:
-    /// @param store outlives the writer
-    /// @param policy outlives the writer
+    /// @param store must outlive the writer
+    /// @param policy must outlive the writer
     conditional_writer(object_store & store, retry_policy & policy);
 
     /// @brief writes an object if its version is still the expected one
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -112,6 +112,9 @@
     void respond(response_message message, char const * outcome);
     // refuses the request; the client may return after the given time and some
     // jitter
+    /// @brief the client may be the target beside this node, which then fails
+    /// the request that made the call
+    void record_failed_call(unsigned status);
     void reject(std::string const & reason, duration wait);
     void send_refusal(std::string const & reason, duration retry_after);
     void fail(boost::beast::http::status status, std::string const & reason);
--- a/include/endivehinge/detail/settings/yaml_reader.hpp
+++ b/include/endivehinge/detail/settings/yaml_reader.hpp
@@ -11,7 +11,8 @@
 namespace endivehinge::detail
 {
 
-/// @brief reads and checks the settings of a node as a whole
+/// @brief reads the settings of a node and checks each field and the fields
+/// against each other
 /// @param text the content of the document, in YAML
 /// @param source what errors call it, such as its file name
 /// @param reason the line, the field and the fix
--- a/include/endivehinge/policy/concurrency_estimate.hpp
+++ b/include/endivehinge/policy/concurrency_estimate.hpp
@@ -17,9 +17,11 @@
 /// @brief limits of a concurrency_estimate
 struct concurrency_estimate_options
 {
-    // run times kept for each route and level
+    // run times kept for each route and level; the lower quartile of 16 is the
+    // fifth smallest, so that one or two outliers do not matter
     std::size_t samples_per_level = 16;
-    // run times that a level needs before it is compared with others
+    // run times that a level needs before it is compared with others: few,
+    // since a slow level is used until it has them
     std::size_t min_samples = 6;
     // a run time expires after this, so that a level that was slow once is
     // tried again; slowing down when nearly full is a property of the software
@@ -91,6 +93,7 @@
     [[nodiscard]] std::size_t slots_of(std::size_t index) const;
     [[nodiscard]] std::size_t level_of(std::size_t concurrency) const;
     void remove_expired(level & measured, time_point now) const;
+    void remove_unused_routes(time_point now);
     void update_quartile(level & measured) const;
     /// @brief run time at a level relative to the lowest level with run times,
     /// over all routes; 0 if it is unknown
--- a/include/endivehinge/policy/placement_limit.hpp
+++ b/include/endivehinge/policy/placement_limit.hpp
@@ -15,9 +15,9 @@
 /// Handles a service whose targets all lack capacity: cold after a restart of
 /// the fleet, or full in a burst. The targets tried first looked best, so
 /// further ones rarely accept the request, while each refusal takes processor
-/// time of two nodes that requests in progress need. A request that was refused
-/// and would now be late even on a free target is not placed again, since it
-/// would delay requests that can still be on time.
+/// time of two nodes that requests in progress need. After a refusal, a request
+/// that would miss its latency target even on an idle target is not tried at
+/// another one: it would delay requests that can still be on time.
 /// @note pure; not thread-safe, the owner serialises all calls
 class placement_limit
 {
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -840,6 +840,7 @@
     this->hedge_timer.cancel();
     this->cancel_attempts();
     unsigned const status = message.result_int();
+    this->record_failed_call(status);
     message.keep_alive(true);
     if (this->client->request.method() != http::verb::head)
     {
@@ -849,6 +850,16 @@
     this->log_result(outcome, status);
 }
 
+void request_dispatch::record_failed_call(unsigned status)
+{
+    if (this->route != nullptr &&
+        status >= static_cast<unsigned>(http::status::internal_server_error))
+    {
+        this->state.target.call_routes().record_refusal(this->route->name,
+                                                        loop_now());
+    }
+}
+
 void request_dispatch::reject(std::string const & reason, duration wait)
 {
     if (this->progress.may_have_run())
@@ -883,12 +894,6 @@
 
 void request_dispatch::log_result(char const * outcome, unsigned status)
 {
-    if (this->route != nullptr &&
-        status >= static_cast<unsigned>(http::status::internal_server_error))
-    {
-        this->state.target.call_routes().record_refusal(this->route->name,
-                                                        loop_now());
-    }
     auto const elapsed = loop_now() - this->client->arrival;
     std::string const name =
         this->route == nullptr ? "none" : this->route->name;
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -18,9 +18,10 @@
 // for a list; the store usually responds in milliseconds and may be 100 times
 // slower
 constexpr duration list_timeout = std::chrono::milliseconds(1500);
-// how long the store holds the watch of the probe kind without a change. A
-// watch that a hanging store accepted times out after this time plus the
-// margin, and expired entries must return within 2 s of the store's recovery
+// how long the store may leave a watch (a long poll for changes) unanswered.
+// The watch of the probe kind also shows whether the store responds at all: one
+// that a hanging store accepted times out after this time plus the margin, and
+// expired entries must return within 2 s of the store's recovery
 constexpr duration probe_watch_hold_time = std::chrono::milliseconds(1200);
 // the same for other kinds: a failed watch of the probe kind cancels theirs,
 // and other nodes report changes that a silent connection loses; calls are
--- a/src/policy/concurrency_estimate.cpp
+++ b/src/policy/concurrency_estimate.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/concurrency_estimate.hpp>
 
-#include <algorithm> // max, nth_element
+#include <algorithm> // all_of, max, nth_element
 #include <vector>    // vector
 
 namespace endivehinge
@@ -8,10 +8,11 @@
 namespace
 {
 
-// bounds memory; routes beyond this number are not compared
+// bounds memory; further routes are not compared while all of these are in use
 constexpr std::size_t max_routes = 64;
 constexpr std::size_t lowest_level_tenths = 5;
-// eight tenths of the slots: the concurrency that slows no target much
+// eight tenths of the slots: beyond them, targets that slow down when nearly
+// full took 1.7 times as long, see docs/design/load.md
 constexpr std::size_t always_used_level = 3;
 
 } // namespace
@@ -43,15 +44,24 @@
 {
     if (this->routes.size() >= max_routes && !this->routes.contains(route))
     {
-        return;
+        this->remove_unused_routes(now);
+        if (this->routes.size() >= max_routes)
+        {
+            return;
+        }
     }
     auto & levels = this->routes[route];
-    levels[this->level_of(concurrency)].samples.push_back({run_time, now});
     for (auto & measured : levels)
     {
         this->remove_expired(measured, now);
     }
-    this->update_quartile(levels[this->level_of(concurrency)]);
+    auto & measured = levels[this->level_of(concurrency)];
+    measured.samples.push_back({run_time, now});
+    if (measured.samples.size() > this->options.samples_per_level)
+    {
+        measured.samples.pop_front();
+    }
+    this->update_quartile(measured);
     this->update_limit();
 }
 
@@ -80,21 +90,36 @@
                                           time_point now) const
 {
     auto & samples = measured.samples;
-    bool const has_expired =
-        !samples.empty() &&
-        now - samples.front().recorded_at > this->options.max_sample_age;
+    auto const count = samples.size();
     while (!samples.empty() &&
-           (samples.size() > this->options.samples_per_level ||
-            now - samples.front().recorded_at > this->options.max_sample_age))
+           now - samples.front().recorded_at > this->options.max_sample_age)
     {
         samples.pop_front();
     }
-    if (has_expired)
+    if (samples.size() != count)
     {
         this->update_quartile(measured);
     }
 }
 
+void concurrency_estimate::remove_unused_routes(time_point now)
+{
+    absl::erase_if(
+        this->routes,
+        [this, now](auto const & entry)
+        {
+            return std::all_of(
+                entry.second.begin(),
+                entry.second.end(),
+                [this, now](level const & measured)
+                {
+                    return measured.samples.empty() ||
+                           now - measured.samples.back().recorded_at >
+                               this->options.max_sample_age;
+                });
+        });
+}
+
 void concurrency_estimate::update_quartile(level & measured) const
 {
     if (measured.samples.size() < this->options.min_samples)
--- a/src/policy/rollout_schedule.cpp
+++ b/src/policy/rollout_schedule.cpp
@@ -16,7 +16,8 @@
 // covers 3 s in which new targets are cold and the 2 to 3 s after which some
 // faults begin
 constexpr double trial_part = 0.35;
-// part of the limit from which slight doubts no longer delay
+// until this part of the time limit has passed, a slight doubt about the new
+// version delays the next step; afterwards only a strong one does
 constexpr double patient_part = 0.6;
 // a long limit does not make a longer trial useful
 constexpr duration max_trial = seconds(30);
