Include loop_time.hpp where to_milliseconds is used

The build failed with GCC: fleet_replica_decoding.cpp calls to_milliseconds, which came in through another header before the file was split.

--- a/src/gateway/fleet_replica_decoding.cpp
+++ b/src/gateway/fleet_replica_decoding.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>  // StrCat
 #include <absl/strings/str_join.h> // StrJoin
 
+#include <endivehinge/detail/gateway/loop_time.hpp>
+
 namespace endivehinge::detail
 {
 namespace
