Place by the risk that a target declines, not by the time of a slow run

Cause: the slowdown of an outdated report counted as 1.5, half a run time. A target that is slow declines a request at once, so that it costs a hop. The targets of the own domain, reported a moment ago, looked worse than those of other domains reported now.

Change: a target costs the probability that it is slow, times the cost of a decline; a target of another domain costs a fifth of the latency target.

--- a/include/endivehinge/policy/target_selector.hpp
+++ b/include/endivehinge/policy/target_selector.hpp
@@ -18,11 +18,17 @@
     // age at which a report that the target is closed expires: a node that
     // stopped is back by then, and other changes are in the entries
     duration closed_max_age = std::chrono::milliseconds(1000);
-    // slowdown assumed in place of a missing or outdated report
-    double default_slowdown = 1.5;
+    // a target with a slowdown above this declines requests
+    double slow_threshold = 1.5;
+    // share of the time for which a target is slow, assumed in place of a
+    // missing or outdated report
+    double default_slow_share = 0.2;
+    // cost of a target that declines the request, relative to the latency
+    // target
+    double decline_cost = 0.3;
     // cost of a target in another failure domain, relative to the latency
     // target
-    double remote_domain_cost = 0.08;
+    double remote_domain_cost = 0.2;
     // cost of a target beside another node of the same failure domain,
     // relative to the latency target
     double local_domain_cost = 0.01;
--- a/src/policy/target_selector.cpp
+++ b/src/policy/target_selector.cpp
@@ -67,13 +67,15 @@
         candidate.load ? std::exp2(-to_seconds(candidate.load_age) /
                                    to_seconds(this->options.slowdown_half_life))
                        : 0;
-    double const slowdown =
-        load.slowdown * report_weight +
-        this->options.default_slowdown * (1 - report_weight);
+    double const reported_slow =
+        load.slowdown > this->options.slow_threshold ? 1 : 0;
+    double const slow_share =
+        reported_slow * report_weight +
+        this->options.default_slow_share * (1 - report_weight);
     double const limit = std::max<double>(load.limit, 1);
     double const occupancy =
         (load.running + load.waiting + candidate.sent_since) / limit;
-    double const run_time = to_seconds(request.run_time) * slowdown;
+    double const run_time = to_seconds(request.run_time);
     double const slot_wait =
         std::max(0.0, occupancy - 1 + 1 / limit) * run_time;
     double const wait = std::max(slot_wait, cold_wait(candidate, load));
@@ -92,7 +94,8 @@
     }
     return wait + run_time * load_factor +
            latency_target *
-               (distance_cost + failure_share * this->options.failure_cost);
+               (distance_cost + slow_share * this->options.decline_cost +
+                failure_share * this->options.failure_cost);
 }
 
 } // namespace endivehinge
