Count the latency target from the first attempt of a client that returns

Cause: its client counts from the first attempt, the node from the last. It is queued as one that can be on time, is late, and takes the slots of others that then are refused, return and are late as well.

Change: attempt_age_estimator learns by route how much time clients state to be left while none are refused; an attempt that states less has used the difference, and its target time moves by it. Nothing is estimated where clients of a route differ, nor for calls. What no longer can be on time runs after the others, and is refused under overload only.

--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -21,6 +21,7 @@
 #include <endivehinge/detail/gateway/rollout_participant.hpp>
 #include <endivehinge/detail/gateway/rollout_routing.hpp>
 #include <endivehinge/policy/account_backoff.hpp>
+#include <endivehinge/policy/attempt_age_estimator.hpp>
 #include <endivehinge/policy/account_check.hpp>
 #include <endivehinge/policy/hedge_policy.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
@@ -85,6 +86,7 @@
     target_selector selector;
     account_backoff account_backoffs;
     hedge_policy hedges;
+    attempt_age_estimator attempt_ages;
     // null where roll-outs are not in force
     std::unique_ptr<rollout_routing> rollouts;
     // the part of this node's target in the roll-out of its service; null where
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -60,6 +60,10 @@
     [[nodiscard]] bool has_configuration() const;
     void wait_for_configuration(time_point end);
     void route_request();
+    /// @brief moves the target time of a request whose client returns after a
+    /// refusal: the client counts from its first attempt
+    /// @param stated_time the time that the client states to be left
+    void count_from_first_attempt(duration stated_time);
     [[nodiscard]] bool outlives_shutdown() const;
     /// @brief the client account of the request; empty if it has none
     [[nodiscard]] account_name name_of_account() const;
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -145,6 +145,7 @@
         return;
     }
     auto const arrival = this->client->arrival;
+    auto const stated_time = this->time_left;
     if (this->route->timeout > duration(0))
     {
         this->time_left = std::min(this->time_left, this->route->timeout);
@@ -162,6 +163,10 @@
                      arrival + std::chrono::duration_cast<duration>(
                                    this->time_left * usable_call_time_share));
     }
+    else
+    {
+        this->count_from_first_attempt(stated_time);
+    }
     this->placements =
         placement_limit(arrival, this->state.mean_service_time(*this->route));
     this->service =
@@ -181,6 +186,13 @@
     this->admit();
 }
 
+void request_dispatch::count_from_first_attempt(duration stated_time)
+{
+    auto & ages = this->state.attempt_ages;
+    ages.record_arrival(this->route->name, stated_time, loop_now());
+    this->urgency.target_time -= ages.age(this->route->name, stated_time);
+}
+
 account_name request_dispatch::name_of_account() const
 {
     return this->account != nullptr ? this->account->name : account_name();
@@ -841,6 +853,11 @@
     this->cancel_attempts();
     unsigned const status = message.result_int();
     this->record_failed_call(status);
+    if (this->route != nullptr &&
+        message.result() == http::status::service_unavailable)
+    {
+        this->state.attempt_ages.record_refusal(this->route->name, loop_now());
+    }
     message.keep_alive(true);
     if (this->client->request.method() != http::verb::head)
     {
