--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -21,8 +21,8 @@
 #include <endivehinge/detail/gateway/rollout_participant.hpp>
 #include <endivehinge/detail/gateway/rollout_routing.hpp>
 #include <endivehinge/policy/account_backoff.hpp>
-#include <endivehinge/policy/attempt_age_estimator.hpp>
 #include <endivehinge/policy/account_check.hpp>
+#include <endivehinge/policy/attempt_age_estimator.hpp>
 #include <endivehinge/policy/hedge_policy.hpp>
 #include <endivehinge/policy/service_retry_budget.hpp>
 #include <endivehinge/policy/stop_schedule.hpp>
