--- a/include/endivehinge/detail/gateway/allotment_client.hpp
+++ b/include/endivehinge/detail/gateway/allotment_client.hpp
@@ -75,9 +75,9 @@
     std::optional<time_point> next_poll;
     std::uint64_t last_number = 0;
     absl::flat_hash_map<std::uint64_t, verdict_handler> handlers;
-    // of the fleet view
     // the last incarnation of the target beside this node
     std::optional<target_id> last_target;
+    // of the fleet view
     std::optional<std::uint64_t> known_changes;
 };
 
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -114,11 +114,12 @@
     void handle_cancel();
     void cancel_attempts();
     void respond(response_message message, char const * outcome);
+    /// @brief records a request that was not answered with success: its client
+    /// may be the target beside this node, which then fails the request that
+    /// made the call
+    void record_failed_call(unsigned status);
     // refuses the request; the client may return after the given time and some
     // jitter
-    /// @brief the client may be the target beside this node, which then fails
-    /// the request that made the call
-    void record_failed_call(unsigned status);
     void reject(std::string const & reason, duration wait);
     void send_refusal(std::string const & reason, duration retry_after);
     void fail(boost::beast::http::status status, std::string const & reason);
--- a/include/endivehinge/policy/cold_rate_limiter.hpp
+++ b/include/endivehinge/policy/cold_rate_limiter.hpp
@@ -63,6 +63,7 @@
     double rate = 0;
     start_rate_bucket bucket;
     start_window window;
+    // when can_start() was last called
     time_point checked_at;
 };
 
--- a/include/endivehinge/policy/target_admission_options.hpp
+++ b/include/endivehinge/policy/target_admission_options.hpp
@@ -4,6 +4,7 @@
 #include <cstddef> // size_t
 
 #include <endivehinge/core/clock.hpp>
+#include <endivehinge/policy/slow_threshold.hpp>
 
 namespace endivehinge
 {
@@ -26,7 +27,7 @@
     // a reported slowdown is valid for this long
     duration slowdown_max_age = std::chrono::milliseconds(8);
     // a target with a slowdown above this counts as slow
-    double slow_threshold = 1.5;
+    double slow_threshold = default_slow_threshold;
     // assumed length of a slow period until one has been observed
     duration initial_slow_period = std::chrono::milliseconds(100);
     // requests that queue without interruption for this long indicate that
--- a/include/endivehinge/policy/target_selector.hpp
+++ b/include/endivehinge/policy/target_selector.hpp
@@ -5,6 +5,7 @@
 #include <optional>   // optional
 #include <vector>     // vector
 
+#include <endivehinge/policy/slow_threshold.hpp>
 #include <endivehinge/policy/target_candidate.hpp>
 
 namespace endivehinge
@@ -19,7 +20,7 @@
     // stopped is back by then, and other changes are in the entries
     duration closed_max_age = std::chrono::milliseconds(1000);
     // a target with a slowdown above this declines requests
-    double slow_threshold = 1.5;
+    double slow_threshold = default_slow_threshold;
     // share of the time for which a target is slow, assumed in place of a
     // missing or outdated report
     double default_slow_share = 0.2;
--- a/src/app/configuration_service.cpp
+++ b/src/app/configuration_service.cpp
@@ -175,7 +175,8 @@
 }
 
 // Ends the long wait of a node without known peers as soon as it discovers one.
-// Returns true if the service is stopping.
+// Returns whether the process is stopping, so that nothing may be read any
+// more.
 bool configuration_service::wait_for_next_read(duration delay)
 {
     bool const had_no_known_peers = this->has_no_known_peers();
--- a/src/policy/attempt_age_estimator.cpp
+++ b/src/policy/attempt_age_estimator.cpp
@@ -3,6 +3,8 @@
 #include <algorithm> // sort
 #include <vector>    // vector
 
+#include <endivehinge/core/scaled_duration.hpp>
+
 namespace endivehinge
 {
 namespace
@@ -11,11 +13,6 @@
 // bounds memory; requests of further routes count as first attempts
 constexpr std::size_t max_routes = 256;
 
-duration scaled(duration value, double factor)
-{
-    return std::chrono::duration_cast<duration>(value * factor);
-}
-
 } // namespace
 
 attempt_age_estimator::attempt_age_estimator(attempt_age_options chosen)
--- a/src/policy/rollout_exposure_ledger.cpp
+++ b/src/policy/rollout_exposure_ledger.cpp
@@ -37,8 +37,9 @@
 // few, since a grant that ends too early rejects requests
 constexpr double shifting_factor = 2;
 constexpr double shifting_headroom = 20;
-// bad responses beyond those already judged at which a gate closes by itself:
-// enough for the judge, few compared with the 50 after which rollbackS counts
+// a node stops sending to the version on trial by itself after so many failures
+// that the roll-out's verdict does not include yet: enough failures for a
+// verdict, few compared with the 50 after which rollbackS counts
 constexpr std::uint64_t max_unjudged_failures = 12;
 // a node that has not reported for five polls
 constexpr duration max_report_age = seconds(1);
--- a/src/policy/rollout_judge.cpp
+++ b/src/policy/rollout_judge.cpp
@@ -37,8 +37,8 @@
 constexpr double confirming_probability = 0.05;
 // below it the comparison without the worst target is made
 constexpr double suspicious_probability = 0.4;
-// least number of failures and of timed responses for a verdict: fewer can be
-// the start of anything
+// a verdict on a version needs at least so many failures or measured response
+// times: fewer occur by chance
 constexpr std::uint64_t min_failures = 4;
 constexpr std::uint64_t min_timed = 5;
 constexpr std::uint64_t min_timed_for_doubt = 3;
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -8,17 +8,10 @@
 
 #include <absl/container/flat_hash_set.h> // flat_hash_set
 
-namespace endivehinge
-{
-namespace
-{
+#include <endivehinge/core/scaled_duration.hpp>
 
-duration scaled(duration value, double factor)
+namespace endivehinge
 {
-    return std::chrono::duration_cast<duration>(value * factor);
-}
-
-} // namespace
 
 char const * to_string(admission_refusal reason)
 {
