--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -376,6 +376,55 @@
         reason));
 }
 
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+// One object with 100,000 levels ended all nodes that read the list.
+TEST(platform_store, deeply_nested_object_hides_no_other_object)
+{
+    for (auto const & value : {nested(100000),
+                               R"(["]]]]]]]]",)" + nested(100000) + "]",
+                               "{\"x\":" + nested(100000) + "}"})
+    {
+        failure reason;
+        auto const page =
+            store_adapter_under_test.read_page(detail::object_kind::targets,
+                                               R"({"storeRevision":7,"items":[
+                {"metadata":{"name":"a","revision":1},"spec":)" +
+                                                   value + R"(},
+                {"metadata":{"name":"b","revision":2},"spec":{"rate":5}}]})",
+                                               store_era(1),
+                                               reason);
+        ASSERT_TRUE(page.has_value()) << reason.describe();
+        ASSERT_EQ(page->objects.size(), 2U);
+        EXPECT_FALSE(
+            store_adapter_under_test.read_target(page->objects[0], reason));
+        EXPECT_EQ(page->objects[1].content, R"({"rate":5})");
+    }
+}
+
+// The other readers of what the platform sends
+TEST(platform_store, deeply_nested_values_are_only_left_out)
+{
+    auto const deep = nested(100000);
+    failure reason;
+    replicated_object object;
+    object.name = "deep";
+    for (auto const & content :
+         {deep, R"({"version":"r1","routes":)" + deep + "}"})
+    {
+        object.content = content;
+        EXPECT_FALSE(
+            store_adapter_under_test.read_configuration(object, reason));
+        EXPECT_FALSE(store_adapter_under_test.read_target(object, reason));
+        EXPECT_FALSE(store_adapter_under_test.read_rollout(object, reason));
+        EXPECT_FALSE(store_adapter_under_test.read_object(
+            detail::object_kind::targets, content, store_era(1), reason));
+    }
+}
+
 // A quadratic pass over the accounts would take minutes.
 TEST(platform_store, reads_100000_accounts)
 {
