--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -425,6 +425,23 @@
     }
 }
 
+// The type error ended the process.
+TEST(platform_store, event_with_an_invalid_mark_is_no_deletion)
+{
+    failure reason;
+    auto const page =
+        store_adapter_under_test.read_page(detail::object_kind::targets,
+                                           R"({"storeRevision":7,"events":[
+            {"deleted":"yes",
+             "object":{"metadata":{"name":"a","revision":1},"spec":{}}},
+            "odd", {"object":7}]})",
+                                           store_era(1),
+                                           reason);
+    ASSERT_TRUE(page.has_value()) << reason.describe();
+    ASSERT_EQ(page->objects.size(), 1U);
+    EXPECT_FALSE(page->objects[0].deleted);
+}
+
 // A quadratic pass over the accounts would take minutes.
 TEST(platform_store, reads_100000_accounts)
 {
