Send a refused request again on another connection only

A request was refused by a target and sent again, under the same ID, on the kept connection where it was refused. A faulty target that wrote its refusal once more there refused a request that it was running, and the request ran at a second target.

Cause: an extra response is told from the awaited one by the request ID, which is the same for both attempts.

Change: a connection remembers the IDs of requests that it answered with an error for 30 s, and another one is taken for them; an idle one is closed for it if the limit is reached. After 256 such responses in that time a connection is not used again, which bounds the memory.

Result: client_connection.refused_request_is_not_sent_again_on_its_connection failed before (one connection) and passes. No test over serve; connections to targets are of this class there.

--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_CONNECTION_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_CONNECTION_HPP
 
+#include <cstdint>    // uint64_t
+#include <deque>      // deque
 #include <functional> // function
 #include <memory>     // enable_shared_from_this
 #include <optional>   // optional
@@ -49,6 +51,12 @@
     /// @brief whether the connection is closed and must not be used again
     [[nodiscard]] bool is_closed() const;
 
+    /// @brief whether a response to this request can be told from all that the
+    /// server may still send: false for some time after an error response to a
+    /// request with the same ID, which a faulty server may send again
+    [[nodiscard]] bool can_identify(call_options const & options,
+                                    time_point now) const;
+
     /// @brief whether the idle timeout has passed, after which the server may
     /// close the connection
     [[nodiscard]] bool is_expired(time_point now) const;
@@ -74,6 +82,7 @@
     [[nodiscard]] bool
     matches_request_id(response_message const & message) const;
     void update_idle_timeout(response_message const & message);
+    void record_error_response(response_message const & message);
     void arm_timer(time_point expiry);
     void handle_timeout();
     void fail(call_status status, std::string detail);
@@ -100,6 +109,15 @@
     // received during the request in progress, before its own response
     std::size_t dropped_responses = 0;
     std::optional<response_id> memory_id;
+
+    struct error_response
+    {
+        std::uint64_t id_hash = 0;
+        time_point received;
+    };
+
+    // the latest last
+    std::deque<error_response> error_responses;
     duration idle_timeout;
     time_point idle_since;
 };
--- a/include/endivehinge/detail/gateway/upstream.hpp
+++ b/include/endivehinge/detail/gateway/upstream.hpp
@@ -40,7 +40,10 @@
     [[nodiscard]] std::uint64_t opened_count() const;
 
 private:
-    [[nodiscard]] std::shared_ptr<client_connection> acquire(bool force_new);
+    [[nodiscard]] std::shared_ptr<client_connection>
+    acquire(call_options const & options, bool force_new);
+    /// @return false if none is idle
+    bool close_one_idle();
     void remove_closed();
 
     boost::asio::io_context & io;
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -3,10 +3,11 @@
 #include <netinet/tcp.h> // TCP_USER_TIMEOUT, TCP_KEEPIDLE
 #include <sys/socket.h>  // setsockopt
 
-#include <algorithm> // min
+#include <algorithm> // min, none_of
 #include <string>    // string
 #include <utility>   // exchange, move
 
+#include <absl/hash/hash.h>           // Hash
 #include <absl/strings/ascii.h>       // StripAsciiWhitespace
 #include <absl/strings/match.h>       // ConsumePrefix
 #include <absl/strings/numbers.h>     // SimpleAtoi
@@ -44,6 +45,17 @@
 // subtracted from the server's keep-alive timeout, so that a request arrives
 // before the server closes the connection
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1000);
+// a request that was refused is sent again within its time limit or, by its
+// client, some seconds later
+constexpr duration error_response_memory = std::chrono::seconds(30);
+// a connection with more error responses in that time is not used again; bounds
+// the memory
+constexpr std::size_t max_error_responses = 256;
+
+std::uint64_t hash_of(std::string const & id)
+{
+    return absl::Hash<std::string>{}(id);
+}
 
 } // namespace
 
@@ -99,6 +111,37 @@
     return this->closed;
 }
 
+bool client_connection::can_identify(call_options const & options,
+                                     time_point now) const
+{
+    auto const id_hash = hash_of(options.id_value);
+    return options.id_field.empty() ||
+           std::none_of(this->error_responses.begin(),
+                        this->error_responses.end(),
+                        [id_hash, now](error_response const & earlier)
+                        {
+                            return earlier.id_hash == id_hash &&
+                                   now - earlier.received <=
+                                       error_response_memory;
+                        });
+}
+
+void client_connection::record_error_response(response_message const & message)
+{
+    if (this->request_options.id_field.empty() || message.result_int() < 400)
+    {
+        return;
+    }
+    auto const now = loop_now();
+    while (!this->error_responses.empty() &&
+           now - this->error_responses.front().received > error_response_memory)
+    {
+        this->error_responses.pop_front();
+    }
+    this->error_responses.push_back(
+        {hash_of(this->request_options.id_value), now});
+}
+
 bool client_connection::is_expired(time_point now) const
 {
     return now - this->idle_since > this->idle_timeout;
@@ -351,13 +394,16 @@
         return;
     }
     this->update_idle_timeout(message);
+    this->record_error_response(message);
+    bool const is_used_up = this->error_responses.size() > max_error_responses;
     call_result result;
     result.status = call_status::answered;
     result.response_started = true;
     result.response = std::move(message);
     // the connection cannot be reused if the request is not completely sent or
     // if unsolicited bytes follow the response
-    if (!keep_alive || !this->send_completed || this->buffer.size() > 0)
+    if (!keep_alive || !this->send_completed || this->buffer.size() > 0 ||
+        is_used_up)
     {
         this->close();
     }
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -24,7 +24,7 @@
                bool force_new,
                client_connection::result_handler done)
 {
-    auto connection = this->acquire(force_new);
+    auto connection = this->acquire(options, force_new);
     if (connection)
     {
         connection->send(std::move(message), options, std::move(done));
@@ -49,7 +49,8 @@
     return this->opened_connections;
 }
 
-std::shared_ptr<client_connection> upstream::acquire(bool force_new)
+std::shared_ptr<client_connection>
+upstream::acquire(call_options const & options, bool force_new)
 {
     auto const now = loop_now();
     for (auto const & connection : this->connections)
@@ -62,12 +63,14 @@
     this->remove_closed();
     if (!force_new)
     {
-        auto const found = std::find_if(this->connections.rbegin(),
-                                        this->connections.rend(),
-                                        [](auto const & connection)
-                                        {
-                                            return connection->is_idle();
-                                        });
+        auto const found =
+            std::find_if(this->connections.rbegin(),
+                         this->connections.rend(),
+                         [&options, now](auto const & connection)
+                         {
+                             return connection->is_idle() &&
+                                    connection->can_identify(options, now);
+                         });
         if (found != this->connections.rend())
         {
             // the most recently used connection is kept at the back
@@ -75,7 +78,8 @@
             return this->connections.back();
         }
     }
-    if (this->connections.size() >= this->connection_options.max_connections)
+    if (this->connections.size() >= this->connection_options.max_connections &&
+        !this->close_one_idle())
     {
         return nullptr;
     }
@@ -85,6 +89,23 @@
     return this->connections.back();
 }
 
+bool upstream::close_one_idle()
+{
+    auto const found = std::find_if(this->connections.begin(),
+                                    this->connections.end(),
+                                    [](auto const & connection)
+                                    {
+                                        return connection->is_idle();
+                                    });
+    if (found == this->connections.end())
+    {
+        return false;
+    }
+    (*found)->cancel();
+    this->connections.erase(found);
+    return true;
+}
+
 void upstream::remove_closed()
 {
     auto const closed = std::remove_if(this->connections.begin(),
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -207,6 +207,30 @@
     EXPECT_EQ(second.response.body(), "two");
 }
 
+std::string refusal(std::string const & id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+           "Request-Id: " +
+           id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// A faulty server sent its refusal again when the refused request came again on
+// the same connection: the client was told that a running request had not run.
+TEST(client_connection, refused_request_is_not_sent_again_on_its_connection)
+{
+    asio::io_context io;
+    scripted_server server(io,
+                           {{refusal("1")},
+                            {refusal("1") + response("2", "two")},
+                            {response("1", "one")}});
+    upstream_client client(io, server.address());
+    EXPECT_EQ(client.send_request("1").response.result_int(), 503U);
+    EXPECT_EQ(client.send_request("2").response.body(), "two");
+    EXPECT_EQ(server.accepted, 1U);
+    EXPECT_EQ(client.send_request("1").response.body(), "one");
+    EXPECT_EQ(server.accepted, 2U) << "sent again where it was refused";
+}
+
 TEST(client_connection, closes_after_unsolicited_bytes)
 {
     asio::io_context io;
