Test response heads that are cut off at every byte

A report of other operators: a target that stopped in the middle of its head made clients get a 200 with an empty body. It cannot happen here: all 139 heads, cut at each byte, with a length and without, end as a lost connection. No change of the code.

--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -231,6 +231,25 @@
     EXPECT_EQ(server.accepted, 2U) << "sent again where it was refused";
 }
 
+// A response whose head is cut off was framed as whole.
+TEST(client_connection, head_that_is_cut_off_is_no_response)
+{
+    for (std::string const length : {"", "Content-Length: 3\r\n"})
+    {
+        std::string const head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n" +
+                                 length + "Content-Type: text/plain\r\n\r\n";
+        for (std::size_t size = 0; size < head.size(); ++size)
+        {
+            asio::io_context io;
+            scripted_server server(io, {{head.substr(0, size), true, false}});
+            upstream_client client(io, server.address());
+            auto const result = client.send_request("1");
+            EXPECT_EQ(result.status, call_status::connection_lost) << size;
+            EXPECT_EQ(result.response.body(), "") << size;
+        }
+    }
+}
+
 TEST(client_connection, closes_after_unsolicited_bytes)
 {
     asio::io_context io;
