Log which accounts wait for an owner, and for what

What operators saw: 503 "no contact to the owner of the allotment", without the node that an account waits for. Nothing was logged between allotment_owned and the first grant, so that hypotheses about the wait could not be told apart.

Change: allotment_unserved, at most one line a second for each account, names the node that it waits for, since when, and what would end the wait; the metrics allotment_accounts_unserved and allotment_unserved_oldest_seconds count such accounts. No decision changes.

--- a/include/endivehinge/policy/allotment_agent.hpp
+++ b/include/endivehinge/policy/allotment_agent.hpp
@@ -81,11 +81,22 @@
             owner_lost,     // no answer from the owner
             owner_regained, // the owner answers again
             owner_departed, // a node states that its target has left
+            unserved,       // requests are refused for want of an owner
         };
 
         kind what = kind::exhausted;
         account_name account;
         node_name node;
+        // unserved: for how long, and what would end it
+        duration age{0};
+        std::string reason;
+    };
+
+    /// @brief accounts whose latest request was refused for want of an owner
+    struct unserved_accounts
+    {
+        std::size_t count = 0;
+        duration oldest{0};
     };
 
     /// @brief the limits of an account; no value if it has none
@@ -168,6 +179,9 @@
     /// @brief returns and removes the changes since the last call
     [[nodiscard]] std::vector<event> take_events();
 
+    /// @brief accounts without an owner, as the requests at this node show
+    [[nodiscard]] unserved_accounts unserved(time_point now) const;
+
     /// @brief accounts that this node grants tokens of
     [[nodiscard]] std::size_t ledger_count() const;
 
@@ -194,6 +208,10 @@
         bool exhausted_logged = false;
         time_point last_refusal;
         time_point last_request;
+        // since when no request was granted for want of an owner
+        std::optional<time_point> unserved_since;
+        time_point last_unserved;
+        time_point unserved_logged;
         // valid while the generation is that of the agent and before the time
         std::optional<node_name> owner;
         std::uint64_t owner_generation = 0;
@@ -235,6 +253,12 @@
     void add_asks(time_point now, actions & todo);
     void add_questions(time_point now, actions & todo);
     void discard_idle(time_point now);
+    void report_unserved(account_name const & account,
+                         account_entry & entry,
+                         time_point now);
+    [[nodiscard]] std::string reason_unserved(account_name const & account,
+                                              account_entry & entry,
+                                              time_point now);
     [[nodiscard]] allotment_grant answer_ask(allotment_process const & from,
                                              account_name const & account,
                                              allotment_ask const & ask,
--- a/include/endivehinge/policy/allotment_book.hpp
+++ b/include/endivehinge/policy/allotment_book.hpp
@@ -2,6 +2,7 @@
 #define ENDIVEHINGE_POLICY_ALLOTMENT_BOOK_HPP
 
 #include <cstdint> // uint64_t
+#include <string>  // string
 #include <vector>  // vector
 
 #include <absl/container/btree_map.h> // btree_map
@@ -86,6 +87,10 @@
     /// @brief discards ledgers that are full and without rights
     void discard_idle(time_point now);
 
+    /// @brief what an account waits for, as a text for the log
+    [[nodiscard]] std::string reason(account_name const & account,
+                                     time_point now) const;
+
     [[nodiscard]] std::size_t size() const;
 
     /// @brief ledgers that were created so far
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -294,6 +294,13 @@
             this->state.log.write("allotment_owner_departed",
                                   {{"peer", event.node.value()}});
             break;
+        case kind::unserved:
+            this->state.log.write("allotment_unserved",
+                                  {{"account", event.account.value()},
+                                   {"waits_for", event.node.value()},
+                                   {"for_ms", format_milliseconds(event.age)},
+                                   {"reason", event.reason}});
+            break;
         }
     }
 }
@@ -313,6 +320,11 @@
     set("allotment_messages_failed", counters.failed_messages);
     set("allotment_tokens_returned", counters.returned);
     set("allotment_accounts_owned", this->agent.ledger_count());
+    auto const unserved = this->agent.unserved(now_with_suspension());
+    set("allotment_accounts_unserved", unserved.count);
+    this->state.metrics.set_gauge(
+        "allotment_unserved_oldest_seconds",
+        std::chrono::duration<double>(unserved.oldest).count());
 }
 
 } // namespace endivehinge::detail
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -27,6 +27,9 @@
 // a process has ended expire
 constexpr duration owner_cache_time = milliseconds(50);
 constexpr duration no_contact_retry = milliseconds(100);
+// an account without refusals for want of an owner in this time is served; also
+// between two lines of the log about one account
+constexpr duration unserved_memory = std::chrono::seconds(1);
 // an account without a request for this time is forgotten
 constexpr duration account_memory = std::chrono::seconds(10);
 // without contact to the store, a node that reached less than half of the
@@ -196,7 +199,7 @@
         if (this->events.size() < max_events)
         {
             this->events.push_back(
-                {event::kind::ownership, account, this->self.node});
+                {event::kind::ownership, account, this->self.node, {}, {}});
         }
     }
     return ledger;
@@ -309,9 +312,15 @@
     {
     case allotment_outcome::granted:
         this->totals.granted += 1;
+        entry.unserved_since.reset();
         return;
     case allotment_outcome::no_contact:
         this->totals.refused_no_contact += 1;
+        entry.last_unserved = now;
+        if (!entry.unserved_since)
+        {
+            entry.unserved_since = now;
+        }
         return;
     case allotment_outcome::exhausted:
         this->totals.refused_exhausted += 1;
@@ -319,7 +328,8 @@
         if (!entry.exhausted_logged && this->events.size() < max_events)
         {
             entry.exhausted_logged = true;
-            this->events.push_back({event::kind::exhausted, account, {}});
+            this->events.push_back(
+                {event::kind::exhausted, account, {}, {}, {}});
         }
         return;
     }
@@ -486,11 +496,13 @@
     for (auto item = this->accounts.begin(); item != this->accounts.end();)
     {
         auto & entry = *item->second;
+        this->report_unserved(item->first, entry, now);
         if (entry.exhausted_logged &&
             now - entry.last_refusal > available_after)
         {
             entry.exhausted_logged = false;
-            this->events.push_back({event::kind::available, item->first, {}});
+            this->events.push_back(
+                {event::kind::available, item->first, {}, {}, {}});
         }
         bool const is_examined = !entry.waiting.empty() || entry.in_flight ||
                                  entry.exhausted_logged ||
@@ -505,6 +517,67 @@
     }
 }
 
+// ---------------------------------------------------------------------------
+// accounts without an owner
+// ---------------------------------------------------------------------------
+
+void allotment_agent::report_unserved(account_name const & account,
+                                      account_entry & entry,
+                                      time_point now)
+{
+    if (entry.unserved_since && now - entry.last_unserved > unserved_memory)
+    {
+        entry.unserved_since.reset();
+    }
+    if (!entry.unserved_since ||
+        now - entry.unserved_logged < unserved_memory ||
+        this->events.size() >= max_events)
+    {
+        return;
+    }
+    entry.unserved_logged = now;
+    this->events.push_back(
+        {event::kind::unserved,
+         account,
+         this->owner_of(account, entry, now).value_or(node_name()),
+         now - *entry.unserved_since,
+         this->reason_unserved(account, entry, now)});
+}
+
+std::string allotment_agent::reason_unserved(account_name const & account,
+                                             account_entry & entry,
+                                             time_point now)
+{
+    auto const & owner = this->owner_of(account, entry, now);
+    if (!owner)
+    {
+        return "no node is known";
+    }
+    if (*owner == this->self.node)
+    {
+        return this->isolated ? "isolated" : this->book.reason(account, now);
+    }
+    return entry.holder.in_contact() ? "the owner grants nothing"
+                                     : "the owner does not answer";
+}
+
+allotment_agent::unserved_accounts
+allotment_agent::unserved(time_point now) const
+{
+    unserved_accounts result;
+    for (auto const & [account, entry] : this->accounts)
+    {
+        if (entry->unserved_since &&
+            now - entry->last_unserved <= unserved_memory)
+        {
+            result.count += 1;
+            result.oldest =
+                std::max(result.oldest, now - *entry->unserved_since);
+        }
+    }
+    return result;
+}
+
 // ---------------------------------------------------------------------------
 // messages
 // ---------------------------------------------------------------------------
@@ -559,7 +632,7 @@
         if (is_new && this->events.size() < max_events)
         {
             this->events.push_back(
-                {event::kind::owner_departed, {}, departure.node});
+                {event::kind::owner_departed, {}, departure.node, {}, {}});
         }
     }
 }
@@ -695,7 +768,9 @@
         this->events.push_back(
             {reached ? event::kind::owner_regained : event::kind::owner_lost,
              {},
-             node});
+             node,
+             {},
+             {}});
     }
 }
 
--- a/src/policy/allotment_book.cpp
+++ b/src/policy/allotment_book.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // max, min, sort
 
+#include <absl/strings/str_cat.h> // StrCat
+
 #include <endivehinge/policy/allotment_owner.hpp>
 
 namespace endivehinge
@@ -279,6 +281,25 @@
     }
 }
 
+std::string allotment_book::reason(account_name const & account,
+                                   time_point now) const
+{
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end())
+    {
+        return "no ledger";
+    }
+    auto const & unheard = found->second.unheard;
+    if (!found->second.ledger.is_recovering(now) || unheard.empty())
+    {
+        return "the bucket is empty";
+    }
+    return absl::StrCat("rights of ",
+                        unheard.size(),
+                        " nodes, first ",
+                        unheard.begin()->first.value());
+}
+
 std::uint64_t allotment_book::opened_count() const
 {
     return this->opened;
