--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -1,4 +1,4 @@
-#include <algorithm> // max, shuffle
+#include <algorithm> // count, max, shuffle
 #include <numeric>   // accumulate, iota
 #include <random>    // discrete_distribution, poisson_distribution
 #include <string>    // to_string
@@ -368,6 +368,18 @@
         return share(granted, requests);
     }
 
+    /// @brief expects that each account gets what it is owed
+    void expect_all_served(duration length)
+    {
+        static_cast<void>(this->granted_share(length));
+        for (auto const & [name, data] : this->accounts)
+        {
+            EXPECT_GE(share(data.granted, data.requests), 0.95)
+                << name << ": " << data.granted << " of " << data.requests;
+            EXPECT_EQ(data.violations, 0U) << name;
+        }
+    }
+
     [[nodiscard]] std::size_t request_count() const
     {
         std::size_t sum = 0;
@@ -450,6 +462,47 @@
     EXPECT_EQ(fleet.violations(), 0U);
 }
 
+// The machine of an owner was gone without a word: it neither answers nor
+// refuses, and its entry stays. Its accounts were refused for a minute.
+TEST_P(allotment_recovery, accounts_of_machines_that_are_gone_are_served)
+{
+    recovering_fleet fleet(GetParam());
+    fleet.serve_for(seconds(4));
+    for (auto const node : fleet.any_nodes(0.1))
+    {
+        fleet.vanish(node);
+    }
+    fleet.serve_for(seconds(2));
+    fleet.expect_all_served(seconds(4));
+}
+
+// After a loss of power all accounts waited 6 s for the answers of machines
+// that did not come back.
+TEST_P(allotment_recovery, return_of_the_fleet_does_not_wait_for_lost_machines)
+{
+    recovering_fleet fleet(GetParam());
+    fleet.serve_for(seconds(4));
+    for (std::size_t i = 0; i < recovering_fleet::node_count; ++i)
+    {
+        fleet.kill(i);
+    }
+    fleet.run_for(milliseconds(1500));
+    auto const lost = fleet.any_nodes(0.1);
+    for (auto const node : lost)
+    {
+        fleet.vanish(node);
+    }
+    for (std::size_t i = 0; i < recovering_fleet::node_count; ++i)
+    {
+        if (std::count(lost.begin(), lost.end(), i) == 0)
+        {
+            fleet.start(i);
+        }
+    }
+    fleet.serve_for(seconds(2));
+    fleet.expect_all_served(seconds(4));
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, allotment_recovery, testing::Range(1U, 4U));
 
 // The target of an owner left while its node could not reach the store, and its
