--- a/include/endivehinge/detail/gateway/allotment_client.hpp
+++ b/include/endivehinge/detail/gateway/allotment_client.hpp
@@ -57,7 +57,6 @@
 
 private:
     void update_nodes();
-    void update_store_age();
     void poll_soon(duration delay);
     void poll();
     void send(allotment_agent::outgoing message);
--- a/include/endivehinge/policy/allotment_agent.hpp
+++ b/include/endivehinge/policy/allotment_agent.hpp
@@ -7,15 +7,15 @@
 #include <memory>     // unique_ptr
 #include <optional>   // optional
 #include <string>     // string
-#include <utility>    // pair
 #include <vector>     // vector
 
 #include <absl/container/btree_map.h> // btree_map
 #include <absl/container/btree_set.h> // btree_set
 
-#include <endivehinge/policy/allotment_book.hpp>
 #include <endivehinge/policy/allotment_directory.hpp>
+#include <endivehinge/policy/allotment_election.hpp>
 #include <endivehinge/policy/allotment_holder.hpp>
+#include <endivehinge/policy/allotment_ledger.hpp>
 #include <endivehinge/policy/allotment_message.hpp>
 #include <endivehinge/policy/allotment_response.hpp>
 #include <endivehinge/policy/allotment_retry.hpp>
@@ -36,6 +36,15 @@
     std::uint64_t ledgers_opened = 0;
 };
 
+/// @brief limits and circumstances of an allotment_agent
+struct allotment_options
+{
+    // requests beyond the allotment that are tolerated in one window
+    double slack = 0;
+    // whether no fleet ran before, so that nothing was granted
+    bool first_start = false;
+};
+
 /// @brief all decisions of one node on allotments: as the owner of some
 /// accounts and as the holder of tokens of others
 ///
@@ -104,26 +113,16 @@
         std::function<std::optional<allotment_limits>(account_name const &)>;
 
     allotment_agent(allotment_process own_process,
-                    allotment_book_options options,
+                    allotment_options chosen,
                     limits_lookup lookup,
                     time_point now);
 
     /// @brief replaces the nodes by those of the fleet view
-    void set_nodes(allotment_directory::node_list const & present,
-                   time_point now);
+    void set_nodes(allotment_directory::node_list const & present);
 
     /// @brief sets the target that has left this node, if it has none any more
     void set_own_departure(std::optional<target_id> const & target);
 
-    /// @brief sets the time since this node, or one that it replicates from,
-    /// had contact to the store
-    ///
-    /// If this is longer than the validity of a right, it grants tokens only
-    /// while it reaches most of the other nodes that it tries: otherwise its
-    /// entry may be gone and its accounts may have another owner. The same
-    /// holds after a pause, so that this has to be called every few seconds.
-    void set_store_age(duration age, time_point now);
-
     /// @brief decides on a request
     /// @param request a number that is not in use
     /// @return no value if a later poll() returns the decision; call poll()
@@ -144,7 +143,7 @@
                   time_point now);
 
     /// @brief decides on waiting requests and creates messages; at most one to
-    /// a node is in flight, except for questions
+    /// a node is in flight, except for votes
     [[nodiscard]] actions poll(time_point now, double random);
 
     /// @brief whether poll() has to be called within the poll interval
@@ -212,18 +211,26 @@
         std::optional<time_point> unserved_since;
         time_point last_unserved;
         time_point unserved_logged;
-        // valid while the generation is that of the agent and before the time
-        std::optional<node_name> owner;
-        std::uint64_t owner_generation = 0;
-        time_point owner_valid_until;
+        // the owner, as it or another node has stated
+        std::optional<node_name> known_owner;
+        // it is not reached, so that another node is asked to pass tokens on
+        bool relay = false;
+        // answers in sequence of nodes that know no owner that is reached
+        std::size_t misses = 0;
+    };
+
+    struct owned_account
+    {
+        allotment_ledger ledger;
+        time_point since;
     };
 
     [[nodiscard]] account_entry & entry_of(account_name const & account,
                                            allotment_limits const & limits);
-    [[nodiscard]] std::optional<node_name> const & owner_of(
+    /// @brief the node to ask for tokens; this one if it may own the account
+    [[nodiscard]] std::optional<node_name> contact_of(
         account_name const & account, account_entry & entry, time_point now);
-    [[nodiscard]] std::optional<node_name>
-    owner_of_any(account_name const & account, time_point now);
+    /// @return null unless this node owns the account
     [[nodiscard]] allotment_ledger *
     open_ledger(account_name const & account,
                 allotment_limits const & limits,
@@ -251,7 +258,8 @@
                         double random,
                         actions & todo);
     void add_asks(time_point now, actions & todo);
-    void add_questions(time_point now, actions & todo);
+    void add_ballots(time_point now, actions & todo);
+    void add_probes(time_point now, actions & todo);
     void discard_idle(time_point now);
     void report_unserved(account_name const & account,
                          account_entry & entry,
@@ -263,41 +271,41 @@
                                              account_name const & account,
                                              allotment_ask const & ask,
                                              time_point now);
-    [[nodiscard]] allotment_claim answer_question(node_name const & from,
-                                                  account_name const & account,
-                                                  time_point now);
+    void relay(account_name const & account,
+               allotment_limits const & limits,
+               allotment_ask const & ask,
+               allotment_grant & grant,
+               time_point now);
+    void record_grant(account_name const & account,
+                      allotment_grant const & grant,
+                      node_name const & from,
+                      time_point sent_at,
+                      time_point now);
     /// @brief takes what another node states about departures
     /// @param from whose own departure is included if it has departed
     void record_departures(node_name const & from,
                            std::vector<allotment_departure> const & departures,
                            time_point now);
-    void record_outcome(node_name const & node, bool reached, time_point now);
-    [[nodiscard]] bool reaches_most_nodes(time_point now) const;
-    void add_probes(time_point now, actions & todo);
     void note_contact(node_name const & node, bool reached);
     [[nodiscard]] allotment_message new_message(time_point now) const;
 
     allotment_process self;
+    allotment_options options;
+    time_point started;
     limits_lookup limits_source;
     allotment_directory directory;
-    allotment_book book;
-    std::uint64_t generation = 1;
+    allotment_election election;
+    absl::btree_map<account_name, owned_account> owned;
     absl::btree_map<account_name, std::unique_ptr<account_entry>> accounts;
     // entries that poll() has to examine
     absl::btree_set<account_name> active;
     // nodes to which a message with asks is in flight
     absl::btree_set<node_name> busy_links;
+    // nodes that are asked only to find out whether they answer
+    absl::btree_set<node_name> probed;
     // owners that did not answer the last ask
     absl::btree_set<node_name> lost_owners;
     time_point next_maintenance;
-    duration store_age{0};
-    // last call of set_store_age()
-    time_point last_check;
-    // whether it was cut off for so long that it may own nothing any more
-    bool isolated = false;
-    // whether the latest message to a node was answered, and when
-    absl::btree_map<node_name, std::pair<time_point, bool>> outcomes;
-    std::size_t next_probed = 0;
     allotment_counters totals;
     std::vector<event> events;
 };
--- a/include/endivehinge/policy/allotment_ask.hpp
+++ b/include/endivehinge/policy/allotment_ask.hpp
@@ -14,6 +14,12 @@
     node_name node;
     // differs between the processes of one node
     std::uint64_t process = 0;
+
+    friend bool operator==(allotment_process const & a,
+                           allotment_process const & b)
+    {
+        return a.node == b.node && a.process == b.process;
+    }
 };
 
 /// @brief what one node asks of the owner of one account
@@ -21,8 +27,6 @@
 {
     // increases with each ask of one process for the account
     std::uint64_t sequence = 0;
-    // the latest ask whose grant was received; 0: none
-    std::uint64_t acknowledged = 0;
     // tokens for requests that wait
     std::uint32_t needed = 0;
     // all tokens asked for, including those for requests that are expected
@@ -31,9 +35,8 @@
     std::uint32_t returned = 0;
     // requests per second of the account at this node
     double demand = 0;
-    bool wants_right = false;
-    // the node has discarded its right
-    bool drops_right = false;
+    // the node does not reach the owner: the receiver is to pass tokens on
+    bool relay = false;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_grant.hpp
+++ b/include/endivehinge/policy/allotment_grant.hpp
@@ -1,30 +1,33 @@
 #ifndef ENDIVEHINGE_POLICY_ALLOTMENT_GRANT_HPP
 #define ENDIVEHINGE_POLICY_ALLOTMENT_GRANT_HPP
 
-#include <cstdint> // uint32_t, uint64_t
+#include <cstdint>  // uint32_t, uint64_t
+#include <optional> // optional
 
 #include <endivehinge/core/clock.hpp>
+#include <endivehinge/core/ids.hpp>
 
 namespace endivehinge
 {
 
-/// @brief the owner's answer to an allotment_ask
+/// @brief the answer to an allotment_ask
 struct allotment_grant
 {
     // that of the ask
     std::uint64_t sequence = 0;
-    // whether the node that answers is the owner; if not, nothing is granted
+    // whether the node that answers is the owner
     bool from_owner = false;
+    // of another node than the owner: tokens that it has in stock, since the
+    // asking node does not reach the owner
     std::uint32_t tokens = 0;
-    // tokens per second that the node may use without contact
-    double right = 0;
-    // if fewer tokens than needed were granted: time until the next one
+    // from the answer until the tokens expire; 0: the whole token lifetime,
+    // from the ask
+    duration remaining{0};
+    // if fewer tokens than needed were granted: time until the next one, or
+    // until there may be an owner
     duration next_token{0};
-    // the owner does not know all rights yet, so that a lack of tokens does not
-    // mean that the account is exhausted
-    bool recovering = false;
-    // no right of the account exists, and the owner issues none for so long
-    duration rights_free{0};
+    // not from the owner: the owner, as far as the node knows
+    std::optional<node_name> owner;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_holder.hpp
+++ b/include/endivehinge/policy/allotment_holder.hpp
@@ -4,9 +4,9 @@
 #include <cstdint>  // uint32_t, uint64_t
 #include <deque>    // deque
 #include <optional> // optional
+#include <utility>  // pair
 
 #include <endivehinge/policy/allotment_ask.hpp>
-#include <endivehinge/policy/allotment_claim.hpp>
 #include <endivehinge/policy/allotment_grant.hpp>
 #include <endivehinge/policy/allotment_limits.hpp>
 #include <endivehinge/policy/allotment_retry.hpp>
@@ -15,12 +15,11 @@
 namespace endivehinge
 {
 
-/// @brief the tokens and the rate right of one account, at a node that is not
-/// the account's owner
+/// @brief the tokens of one account, at a node that is not the account's owner
 ///
 /// Decides how many tokens to ask for and when: one for each request of an
 /// account with few requests here, in advance for one with many, none for one
-/// that is known to be exhausted. Without contact it uses the right.
+/// that is known to be exhausted.
 /// @note pure: time and random numbers are arguments; not thread-safe, the
 /// owner serialises all calls
 class allotment_holder
@@ -28,14 +27,13 @@
 public:
     explicit allotment_holder(allotment_limits initial_limits);
 
-    /// @brief a lower rate lowers the right in proportion
     void set_limits(allotment_limits new_limits);
 
     /// @brief decides on a new request and counts it as demand
     /// @param random in [0, 1), spreads the retry times
     /// @return no value if the request has to wait for a token
-    [[nodiscard]] std::optional<allotment_verdict>
-    begin(time_point now, double random, std::uint32_t waiting);
+    [[nodiscard]] std::optional<allotment_verdict> begin(time_point now,
+                                                         double random);
 
     /// @brief decides on a request that waits
     /// @param may_wait whether it may wait longer
@@ -58,28 +56,24 @@
                       time_point sent_at,
                       time_point now);
 
-    /// @brief records that the last ask got no answer
-    void record_failure();
-
-    /// @brief records that the node that was asked is not the owner, or not
-    /// yet, or has ended
+    /// @brief records that the node that was asked did not answer, or is not
+    /// the owner
     /// @param pause until the next ask
-    void record_wrong_owner(time_point now, duration pause);
+    /// @param blocked_for for at least so long there is no owner
+    void record_no_owner(time_point now, duration pause, duration blocked_for);
 
-    /// @brief takes back the token of a request that ran nowhere
-    void put_back(time_point token_expires, time_point now);
+    /// @brief counts requests of another node, which tokens are passed on to
+    void record_relayed(std::uint32_t needed, time_point now);
 
-    /// @brief the valid right, for a new owner
-    [[nodiscard]] allotment_claim claim(time_point now) const;
+    /// @brief takes tokens from the stock for another node
+    /// @return their number and when they expire
+    [[nodiscard]] std::pair<std::uint32_t, time_point>
+    take_for_relay(std::uint32_t needed, time_point now);
 
-    /// @brief until when no right of the account exists, as the owner promised
-    [[nodiscard]] time_point rights_free_until() const;
-
-    /// @brief whether the owner answered the last ask
-    [[nodiscard]] bool in_contact() const;
+    /// @brief takes back the token of a request that ran nowhere
+    void put_back(time_point token_expires, time_point now);
 
-    /// @brief whether it has to be examined periodically: there is demand, or a
-    /// right to give up
+    /// @brief whether it has to be examined periodically
     [[nodiscard]] bool is_active(time_point now) const;
 
     /// @brief whether nothing is lost if it is discarded
@@ -101,35 +95,26 @@
     [[nodiscard]] bool has_left(time_point now) const;
     [[nodiscard]] std::uint32_t token_count(time_point now) const;
     [[nodiscard]] std::optional<time_point> take_token(time_point now);
-    [[nodiscard]] bool has_right(time_point now) const;
-    void accrue_right(time_point now);
+    [[nodiscard]] std::uint32_t relayed(time_point now) const;
 
     allotment_limits bounds;
     std::deque<batch> tokens;
     double arrivals = 0;
     time_point last_arrival;
     std::uint64_t last_sequence = 0;
-    std::uint64_t acknowledged = 0;
-    bool contact = true;
     bool asked = false;
     time_point last_ask;
-    // the account is taken to be exhausted until then
-    time_point exhausted_until;
-    // not exhausted: the owner does not know all rights yet
-    bool owner_recovers = false;
-    // as stated by the owner
-    time_point next_token_at;
+    // the account is taken to be exhausted, or without an owner, until then
+    time_point refused_until;
+    bool has_no_owner = false;
     allotment_retry retry;
-    // the node that was asked does not take itself for the owner
+    // the node that was asked is not the owner
     time_point ask_again_at;
     double granted_rate = 0;
     time_point last_grant;
-    double right = 0;
-    time_point right_begins;
-    time_point right_expires;
-    double right_level = 0;
-    time_point right_updated;
-    time_point rights_free;
+    // tokens that another node has asked for, and when
+    std::uint32_t relayed_needed = 0;
+    time_point relayed_at;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_member.hpp
+++ b/include/endivehinge/policy/allotment_member.hpp
@@ -14,6 +14,7 @@
     endpoint address;
     // the incarnation of the target beside it
     target_id target;
+    failure_domain domain;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_message.hpp
+++ b/include/endivehinge/policy/allotment_message.hpp
@@ -4,8 +4,11 @@
 #include <utility> // pair
 #include <vector>  // vector
 
+#include <endivehinge/core/ids.hpp>
 #include <endivehinge/policy/allotment_ask.hpp>
+#include <endivehinge/policy/allotment_departure.hpp>
 #include <endivehinge/policy/allotment_directory.hpp>
+#include <endivehinge/policy/allotment_vote.hpp>
 
 namespace endivehinge
 {
@@ -14,14 +17,13 @@
 struct allotment_message
 {
     allotment_process from;
-    // nodes whose processes have ended, so that the receiver does not take one
-    // of them for an owner
+    // nodes whose processes have ended, so that their votes and ownership have
+    // ended too
     std::vector<allotment_directory::ended_node> ended;
     // nodes whose targets have left although their entries remain
     std::vector<allotment_departure> departures;
     std::vector<std::pair<account_name, allotment_ask>> asks;
-    // accounts that the sender owns and whose rights it does not know
-    std::vector<account_name> questions;
+    std::vector<allotment_vote_request> vote_requests;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_response.hpp
+++ b/include/endivehinge/policy/allotment_response.hpp
@@ -4,9 +4,11 @@
 #include <utility> // pair
 #include <vector>  // vector
 
+#include <endivehinge/core/ids.hpp>
 #include <endivehinge/policy/allotment_ask.hpp>
-#include <endivehinge/policy/allotment_claim.hpp>
+#include <endivehinge/policy/allotment_departure.hpp>
 #include <endivehinge/policy/allotment_grant.hpp>
+#include <endivehinge/policy/allotment_vote.hpp>
 
 namespace endivehinge
 {
@@ -19,8 +21,8 @@
     std::vector<allotment_departure> departures;
     // in the order of the asks
     std::vector<std::pair<account_name, allotment_grant>> grants;
-    // in the order of the questions
-    std::vector<std::pair<account_name, allotment_claim>> claims;
+    // in the order of the vote requests
+    std::vector<std::pair<account_name, allotment_vote>> votes;
 };
 
 } // namespace endivehinge
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -17,13 +17,11 @@
 // several round trips between failure domains (0.5 to 3.9 ms) and the pauses of
 // an event loop that has a tenth of a core
 constexpr duration ask_timeout = milliseconds(80);
-// a node that starts beside many others answers later, and the answers of all
-// are needed
-constexpr duration question_timeout = milliseconds(500);
+// a fifth of the validity of a vote
+constexpr duration vote_timeout = milliseconds(200);
 // asks to one owner within this time are sent as one; shorter than a round trip
 constexpr duration combining_time = milliseconds(2);
-// without requests; shorter than the age of the knowledge of the store from
-// which a node takes itself to be cut off
+// without requests
 constexpr duration idle_poll_interval = std::chrono::seconds(1);
 
 // the decisions about allotments use it for all times, since their permissions
@@ -33,7 +31,7 @@
     return time_point(boot_clock::now().time_since_epoch());
 }
 
-allotment_book_options options_of(gateway_settings const & settings)
+allotment_options options_of(gateway_settings const & settings)
 {
     return {settings.accounts.overage_slack, settings.first_start};
 }
@@ -79,7 +77,6 @@
                         std::uint64_t & number)
 {
     this->update_nodes();
-    this->update_store_age();
     number = ++this->last_number;
     auto const verdict = this->agent.begin(account.name,
                                            allotment_limits::of(account),
@@ -112,7 +109,6 @@
 allotment_response allotment_client::answer(allotment_message const & message)
 {
     this->update_nodes();
-    this->update_store_age();
     auto response = this->agent.answer(message, now_with_suspension());
     this->log_events();
     this->poll_soon(combining_time);
@@ -132,10 +128,11 @@
     {
         if (entry->state != target_state::removed)
         {
-            present.push_back({entry->node, entry->peer, entry->id});
+            present.push_back(
+                {entry->node, entry->peer, entry->id, entry->domain});
         }
     }
-    this->agent.set_nodes(present, now_with_suspension());
+    this->agent.set_nodes(present);
     auto const own_entry = this->state.target.entry();
     if (own_entry)
     {
@@ -144,13 +141,6 @@
     this->agent.set_own_departure(own_entry ? std::nullopt : this->last_target);
 }
 
-void allotment_client::update_store_age()
-{
-    // without any contact since the start there is no view that could be wrong
-    auto const age = this->state.configuration_age();
-    this->agent.set_store_age(age.value_or(duration(0)), now_with_suspension());
-}
-
 // ---------------------------------------------------------------------------
 // periodic work
 // ---------------------------------------------------------------------------
@@ -178,7 +168,6 @@
 void allotment_client::poll()
 {
     this->update_nodes();
-    this->update_store_age();
     auto const now = now_with_suspension();
     auto todo = this->agent.poll(now, this->state.random());
     // also notices, without requests, that this node was cut off
@@ -221,7 +210,7 @@
     auto & peer = this->state.peer(*address);
     auto request = allotment_exchange::write_request(message.message);
     auto const timeout =
-        message.message.questions.empty() ? ask_timeout : question_timeout;
+        message.message.vote_requests.empty() ? ask_timeout : vote_timeout;
     peer.call(
         std::move(request),
         timeout,
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -6,8 +6,6 @@
 
 #include <nlohmann/json.hpp> // json
 
-#include <endivehinge/policy/allotment_timing.hpp>
-
 namespace endivehinge::detail
 {
 
@@ -25,7 +23,9 @@
 constexpr std::size_t max_body_bytes = 65536;
 // entries of each list; bounds the work for one message
 constexpr std::size_t max_entries = 64;
-// a demand or a right above it is no valid number of requests per second
+// no time in a message is longer
+constexpr duration max_time = std::chrono::seconds(6);
+// a demand above it is no valid number of requests per second
 constexpr double max_rate = 1e9;
 // tokens in one ask; more than a node of the fleet handles in the token
 // lifetime
@@ -71,7 +71,7 @@
     return static_cast<std::uint32_t>(count);
 }
 
-/// @brief a duration in microseconds, at most the validity of a right
+/// @brief a duration in microseconds, limited
 duration read_time(json const & value, char const * name)
 {
     auto const count = value.value(name, std::int64_t{0});
@@ -79,10 +79,8 @@
     {
         throw invalid_value();
     }
-    return std::min<duration>(
-        allotment_timing::right_validity,
-        microseconds(std::min<std::int64_t>(
-            count, allotment_timing::right_validity / microseconds(1))));
+    return microseconds(
+        std::min<std::int64_t>(count, max_time / microseconds(1)));
 }
 
 json const & read_list(json const & value, char const * name)
@@ -129,7 +127,6 @@
 {
     json written = {{"account", account.value()},
                     {"sequence", ask.sequence},
-                    {"acknowledged", ask.acknowledged},
                     {"wanted", ask.wanted},
                     {"demand", ask.demand}};
     if (ask.needed > 0)
@@ -140,13 +137,9 @@
     {
         written["returned"] = ask.returned;
     }
-    if (ask.wants_right)
-    {
-        written["wants_right"] = true;
-    }
-    if (ask.drops_right)
+    if (ask.relay)
     {
-        written["drops_right"] = true;
+        written["relay"] = true;
     }
     return written;
 }
@@ -155,27 +148,39 @@
 {
     allotment_ask ask;
     ask.sequence = value.at("sequence").get<std::uint64_t>();
-    ask.acknowledged = value.at("acknowledged").get<std::uint64_t>();
     ask.needed = read_count(value, "needed");
     ask.wanted = read_count(value, "wanted");
     ask.returned = read_count(value, "returned");
     ask.demand = read_rate(value, "demand");
-    ask.wants_right = value.value("wants_right", false);
-    ask.drops_right = value.value("drops_right", false);
+    ask.relay = value.value("relay", false);
     return ask;
 }
 
+std::optional<node_name> read_node(json const & value, char const * name)
+{
+    auto const found = value.find(name);
+    return found == value.end()
+               ? std::nullopt
+               : std::optional(node_name(found->get<std::string>()));
+}
+
 json write_grant(account_name const & account, allotment_grant const & grant)
 {
-    json written = {{"account", account.value()}, {"sequence", grant.sequence}};
+    json written = {{"account", account.value()},
+                    {"sequence", grant.sequence},
+                    {"tokens", grant.tokens},
+                    {"next_us", grant.next_token / microseconds(1)}};
     if (grant.from_owner)
     {
-        written["owner"] = true;
-        written["tokens"] = grant.tokens;
-        written["right"] = grant.right;
-        written["next_us"] = grant.next_token / microseconds(1);
-        written["free_us"] = grant.rights_free / microseconds(1);
-        written["recovering"] = grant.recovering;
+        written["from_owner"] = true;
+    }
+    if (grant.remaining > duration(0))
+    {
+        written["remaining_us"] = grant.remaining / microseconds(1);
+    }
+    if (grant.owner)
+    {
+        written["owner"] = grant.owner->value();
     }
     return written;
 }
@@ -184,34 +189,45 @@
 {
     allotment_grant grant;
     grant.sequence = value.at("sequence").get<std::uint64_t>();
-    grant.from_owner = value.value("owner", false);
+    grant.from_owner = value.value("from_owner", false);
     grant.tokens = read_count(value, "tokens");
-    grant.right = read_rate(value, "right");
+    grant.remaining = read_time(value, "remaining_us");
     grant.next_token = read_time(value, "next_us");
-    grant.rights_free = read_time(value, "free_us");
-    grant.recovering = value.value("recovering", false);
+    grant.owner = read_node(value, "owner");
     return grant;
 }
 
-json write_claim(account_name const & account, allotment_claim const & claim)
+json write_vote(account_name const & account, allotment_vote const & vote)
 {
-    return {{"account", account.value()},
-            {"agrees", claim.agrees},
-            {"right", claim.right},
-            {"begins_us", claim.begins / microseconds(1)},
-            {"remaining_us", claim.remaining / microseconds(1)},
-            {"free_us", claim.rights_free / microseconds(1)}};
+    json written = {{"account", account.value()}, {"granted", vote.granted}};
+    if (vote.provisional)
+    {
+        written["provisional"] = true;
+    }
+    if (vote.unowned_for > duration(0))
+    {
+        written["unowned_us"] = vote.unowned_for / microseconds(1);
+    }
+    if (vote.holder)
+    {
+        written["holder"] = vote.holder->value();
+    }
+    if (vote.remaining > duration(0))
+    {
+        written["remaining_us"] = vote.remaining / microseconds(1);
+    }
+    return written;
 }
 
-allotment_claim read_claim(json const & value)
+allotment_vote read_vote(json const & value)
 {
-    allotment_claim claim;
-    claim.agrees = value.at("agrees").get<bool>();
-    claim.right = read_rate(value, "right");
-    claim.begins = read_time(value, "begins_us");
-    claim.remaining = read_time(value, "remaining_us");
-    claim.rights_free = read_time(value, "free_us");
-    return claim;
+    allotment_vote vote;
+    vote.granted = value.at("granted").get<bool>();
+    vote.provisional = value.value("provisional", false);
+    vote.unowned_for = read_time(value, "unowned_us");
+    vote.holder = read_node(value, "holder");
+    vote.remaining = read_time(value, "remaining_us");
+    return vote;
 }
 
 account_name read_account(json const & value)
@@ -246,9 +262,11 @@
     {
         document["asks"].push_back(write_ask(account, ask));
     }
-    for (auto const & account : message.questions)
+    for (auto const & vote : message.vote_requests)
     {
-        document["questions"].push_back(account.value());
+        document["vote_requests"].push_back({{"account", vote.account.value()},
+                                             {"number", vote.number},
+                                             {"return", vote.is_return}});
     }
     request_message request{http::verb::post, request_path, 11};
     request.body() = document.dump();
@@ -281,9 +299,12 @@
         {
             message.asks.emplace_back(read_account(value), read_ask(value));
         }
-        for (auto const & value : read_list(document, "questions"))
+        for (auto const & value : read_list(document, "vote_requests"))
         {
-            message.questions.emplace_back(value.get<std::string>());
+            message.vote_requests.push_back(
+                {read_account(value),
+                 value.at("number").get<std::uint64_t>(),
+                 value.at("return").get<bool>()});
         }
         return message;
     }
@@ -303,9 +324,9 @@
     {
         document["grants"].push_back(write_grant(account, grant));
     }
-    for (auto const & [account, claim] : response.claims)
+    for (auto const & [account, vote] : response.votes)
     {
-        document["claims"].push_back(write_claim(account, claim));
+        document["votes"].push_back(write_vote(account, vote));
     }
     return document.dump();
 }
@@ -324,10 +345,9 @@
             response.grants.emplace_back(read_account(value),
                                          read_grant(value));
         }
-        for (auto const & value : read_list(document, "claims"))
+        for (auto const & value : read_list(document, "votes"))
         {
-            response.claims.emplace_back(read_account(value),
-                                         read_claim(value));
+            response.votes.emplace_back(read_account(value), read_vote(value));
         }
         return response;
     }
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/policy/allotment_agent.hpp>
 
-#include <algorithm> // any_of, find_if, max, min
+#include <algorithm> // any_of, find_if, max
+#include <utility>   // exchange, move
 
 namespace endivehinge
 {
@@ -11,50 +12,61 @@
 
 // an ask of a holder with a right is due every 200 ms; four polls for each
 constexpr duration agent_poll_interval = milliseconds(50);
-// a request waits no longer for a token; covers the takeover of an account by
-// the next owner (100 ms) and a few asks
-constexpr duration max_wait = milliseconds(250);
-// before the next ask if a node is not the owner or does not know all rights
-// yet; views differ for some hundred milliseconds after a change
-constexpr duration wrong_owner_pause = milliseconds(25);
+// a request waits no longer for a token; covers two nodes that are gone without
+// a word, the election of an owner and a few asks
+constexpr duration max_wait = milliseconds(400);
+// before the next ask if a node is not the owner; covers the election of one by
+// nodes that all answer
+constexpr duration no_owner_pause = milliseconds(25);
+// before the owner is asked that a node has named
+constexpr duration named_owner_pause = milliseconds(1);
+// answers of one node without an owner that is reached, until the next node of
+// the group is asked
+constexpr std::size_t misses_per_node = 4;
 // an account that was not refused any request for this time is available again
 constexpr duration available_after = std::chrono::seconds(2);
-// between examinations of silent holders and unused accounts
+// between examinations of unused accounts
 constexpr duration maintenance_interval = milliseconds(200);
 // accounts in one message; bounds its size
 constexpr std::size_t max_asks = 64;
-// the choice of an owner is calculated again after this time, since proofs that
-// a process has ended expire
-constexpr duration owner_cache_time = milliseconds(50);
 constexpr duration no_contact_retry = milliseconds(100);
 // an account without refusals for want of an owner in this time is served; also
 // between two lines of the log about one account
 constexpr duration unserved_memory = std::chrono::seconds(1);
 // an account without a request for this time is forgotten
 constexpr duration account_memory = std::chrono::seconds(10);
-// without contact to the store, a node that reached less than half of the
-// others in this time is taken to be cut off, so that another node may own its
-// accounts
-constexpr duration outcome_memory = std::chrono::seconds(2);
-// age of the knowledge of the store from which it tries to reach others, so
-// that the result is known when a right's validity has passed
-constexpr duration probe_age = std::chrono::seconds(3);
-// nodes that it tries to reach in each maintenance interval; 20 a second
-constexpr std::size_t probed_nodes = 4;
+// a request is refused at once if it would wait longer for an owner
+constexpr duration max_owner_wait = milliseconds(250);
+// on the first start of a fleet nothing was granted before
+constexpr duration first_start_time = std::chrono::seconds(2);
+// share of the slack that a new owner has at the start. Its predecessor may
+// have used up a bucket just before
+constexpr double start_slack_share = 0.15;
+// share of the slack by which a bucket is greater than the burst. Accounts with
+// about one request per second send two or three within a second by chance, and
+// tokens that are refilled between two asks are not lost to a small burst
+constexpr double capacity_slack_share = 0.3;
 // changes that were not logged; bounds memory
 constexpr std::size_t max_events = 64;
 
+allotment_limits with_capacity(allotment_limits limits, double slack)
+{
+    limits.burst += slack * capacity_slack_share;
+    return limits;
+}
+
 } // namespace
 
 allotment_agent::allotment_agent(allotment_process own_process,
-                                 allotment_book_options options,
+                                 allotment_options chosen,
                                  limits_lookup lookup,
                                  time_point now)
     : self(std::move(own_process))
+    , options(chosen)
+    , started(now)
     , limits_source(std::move(lookup))
-    , directory(this->self.node, now)
-    , book(options, now)
-    , last_check(now)
+    , directory(this->self.node)
+    , election(this->self, chosen.first_start, now)
 {
 }
 
@@ -63,71 +75,17 @@
     return agent_poll_interval;
 }
 
-void allotment_agent::set_nodes(allotment_directory::node_list const & present,
-                                time_point now)
+void allotment_agent::set_nodes(allotment_directory::node_list const & present)
 {
-    this->directory.set_nodes(present, now);
-    this->generation += 1;
+    this->directory.set_nodes(present);
 }
 
 void allotment_agent::set_own_departure(std::optional<target_id> const & target)
 {
     this->directory.set_own_departure(target);
-    this->generation += 1;
-}
-
-void allotment_agent::set_store_age(duration age, time_point now)
-{
-    this->store_age = age;
-    bool const was_isolated = this->isolated;
-    this->isolated = age >= allotment_timing::right_validity &&
-                     !this->reaches_most_nodes(now);
-    // a process that was paused does not know whether it was cut off
-    bool const was_paused =
-        now - this->last_check >= allotment_timing::right_validity;
-    this->last_check = now;
-    if (was_paused || (was_isolated && !this->isolated))
-    {
-        // others may have owned its accounts meanwhile
-        this->directory.restart(now);
-        this->generation += 1;
-    }
-    this->book.set_confirmed(!this->isolated, now);
-}
-
-bool allotment_agent::reaches_most_nodes(time_point now) const
-{
-    std::size_t reached = 0;
-    std::size_t missed = 0;
-    for (auto const & [node, outcome] : this->outcomes)
-    {
-        auto const & [when, was_reached] = outcome;
-        bool const is_recent = now - when <= outcome_memory;
-        reached += is_recent && was_reached ? 1 : 0;
-        missed += is_recent && !was_reached ? 1 : 0;
-    }
-    return reached > missed;
-}
-
-void allotment_agent::record_outcome(node_name const & node,
-                                     bool reached,
-                                     time_point now)
-{
-    this->outcomes[node] = {now, reached};
-}
-
-void allotment_agent::add_probes(time_point now, actions & todo)
-{
-    if (this->store_age < probe_age || this->book.size() == 0)
+    if (target)
     {
-        return;
-    }
-    auto const others = this->directory.other_nodes();
-    for (std::size_t i = 0; i < std::min(others.size(), probed_nodes); ++i)
-    {
-        this->next_probed = (this->next_probed + 1) % others.size();
-        todo.messages.push_back(
-            {others[this->next_probed], this->new_message(now)});
+        this->election.resign();
     }
 }
 
@@ -148,53 +106,83 @@
 
 std::size_t allotment_agent::ledger_count() const
 {
-    return this->book.size();
+    return this->owned.size();
 }
 
 // ---------------------------------------------------------------------------
 // owners
 // ---------------------------------------------------------------------------
 
-std::optional<node_name> const & allotment_agent::owner_of(
+std::optional<node_name> allotment_agent::contact_of(
     account_name const & account, account_entry & entry, time_point now)
 {
-    if (entry.owner_generation != this->generation ||
-        now >= entry.owner_valid_until)
+    entry.relay = false;
+    if (this->election.is_owner(account, this->directory, now))
     {
-        entry.owner = this->directory.owner(account, now);
-        entry.owner_generation = this->generation;
-        entry.owner_valid_until = now + owner_cache_time;
+        return this->self.node;
     }
-    return entry.owner;
-}
-
-std::optional<node_name>
-allotment_agent::owner_of_any(account_name const & account, time_point now)
-{
-    auto const found = this->accounts.find(account);
-    return found == this->accounts.end()
-               ? this->directory.owner(account, now)
-               : this->owner_of(account, *found->second, now);
+    auto const stated =
+        this->election.other_owner(account, this->directory, now);
+    for (auto const & owner : {stated, entry.known_owner})
+    {
+        if (!owner || *owner == this->self.node ||
+            this->directory.has_ended(*owner, now))
+        {
+            continue;
+        }
+        if (this->directory.is_reachable(*owner, now))
+        {
+            return owner;
+        }
+        entry.relay = true;
+    }
+    auto const & group = this->directory.group(account);
+    auto const first = entry.misses / misses_per_node;
+    for (std::size_t i = 0; i < group.size(); ++i)
+    {
+        auto const & node = group[(first + i) % group.size()];
+        bool const is_own = node == this->self.node;
+        bool const can_own =
+            is_own && !entry.relay && !this->directory.has_own_departure();
+        if (can_own || (!is_own && this->directory.is_reachable(node, now)))
+        {
+            return node;
+        }
+    }
+    return std::nullopt;
 }
 
 allotment_ledger * allotment_agent::open_ledger(account_name const & account,
                                                 allotment_limits const & limits,
                                                 time_point now)
 {
-    auto const before = this->book.opened_count();
-    auto const found = this->accounts.find(account);
-    auto const promise = found == this->accounts.end()
-                             ? time_point()
-                             : found->second->holder.rights_free_until();
-    auto * const ledger =
-        this->book.open(account,
-                        limits,
-                        this->directory.owner_since(account, now),
-                        promise,
-                        this->directory,
-                        now);
-    if (this->book.opened_count() != before)
-    {
+    this->election.seek(account, now);
+    if (!this->election.is_owner(account, this->directory, now))
+    {
+        this->owned.erase(account);
+        return nullptr;
+    }
+    auto const enlarged = with_capacity(limits, this->options.slack);
+    auto const since = this->election.owner_since(account);
+    auto found = this->owned.find(account);
+    if (found == this->owned.end() || found->second.since != since)
+    {
+        bool const is_first_owner = this->options.first_start &&
+                                    since - this->started < first_start_time;
+        // what a bucket that was empty when the last owner ended has earned
+        double const earned =
+            limits.rate * std::chrono::duration<double>(
+                              this->election.unowned_before(account))
+                              .count();
+        double const tokens =
+            is_first_owner ? enlarged.burst
+                           : this->options.slack * start_slack_share + earned;
+        found = this->owned
+                    .insert_or_assign(
+                        account,
+                        owned_account{allotment_ledger(enlarged, tokens, now),
+                                      since})
+                    .first;
         this->totals.ledgers_opened += 1;
         if (this->events.size() < max_events)
         {
@@ -202,7 +190,8 @@
                 {event::kind::ownership, account, this->self.node, {}, {}});
         }
     }
-    return ledger;
+    found->second.ledger.set_limits(enlarged, now);
+    return &found->second.ledger;
 }
 
 allotment_agent::account_entry &
@@ -254,24 +243,21 @@
                         bool is_new,
                         bool may_wait)
 {
-    auto const & owner = this->owner_of(account, entry, now);
-    if (!owner)
+    auto const contact = this->contact_of(account, entry, now);
+    if (!contact)
     {
+        // no node of the group answers; they are asked again soon
         allotment_verdict verdict;
         verdict.outcome = allotment_outcome::no_contact;
         verdict.retry_after = no_contact_retry;
-        return may_wait ? std::nullopt : std::optional(verdict);
+        return verdict;
     }
-    if (*owner == this->self.node)
+    if (*contact == this->self.node)
     {
         return this->decide_as_owner(account, entry, now, random, may_wait);
     }
-    if (is_new)
-    {
-        return entry.holder.begin(
-            now, random, static_cast<std::uint32_t>(entry.waiting.size()));
-    }
-    return entry.holder.decide(now, random, may_wait);
+    return is_new ? entry.holder.begin(now, random)
+                  : entry.holder.decide(now, random, may_wait);
 }
 
 std::optional<allotment_verdict>
@@ -285,19 +271,22 @@
     auto * const ledger = this->open_ledger(account, entry.limits, now);
     if (ledger == nullptr)
     {
+        auto const wait = this->election.blocked_for(account, now);
         verdict.outcome = allotment_outcome::no_contact;
-        verdict.retry_after = no_contact_retry;
-        return may_wait ? std::nullopt : std::optional(verdict);
+        verdict.retry_after =
+            entry.own_retry.next(now,
+                                 now + std::max(wait, no_contact_retry),
+                                 entry.limits.rate,
+                                 random);
+        return may_wait && wait <= max_owner_wait ? std::nullopt
+                                                  : std::optional(verdict);
     }
     if (ledger->try_take(now))
     {
         verdict.token_expires = now + allotment_timing::token_lifetime;
         return verdict;
     }
-    bool const knows_all =
-        ledger->is_confirmed() && !ledger->is_recovering(now);
-    verdict.outcome = knows_all ? allotment_outcome::exhausted
-                                : allotment_outcome::no_contact;
+    verdict.outcome = allotment_outcome::exhausted;
     verdict.retry_after = entry.own_retry.next(
         now, now + ledger->next_token(now), entry.limits.rate, random);
     return verdict;
@@ -366,17 +355,14 @@
         return;
     }
     this->totals.returned += 1;
-    auto & entry = *found->second;
-    auto const & owner = this->owner_of(account, entry, now);
-    if (owner && *owner == this->self.node)
+    if (auto const own = this->owned.find(account);
+        own != this->owned.end() &&
+        this->election.is_owner(account, this->directory, now))
     {
-        if (auto * const ledger = this->open_ledger(account, entry.limits, now))
-        {
-            ledger->put_back(1, now);
-        }
+        own->second.ledger.put_back(1, now);
         return;
     }
-    entry.holder.put_back(verdict.token_expires, now);
+    found->second->holder.put_back(verdict.token_expires, now);
 }
 
 // ---------------------------------------------------------------------------
@@ -385,8 +371,8 @@
 
 bool allotment_agent::is_active(time_point now) const
 {
-    return !this->active.empty() || this->book.is_recovering(now) ||
-           this->book.size() > 0;
+    return !this->active.empty() || !this->owned.empty() ||
+           this->election.is_active(now);
 }
 
 allotment_agent::actions allotment_agent::poll(time_point now, double random)
@@ -398,15 +384,11 @@
             account, *this->accounts.at(account), now, random, todo);
     }
     this->add_asks(now, todo);
-    this->add_questions(now, todo);
+    this->add_ballots(now, todo);
+    this->add_probes(now, todo);
     if (now >= this->next_maintenance)
     {
         this->next_maintenance = now + maintenance_interval;
-        for (auto const & node : this->book.silent_holders(now))
-        {
-            todo.messages.push_back({node, this->new_message(now)});
-        }
-        this->add_probes(now, todo);
         this->discard_idle(now);
     }
     this->totals.messages += todo.messages.size();
@@ -441,7 +423,7 @@
     for (auto const & account : this->active)
     {
         auto & entry = *this->accounts.at(account);
-        auto const & owner = this->owner_of(account, entry, now);
+        auto const owner = this->contact_of(account, entry, now);
         auto const waiting = static_cast<std::uint32_t>(entry.waiting.size());
         if (!owner || *owner == this->self.node || entry.in_flight ||
             this->busy_links.contains(*owner) ||
@@ -458,7 +440,8 @@
         auto & message = todo.messages[position->second].message;
         if (message.asks.size() < max_asks)
         {
-            auto const ask = entry.holder.ask(now, waiting);
+            auto ask = entry.holder.ask(now, waiting);
+            ask.relay = entry.relay;
             entry.in_flight = true;
             this->totals.asks += 1;
             this->totals.returned += ask.returned;
@@ -471,13 +454,24 @@
     }
 }
 
-void allotment_agent::add_questions(time_point now, actions & todo)
+void allotment_agent::add_ballots(time_point now, actions & todo)
 {
-    for (auto & question : this->book.due_questions(now))
+    for (auto & ballot : this->election.due_ballots(this->directory, now))
     {
         auto message = this->new_message(now);
-        message.questions = std::move(question.accounts);
-        todo.messages.push_back({question.node, std::move(message)});
+        message.vote_requests = std::move(ballot.requests);
+        todo.messages.push_back({ballot.node, std::move(message)});
+    }
+}
+
+void allotment_agent::add_probes(time_point now, actions & todo)
+{
+    for (auto & node : this->election.take_doubted())
+    {
+        if (this->probed.insert(node).second)
+        {
+            todo.messages.push_back({std::move(node), this->new_message(now)});
+        }
     }
 }
 
@@ -492,7 +486,13 @@
 
 void allotment_agent::discard_idle(time_point now)
 {
-    this->book.discard_idle(now);
+    this->election.discard_idle(now);
+    for (auto item = this->owned.begin(); item != this->owned.end();)
+    {
+        item = this->election.is_owner(item->first, this->directory, now)
+                   ? std::next(item)
+                   : this->owned.erase(item);
+    }
     for (auto item = this->accounts.begin(); item != this->accounts.end();)
     {
         auto & entry = *item->second;
@@ -539,7 +539,7 @@
     this->events.push_back(
         {event::kind::unserved,
          account,
-         this->owner_of(account, entry, now).value_or(node_name()),
+         this->contact_of(account, entry, now).value_or(node_name()),
          now - *entry.unserved_since,
          this->reason_unserved(account, entry, now)});
 }
@@ -548,17 +548,17 @@
                                              account_entry & entry,
                                              time_point now)
 {
-    auto const & owner = this->owner_of(account, entry, now);
-    if (!owner)
+    auto const contact = this->contact_of(account, entry, now);
+    if (!contact)
     {
-        return "no node is known";
+        return "no node of its group answers";
     }
-    if (*owner == this->self.node)
+    if (*contact == this->self.node)
     {
-        return this->isolated ? "isolated" : this->book.reason(account, now);
+        return this->election.reason(account, this->directory, now);
     }
-    return entry.holder.in_contact() ? "the owner grants nothing"
-                                     : "the owner does not answer";
+    return entry.relay ? "this node does not reach the owner"
+                       : "the node grants nothing";
 }
 
 allotment_agent::unserved_accounts
@@ -585,28 +585,32 @@
 allotment_response allotment_agent::answer(allotment_message const & message,
                                            time_point now)
 {
-    this->generation +=
-        this->directory.record_alive(message.from.node, now) ? 1 : 0;
+    this->directory.record_alive(message.from.node, now);
     this->record_departures(message.from.node, message.departures, now);
     for (auto const & ended : message.ended)
     {
-        bool const is_new =
-            this->directory.record_ended(ended.node, ended.remaining, now);
-        this->generation += is_new ? 1 : 0;
+        static_cast<void>(
+            this->directory.record_ended(ended.node, ended.remaining, now));
     }
     allotment_response response;
     response.from = this->self;
     response.departures = this->directory.departures();
+    for (auto const & request : message.vote_requests)
+    {
+        if (request.is_return)
+        {
+            this->election.take_back(request, message.from, now);
+            continue;
+        }
+        response.votes.emplace_back(
+            request.account,
+            this->election.vote(request, message.from, this->directory, now));
+    }
     for (auto const & [account, ask] : message.asks)
     {
         response.grants.emplace_back(
             account, this->answer_ask(message.from, account, ask, now));
     }
-    for (auto const & account : message.questions)
-    {
-        response.claims.emplace_back(
-            account, this->answer_question(message.from.node, account, now));
-    }
     return response;
 }
 
@@ -623,12 +627,11 @@
                                           });
     if (!has_departed)
     {
-        this->generation += this->directory.record_return(from, now) ? 1 : 0;
+        this->directory.record_return(from);
     }
     for (auto const & departure : departures)
     {
         bool const is_new = this->directory.record_departure(departure, now);
-        this->generation += is_new ? 1 : 0;
         if (is_new && this->events.size() < max_events)
         {
             this->events.push_back(
@@ -642,38 +645,57 @@
                                             allotment_ask const & ask,
                                             time_point now)
 {
-    allotment_grant refusal;
-    refusal.sequence = ask.sequence;
+    allotment_grant grant;
+    grant.sequence = ask.sequence;
     auto const limits = this->limits_source(account);
-    auto const owner = this->owner_of_any(account, now);
-    if (!limits || !owner || *owner != this->self.node)
+    if (!limits)
     {
-        return refusal;
+        return grant;
     }
-    auto * const ledger = this->open_ledger(account, *limits, now);
-    return ledger == nullptr || !ledger->is_confirmed()
-               ? refusal
-               : ledger->answer(from, ask, now);
-}
-
-allotment_claim allotment_agent::answer_question(node_name const & from,
-                                                 account_name const & account,
-                                                 time_point now)
-{
-    allotment_claim claim;
-    auto const owner = this->owner_of_any(account, now);
-    if (!owner || *owner != from)
+    auto const other =
+        this->election.is_owner(account, this->directory, now)
+            ? std::nullopt
+            : this->election.other_owner(account, this->directory, now);
+    bool const is_reached = other && this->directory.is_reachable(*other, now);
+    if (!is_reached)
     {
-        return claim;
+        if (auto * const ledger = this->open_ledger(account, *limits, now))
+        {
+            return ledger->answer(ask, now);
+        }
     }
-    this->book.close(account);
-    if (auto const found = this->accounts.find(account);
-        found != this->accounts.end())
+    if (is_reached && *other != from.node)
     {
-        claim = found->second->holder.claim(now);
+        grant.owner = other;
     }
-    claim.agrees = true;
-    return claim;
+    if (ask.relay && other)
+    {
+        this->election.doubt(*other);
+    }
+    if (ask.relay && is_reached)
+    {
+        this->relay(account, *limits, ask, grant, now);
+    }
+    else if (!is_reached)
+    {
+        grant.next_token = this->election.blocked_for(account, now);
+    }
+    return grant;
+}
+
+void allotment_agent::relay(account_name const & account,
+                            allotment_limits const & limits,
+                            allotment_ask const & ask,
+                            allotment_grant & grant,
+                            time_point now)
+{
+    auto & entry = this->entry_of(account, limits);
+    entry.last_request = now;
+    this->active.insert(account);
+    entry.holder.record_relayed(ask.needed, now);
+    auto const [tokens, expires] = entry.holder.take_for_relay(ask.needed, now);
+    grant.tokens = tokens;
+    grant.remaining = expires - now;
 }
 
 void allotment_agent::record_response(outgoing const & sent,
@@ -681,9 +703,9 @@
                                       time_point sent_at,
                                       time_point now)
 {
-    this->generation += this->directory.record_alive(sent.to, now) ? 1 : 0;
+    this->directory.record_answer(sent.to, now);
     this->record_departures(sent.to, response.departures, now);
-    this->record_outcome(sent.to, true, now);
+    this->probed.erase(sent.to);
     if (!sent.message.asks.empty())
     {
         this->busy_links.erase(sent.to);
@@ -692,33 +714,68 @@
     for (std::size_t i = 0; i < sent.message.asks.size(); ++i)
     {
         auto const & [account, ask] = sent.message.asks[i];
-        auto const found = this->accounts.find(account);
-        if (found == this->accounts.end())
-        {
-            continue;
-        }
-        auto & entry = *found->second;
-        entry.in_flight = false;
         bool const is_valid =
             i < response.grants.size() && response.grants[i].first == account &&
-            response.grants[i].second.from_owner &&
-            response.grants[i].second.sequence == ask.sequence &&
-            this->owner_of(account, entry, now) == sent.to;
-        if (is_valid)
+            response.grants[i].second.sequence == ask.sequence;
+        this->record_grant(account,
+                           is_valid ? response.grants[i].second
+                                    : allotment_grant(),
+                           sent.to,
+                           sent_at,
+                           now);
+    }
+    std::size_t next = 0;
+    for (auto const & request : sent.message.vote_requests)
+    {
+        if (request.is_return)
         {
-            entry.holder.record_grant(response.grants[i].second, sent_at, now);
+            continue;
         }
-        else
+        bool const is_valid = next < response.votes.size() &&
+                              response.votes[next].first == request.account;
+        this->election.record_vote(request.account,
+                                   sent.to,
+                                   is_valid ? response.votes[next].second
+                                            : allotment_vote(),
+                                   this->directory,
+                                   sent_at,
+                                   now);
+        next += 1;
+    }
+}
+
+void allotment_agent::record_grant(account_name const & account,
+                                   allotment_grant const & grant,
+                                   node_name const & from,
+                                   time_point sent_at,
+                                   time_point now)
+{
+    auto const found = this->accounts.find(account);
+    if (found == this->accounts.end())
+    {
+        return;
+    }
+    auto & entry = *found->second;
+    entry.in_flight = false;
+    if (grant.from_owner || grant.tokens > 0)
+    {
+        entry.misses = 0;
+        if (grant.from_owner)
         {
-            // a grant of a node that is no longer the owner is discarded: the
-            // new owner may have been told that this node holds no right
-            entry.holder.record_wrong_owner(now, wrong_owner_pause);
+            entry.known_owner = from;
         }
+        entry.holder.record_grant(grant, sent_at, now);
+        return;
     }
-    for (auto const & [account, claim] : response.claims)
+    bool const is_named = grant.owner && *grant.owner != entry.known_owner &&
+                          this->directory.is_reachable(*grant.owner, now);
+    entry.misses += is_named ? 0 : 1;
+    if (is_named || entry.known_owner == from)
     {
-        this->book.record_claim(account, response.from, claim, sent_at, now);
+        entry.known_owner = grant.owner;
     }
+    entry.holder.record_no_owner(
+        now, is_named ? named_owner_pause : no_owner_pause, grant.next_token);
 }
 
 void allotment_agent::record_failure(outgoing const & sent,
@@ -727,12 +784,14 @@
                                      time_point now)
 {
     this->totals.failed_messages += 1;
-    this->record_outcome(sent.to, refused, now);
+    this->probed.erase(sent.to);
     if (refused)
     {
-        bool const is_new = this->directory.record_refused(sent.to, now);
-        this->generation += is_new ? 1 : 0;
-        this->book.record_ended(sent.to, sent_at, now);
+        this->directory.record_refused(sent.to, now);
+    }
+    else
+    {
+        this->directory.record_silence(sent.to, sent_at, now);
     }
     if (!sent.message.asks.empty())
     {
@@ -741,20 +800,18 @@
     }
     for (auto const & [account, ask] : sent.message.asks)
     {
-        auto const found = this->accounts.find(account);
-        if (found == this->accounts.end())
-        {
-            continue;
-        }
-        found->second->in_flight = false;
-        if (refused)
+        if (auto const found = this->accounts.find(account);
+            found != this->accounts.end())
         {
-            // the next owner is asked at once
-            found->second->holder.record_wrong_owner(now, duration(0));
+            // another node is asked at once
+            found->second->in_flight = false;
         }
-        else
+    }
+    for (auto const & request : sent.message.vote_requests)
+    {
+        if (!request.is_return)
         {
-            found->second->holder.record_failure();
+            this->election.record_failure(request.account, sent.to, now);
         }
     }
 }
--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -1,6 +1,10 @@
 #include <endivehinge/policy/allotment_directory.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // find_if, max, min, sort
+#include <cstdint>   // uint64_t
+#include <utility>   // pair
+
+#include <absl/container/btree_set.h> // btree_set
 
 #include <endivehinge/policy/allotment_owner.hpp>
 #include <endivehinge/policy/allotment_timing.hpp>
@@ -14,24 +18,34 @@
 constexpr duration ended_proof_validity = std::chrono::milliseconds(500);
 // proofs that follow each other within this time are one absence
 constexpr duration ended_proof_gap = std::chrono::seconds(1);
+// a node that did not answer is tried again after this time, and one that is
+// lost
+constexpr duration silence_memory = std::chrono::milliseconds(300);
+constexpr duration lost_memory = std::chrono::seconds(2);
+// from the first message without an answer to the end of the last one. Longer
+// than most pauses of an event loop that has a tenth of a core
+constexpr duration lost_after = std::chrono::milliseconds(200);
+// nodes that vote for the owner of an account: an owner is found while three of
+// them are gone without a word
+constexpr std::size_t group_size = 7;
+// remembered groups; bounds memory
+constexpr std::size_t max_groups = 100000;
 
 } // namespace
 
-allotment_directory::allotment_directory(node_name own_node, time_point now)
+allotment_directory::allotment_directory(node_name own_node)
     : self(std::move(own_node))
-    , started(now)
 {
 }
 
-void allotment_directory::set_nodes(node_list const & present, time_point now)
+void allotment_directory::set_nodes(node_list const & present)
 {
-    bool const is_first_view = this->nodes.empty() && present.size() > 1;
     absl::btree_map<node_name, entry> next;
-    for (auto const & [node, address, target] : present)
+    for (auto const & [node, address, target, domain] : present)
     {
-        auto const known = this->nodes.find(node);
         auto & added = next[node];
-        if (known != this->nodes.end())
+        if (auto const known = this->nodes.find(node);
+            known != this->nodes.end())
         {
             added = known->second;
             if (added.target != target)
@@ -39,36 +53,28 @@
                 added.departed_since.reset();
             }
         }
-        else if (node == this->self)
-        {
-            // others may have been owners while this node was not in the view
-            this->started = now;
-            this->was_known = is_first_view;
-        }
         added.address = address;
         added.target = target;
-        this->removed.erase(node);
-    }
-    for (auto const & [node, known] : this->nodes)
-    {
-        if (!next.contains(node))
-        {
-            this->removed[node] = {known.address, now};
-        }
+        added.domain = domain;
     }
     this->nodes = std::move(next);
-    for (auto node = this->removed.begin(); node != this->removed.end();)
-    {
-        node = now - node->second.since > 2 * allotment_timing::right_validity
-                   ? this->removed.erase(node)
-                   : std::next(node);
-    }
+    this->groups.clear();
 }
 
-void allotment_directory::restart(time_point now)
+void allotment_directory::record_refused(node_name const & node, time_point now)
 {
-    this->started = now;
-    this->was_known = false;
+    auto const found = this->nodes.find(node);
+    if (found == this->nodes.end() || node == this->self)
+    {
+        return;
+    }
+    auto & known = found->second;
+    if (now > known.refused_until + ended_proof_gap)
+    {
+        known.refused_since = now;
+    }
+    known.refused_until = now + ended_proof_validity;
+    static_cast<void>(this->record_ended(node, ended_proof_validity, now));
 }
 
 bool allotment_directory::record_ended(node_name const & node,
@@ -81,55 +87,51 @@
         return false;
     }
     auto & known = found->second;
-    bool const was_ended = now < known.ended_until;
-    auto const proven_at = now - (ended_proof_validity -
-                                  std::min(remaining, ended_proof_validity));
-    if (proven_at <= known.last_alive)
+    auto const validity = std::min(remaining, ended_proof_validity);
+    if (now - (ended_proof_validity - validity) <= known.last_alive)
     {
         return false;
     }
-    if (now > known.ended_until + ended_proof_gap)
-    {
-        known.ended_since = now;
-    }
-    known.ended_until = std::max(
-        known.ended_until, now + std::min(remaining, ended_proof_validity));
+    bool const was_ended = now < known.ended_until;
+    known.ended_until = std::max(known.ended_until, now + validity);
     return !was_ended;
 }
 
-bool allotment_directory::record_refused(node_name const & node, time_point now)
+void allotment_directory::record_alive(node_name const & node, time_point now)
 {
-    auto const found = this->nodes.find(node);
-    if (found == this->nodes.end() || node == this->self)
+    if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        return false;
+        found->second.ended_until = time_point();
+        found->second.refused_until = time_point();
+        found->second.last_alive = now;
     }
-    auto & known = found->second;
-    if (now > known.refused_until + ended_proof_gap)
+}
+
+void allotment_directory::record_answer(node_name const & node, time_point now)
+{
+    this->record_alive(node, now);
+    if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        known.refused_since = now;
+        found->second.unanswered_since.reset();
     }
-    known.refused_until = now + ended_proof_validity;
-    return this->record_ended(node, ended_proof_validity, now);
 }
 
-bool allotment_directory::record_alive(node_name const & node, time_point now)
+void allotment_directory::record_silence(node_name const & node,
+                                         time_point sent_at,
+                                         time_point now)
 {
-    auto const found = this->nodes.find(node);
-    if (found == this->nodes.end())
+    if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        return false;
+        auto & known = found->second;
+        known.unanswered_since = known.unanswered_since.value_or(sent_at);
+        known.last_unanswered = now;
     }
-    auto & known = found->second;
-    bool const was_ended = known.ended_until != time_point();
-    known.ended_until = time_point();
-    known.ended_since = time_point();
-    known.refused_until = time_point();
-    known.refused_since = time_point();
-    known.last_alive = now;
-    return was_ended;
 }
 
+// ---------------------------------------------------------------------------
+// departures
+// ---------------------------------------------------------------------------
+
 bool allotment_directory::record_departure(allotment_departure const & stated,
                                            time_point now)
 {
@@ -143,17 +145,12 @@
     return true;
 }
 
-bool allotment_directory::record_return(node_name const & node, time_point now)
+void allotment_directory::record_return(node_name const & node)
 {
-    auto const found = this->nodes.find(node);
-    if (found == this->nodes.end() || !found->second.departed_since)
+    if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        return false;
+        found->second.departed_since.reset();
     }
-    found->second.departed_since.reset();
-    // the node may own accounts that this one has taken over
-    this->restart(now);
-    return true;
 }
 
 std::vector<allotment_departure> allotment_directory::departures() const
@@ -181,97 +178,141 @@
                : std::nullopt;
 }
 
-bool allotment_directory::can_own(entry const & known, time_point now)
+bool allotment_directory::has_own_departure() const
 {
-    return now >= known.ended_until && !known.departed_since;
+    return this->departure.has_value();
 }
 
-std::optional<node_name>
-allotment_directory::owner(account_name const & account, time_point now) const
+// ---------------------------------------------------------------------------
+// groups
+// ---------------------------------------------------------------------------
+
+std::vector<node_name> const &
+allotment_directory::group(account_name const & account)
 {
-    std::optional<node_name> best;
-    std::uint64_t best_rank = 0;
-    for (auto const & [node, known] : this->nodes)
+    if (this->groups.size() >= max_groups)
     {
-        bool const has_left = node == this->self && this->departure;
-        if (has_left || !can_own(known, now))
-        {
-            continue;
-        }
-        auto const rank = allotment_owner_rank(account, node);
-        if (!best || rank > best_rank)
-        {
-            best = node;
-            best_rank = rank;
-        }
+        this->groups.clear();
     }
-    return best;
+    auto const [position, is_new] = this->groups.try_emplace(account);
+    if (is_new)
+    {
+        position->second = this->choose_group(account);
+    }
+    return position->second;
 }
 
-time_point allotment_directory::owner_since(account_name const & account,
-                                            time_point now) const
+std::vector<node_name>
+allotment_directory::choose_group(account_name const & account) const
 {
-    auto const own_rank = allotment_owner_rank(account, this->self);
-    auto since = this->started;
+    std::vector<std::pair<std::uint64_t, node_name>> ranked;
+    ranked.reserve(this->nodes.size());
+    absl::btree_map<failure_domain, std::size_t> chosen_in;
     for (auto const & [node, known] : this->nodes)
     {
-        if (!can_own(known, now) &&
-            allotment_owner_rank(account, node) > own_rank)
-        {
-            since = std::max(since,
-                             known.departed_since.value_or(known.ended_since));
-        }
+        ranked.emplace_back(allotment_owner_rank(account, node), node);
+        chosen_in[known.domain] = 0;
     }
-    for (auto const & [node, removal] : this->removed)
+    std::sort(ranked.rbegin(), ranked.rend());
+    // of an even number the majority is as large as of one node more
+    bool const is_reduced = ranked.size() > 3 && ranked.size() % 2 == 0;
+    auto const size =
+        std::min(group_size, ranked.size() - (is_reduced ? 1 : 0));
+    auto const most_in_domain =
+        chosen_in.empty() ? size
+                          : (size + chosen_in.size() - 1) / chosen_in.size();
+    std::vector<node_name> chosen;
+    absl::btree_set<node_name> members;
+    // a second pass fills up from larger domains
+    for (bool const is_spread : {true, false})
     {
-        if (allotment_owner_rank(account, node) > own_rank)
+        for (auto const & [rank, node] : ranked)
         {
-            since = std::max(since, removal.since);
+            auto & count = chosen_in[this->nodes.at(node).domain];
+            bool const has_room = !is_spread || count < most_in_domain;
+            if (chosen.size() < size && has_room && members.insert(node).second)
+            {
+                chosen.push_back(node);
+                count += 1;
+            }
         }
     }
-    return since;
+    return chosen;
 }
 
-std::optional<time_point>
-allotment_directory::alone_from(account_name const & account,
-                                time_point now) const
+std::optional<node_name>
+allotment_directory::owner(account_name const & account, time_point now)
 {
-    auto const own_rank = allotment_owner_rank(account, this->self);
-    auto from = this->started + allotment_timing::takeover_time;
-    bool const is_recent =
-        now - this->started < allotment_timing::right_validity;
-    if (is_recent && !this->was_known)
+    auto const & members = this->group(account);
+    auto const found = std::find_if(members.begin(),
+                                    members.end(),
+                                    [this, now](node_name const & node)
+                                    {
+                                        return !this->has_ended(node, now);
+                                    });
+    return found == members.end() ? std::nullopt : std::optional(*found);
+}
+
+// ---------------------------------------------------------------------------
+// what is known of a node
+// ---------------------------------------------------------------------------
+
+allotment_directory::entry const *
+allotment_directory::find(node_name const & node) const
+{
+    auto const found = this->nodes.find(node);
+    return found == this->nodes.end() ? nullptr : &found->second;
+}
+
+bool allotment_directory::has_ended(node_name const & node,
+                                    time_point now) const
+{
+    if (node == this->self)
     {
-        return std::nullopt;
+        return this->departure.has_value();
     }
-    for (auto const & [node, removal] : this->removed)
+    auto const * const known = this->find(node);
+    return known != nullptr &&
+           (now < known->ended_until || known->departed_since);
+}
+
+bool allotment_directory::is_seen_ended(node_name const & node,
+                                        time_point now) const
+{
+    auto const * const known = this->find(node);
+    return known != nullptr &&
+           (now < known->refused_until || known->departed_since);
+}
+
+bool allotment_directory::is_without_votes(node_name const & node,
+                                           time_point now) const
+{
+    auto const * const known = this->find(node);
+    if (known == nullptr || !this->is_seen_ended(node, now))
     {
-        if (now - removal.since < allotment_timing::right_validity &&
-            allotment_owner_rank(account, node) > own_rank)
-        {
-            return std::nullopt;
-        }
+        return false;
     }
-    for (auto const & [node, known] : this->nodes)
+    auto const since = known->departed_since.value_or(known->refused_since);
+    return now - since >= allotment_timing::vote_validity;
+}
+
+bool allotment_directory::is_reachable(node_name const & node,
+                                       time_point now) const
+{
+    auto const * const known = this->find(node);
+    if (known == nullptr || this->has_ended(node, now))
     {
-        if (can_own(known, now) ||
-            allotment_owner_rank(account, node) < own_rank)
-        {
-            continue;
-        }
-        if (known.departed_since)
-        {
-            // the node grants nothing since it stated so
-            from = std::max(from, *known.departed_since);
-            continue;
-        }
-        if (now > known.refused_until + ended_proof_gap)
-        {
-            return std::nullopt;
-        }
-        from = std::max(from, known.refused_since);
+        return false;
     }
-    return from;
+    auto const pause = this->is_lost(node) ? lost_memory : silence_memory;
+    return !known->unanswered_since || now - known->last_unanswered >= pause;
+}
+
+bool allotment_directory::is_lost(node_name const & node) const
+{
+    auto const * const known = this->find(node);
+    return known != nullptr && known->unanswered_since &&
+           known->last_unanswered - *known->unanswered_since >= lost_after;
 }
 
 std::vector<allotment_directory::ended_node>
@@ -288,37 +329,11 @@
     return ended;
 }
 
-std::vector<node_name> allotment_directory::other_nodes() const
-{
-    std::vector<node_name> others;
-    for (auto const & [node, known] : this->nodes)
-    {
-        if (node != this->self)
-        {
-            others.push_back(node);
-        }
-    }
-    for (auto const & [node, removal] : this->removed)
-    {
-        if (node != this->self)
-        {
-            others.push_back(node);
-        }
-    }
-    return others;
-}
-
 std::optional<endpoint>
 allotment_directory::address(node_name const & node) const
 {
-    auto const found = this->nodes.find(node);
-    if (found != this->nodes.end())
-    {
-        return found->second.address;
-    }
-    auto const left = this->removed.find(node);
-    return left == this->removed.end() ? std::nullopt
-                                       : std::optional(left->second.address);
+    auto const * const known = this->find(node);
+    return known == nullptr ? std::nullopt : std::optional(known->address);
 }
 
 } // namespace endivehinge
--- a/src/policy/allotment_holder.cpp
+++ b/src/policy/allotment_holder.cpp
@@ -15,27 +15,18 @@
 // of the averages of demand and of granted tokens; shorter than the validity of
 // a right, longer than the gaps of an account with a few requests per second
 constexpr double memory_seconds = 1;
-// requests per second from which tokens are asked for in advance and a right is
-// held: 4 in the token lifetime, so that both cost less than a message per
-// request
+// requests per second from which tokens are asked for in advance: 4 in the
+// token lifetime, so that this costs less than a message per request
 constexpr double busy_demand = 8;
-// a right is kept down to this demand, so that it is not dropped and taken in
-// turns
-constexpr double least_right_demand = 4;
 // requests per second from which a request's ask includes tokens for the next
 // ones: more than one is expected in the token lifetime
 constexpr double batch_demand = 2;
 // tokens for a busy account are replaced when they last for less than half
 // their lifetime
 constexpr double lowest_stock_seconds = 0.25;
-// at least that between asks for tokens in advance; two round trips between
+// at least that between asks for tokens in advance; several round trips between
 // failure domains and some time for the owner's event loop
-constexpr duration min_ask_interval = milliseconds(20);
-// between the asks of a holder with a right: the owner counts the contact from
-// the ask before the last, so two of them are within the silence limit
-constexpr duration contact_interval = milliseconds(200);
-// between asks without contact
-constexpr duration probe_interval = milliseconds(100);
+constexpr duration min_ask_interval = milliseconds(60);
 // an account has left the node after so many mean gaps without a request; a
 // gap of five or more occurs once in 150
 constexpr double gaps_until_left = 5;
@@ -50,14 +41,13 @@
 // next token may come sooner than stated, if others return tokens or the right
 // of a dead node is recovered
 constexpr duration max_exhausted_pause = milliseconds(500);
-// longest time for which a request waits for the next token of a right
-constexpr double right_wait_seconds = 0.25;
-// without a grant for this time the node is taken to be without contact,
-// although other nodes answer that they are not the owner
-constexpr duration wrong_owner_limit = milliseconds(200);
-// limits of the retry times without contact
-constexpr duration max_retry = std::chrono::seconds(1);
+// a request that waits longer for an owner is refused at once
+constexpr duration max_owner_wait = milliseconds(250);
+// the next owner is looked for at least so often
+constexpr duration max_owner_pause = milliseconds(300);
 constexpr duration no_contact_retry = milliseconds(100);
+// another node that relays asks again within this time
+constexpr duration relay_memory = milliseconds(300);
 
 double to_seconds(duration value)
 {
@@ -84,10 +74,6 @@
 
 void allotment_holder::set_limits(allotment_limits new_limits)
 {
-    if (new_limits.rate < this->bounds.rate)
-    {
-        this->right *= new_limits.rate / this->bounds.rate;
-    }
     this->bounds = new_limits;
 }
 
@@ -122,13 +108,11 @@
 // requests
 // ---------------------------------------------------------------------------
 
-std::optional<allotment_verdict>
-allotment_holder::begin(time_point now, double random, std::uint32_t waiting)
+std::optional<allotment_verdict> allotment_holder::begin(time_point now,
+                                                         double random)
 {
     this->record_arrival(now);
-    bool const may_wait =
-        this->contact || waiting < this->right * right_wait_seconds;
-    return this->decide(now, random, may_wait);
+    return this->decide(now, random, true);
 }
 
 std::optional<allotment_verdict>
@@ -140,45 +124,27 @@
         verdict.token_expires = *expires;
         return verdict;
     }
-    if (this->is_exhausted(now))
+    if (now < this->refused_until)
     {
-        verdict.outcome = this->owner_recovers ? allotment_outcome::no_contact
-                                               : allotment_outcome::exhausted;
-        verdict.retry_after =
-            this->retry.next(now,
-                             this->exhausted_until,
-                             decayed(this->granted_rate, this->last_grant, now),
-                             random);
+        verdict.outcome = this->has_no_owner ? allotment_outcome::no_contact
+                                             : allotment_outcome::exhausted;
+        verdict.retry_after = this->retry.next(
+            now,
+            this->refused_until,
+            this->has_no_owner
+                ? this->bounds.rate
+                : decayed(this->granted_rate, this->last_grant, now),
+            random);
         return verdict;
     }
     verdict.outcome = allotment_outcome::no_contact;
     verdict.retry_after = no_contact_retry;
-    if (this->contact || !this->has_right(now))
-    {
-        return this->contact && may_wait ? std::nullopt
-                                         : std::optional(verdict);
-    }
-    this->accrue_right(now);
-    if (this->right_level >= 1)
-    {
-        this->right_level -= 1;
-        verdict.outcome = allotment_outcome::granted;
-        verdict.retry_after = duration(0);
-        return verdict;
-    }
-    auto const wait = std::max(this->right_begins - now, duration(0)) +
-                      to_duration((1 - this->right_level) / this->right);
-    if (may_wait && to_seconds(wait) <= right_wait_seconds)
-    {
-        return std::nullopt;
-    }
-    verdict.retry_after = std::clamp(wait, no_contact_retry, max_retry);
-    return verdict;
+    return may_wait ? std::nullopt : std::optional(verdict);
 }
 
 bool allotment_holder::is_exhausted(time_point now) const
 {
-    return now < this->exhausted_until;
+    return now < this->refused_until && !this->has_no_owner;
 }
 
 std::optional<time_point> allotment_holder::take_token(time_point now)
@@ -215,42 +181,41 @@
 }
 
 // ---------------------------------------------------------------------------
-// the right
+// other nodes that do not reach the owner
 // ---------------------------------------------------------------------------
 
-bool allotment_holder::has_right(time_point now) const
+void allotment_holder::record_relayed(std::uint32_t needed, time_point now)
 {
-    return this->right > 0 && now < this->right_expires;
-}
-
-void allotment_holder::accrue_right(time_point now)
-{
-    if (now > this->right_updated)
+    for (std::uint32_t i = this->relayed(now); i < needed; ++i)
     {
-        this->right_level =
-            std::min(this->right_level +
-                         this->right * to_seconds(now - this->right_updated),
-                     this->right * to_seconds(allotment_timing::accrual_limit));
-        this->right_updated = now;
+        this->record_arrival(now);
     }
+    this->relayed_needed = needed;
+    this->relayed_at = now;
 }
 
-allotment_claim allotment_holder::claim(time_point now) const
+std::uint32_t allotment_holder::relayed(time_point now) const
 {
-    allotment_claim claim;
-    if (this->has_right(now))
-    {
-        claim.right = this->right;
-        claim.begins = std::max(this->right_begins - now, duration(0));
-        claim.remaining = this->right_expires - now;
-    }
-    claim.rights_free = std::max(this->rights_free - now, duration(0));
-    return claim;
+    return now - this->relayed_at <= relay_memory ? this->relayed_needed : 0;
 }
 
-time_point allotment_holder::rights_free_until() const
+std::pair<std::uint32_t, time_point>
+allotment_holder::take_for_relay(std::uint32_t needed, time_point now)
 {
-    return this->rights_free;
+    std::uint32_t taken = 0;
+    auto expires = now + allotment_timing::token_lifetime;
+    while (taken < needed)
+    {
+        auto const next = this->take_token(now);
+        if (!next)
+        {
+            break;
+        }
+        taken += 1;
+        expires = std::min(expires, *next);
+    }
+    this->relayed_needed -= std::min(this->relayed_needed, taken);
+    return {taken, expires};
 }
 
 // ---------------------------------------------------------------------------
@@ -259,41 +224,32 @@
 
 bool allotment_holder::wants_to_ask(time_point now, std::uint32_t waiting) const
 {
-    auto const since_last =
-        this->asked ? now - this->last_ask : contact_interval;
-    if (!this->contact)
-    {
-        return since_last >= probe_interval &&
-               (waiting > 0 || !this->has_left(now));
-    }
-    if (this->is_exhausted(now) || now < this->ask_again_at)
+    if (now < this->refused_until || now < this->ask_again_at)
     {
         return false;
     }
-    if (waiting > 0)
+    if (waiting + this->relayed(now) > 0)
     {
         return true;
     }
     if (this->has_left(now))
     {
-        return this->right > 0 || this->token_count(now) > 1;
+        return this->token_count(now) > 1;
     }
     bool const is_low =
         this->is_busy(now) &&
         this->token_count(now) < this->demand(now) * lowest_stock_seconds;
-    return (is_low && since_last >= min_ask_interval) ||
-           (this->right > 0 && since_last >= contact_interval);
+    return is_low && (!this->asked || now - this->last_ask >= min_ask_interval);
 }
 
 allotment_ask allotment_holder::ask(time_point now, std::uint32_t waiting)
 {
     allotment_ask ask;
     ask.sequence = ++this->last_sequence;
-    ask.acknowledged = this->acknowledged;
-    ask.needed = waiting;
-    ask.wanted = waiting;
+    ask.needed = waiting + this->relayed(now);
+    ask.wanted = ask.needed;
     ask.demand = this->demand(now);
-    bool const leaves = waiting == 0 && this->has_left(now);
+    bool const leaves = ask.needed == 0 && this->has_left(now);
     double const expected =
         ask.demand * to_seconds(allotment_timing::token_lifetime);
     if (!leaves && ask.demand >= batch_demand)
@@ -302,14 +258,6 @@
         ask.wanted += static_cast<std::uint32_t>(
             std::max(std::floor(expected) - stock, 0.0));
     }
-    ask.wants_right =
-        !leaves &&
-        ask.demand >= (this->right > 0 ? least_right_demand : busy_demand);
-    if (!ask.wants_right && this->right > 0)
-    {
-        ask.drops_right = true;
-        this->right = 0;
-    }
     if (leaves)
     {
         ask.returned = this->token_count(now);
@@ -324,10 +272,11 @@
                                     time_point sent_at,
                                     time_point now)
 {
-    this->contact = true;
-    this->owner_recovers = grant.recovering;
-    this->acknowledged = grant.sequence;
-    auto const expires = sent_at + allotment_timing::token_lifetime;
+    auto const expires =
+        grant.remaining > duration(0)
+            ? sent_at +
+                  std::min(grant.remaining, allotment_timing::token_lifetime)
+            : sent_at + allotment_timing::token_lifetime;
     if (grant.tokens > 0 && expires > now)
     {
         this->tokens.push_back({grant.tokens, expires});
@@ -335,14 +284,6 @@
     this->granted_rate =
         decayed(this->granted_rate, this->last_grant, now) + grant.tokens;
     this->last_grant = now;
-    this->right = grant.right;
-    this->right_begins = now + allotment_timing::silence_limit;
-    this->right_updated = this->right_begins;
-    this->right_level = 0;
-    this->right_expires = sent_at + allotment_timing::right_validity;
-    this->rights_free = grant.rights_free > duration(0)
-                            ? sent_at + grant.rights_free
-                            : time_point();
     if (grant.next_token > duration(0))
     {
         auto const pause =
@@ -350,38 +291,27 @@
                                    this->bounds.rate),
                        min_exhausted_time,
                        max_exhausted_time);
-        this->next_token_at = now + grant.next_token;
-        // a holder with a right stays in contact
-        this->exhausted_until =
-            now + std::clamp(grant.next_token,
-                             pause,
-                             grant.right > 0 ? max_exhausted_time
-                                             : max_exhausted_pause);
+        this->refused_until =
+            now + std::clamp(grant.next_token, pause, max_exhausted_pause);
+        this->has_no_owner = false;
     }
 }
 
-void allotment_holder::record_failure()
-{
-    this->contact = false;
-}
-
-void allotment_holder::record_wrong_owner(time_point now, duration pause)
+void allotment_holder::record_no_owner(time_point now,
+                                       duration pause,
+                                       duration blocked_for)
 {
     this->ask_again_at = now + pause;
-    if (this->right > 0 && now - this->last_grant > wrong_owner_limit)
+    if (blocked_for > max_owner_wait)
     {
-        this->contact = false;
+        this->refused_until = now + std::min(blocked_for, max_owner_pause);
+        this->has_no_owner = true;
     }
 }
 
-bool allotment_holder::in_contact() const
-{
-    return this->contact;
-}
-
 bool allotment_holder::is_active(time_point now) const
 {
-    return this->has_right(now) || this->token_count(now) > 1 ||
+    return this->token_count(now) > 1 || this->relayed(now) > 0 ||
            !this->has_left(now);
 }
 
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -13,10 +13,11 @@
 
 constexpr duration step_length = milliseconds(1);
 constexpr duration ask_timeout = milliseconds(80);
-constexpr duration question_timeout = milliseconds(500);
+constexpr duration vote_timeout = milliseconds(200);
 constexpr duration window = seconds(5);
 constexpr double slack = 20;
 constexpr double overage = 1.1;
+constexpr std::size_t domain_count = 4;
 
 } // namespace
 
@@ -113,7 +114,7 @@
     }
     data.agent = std::make_unique<allotment_agent>(
         allotment_process{name_of(node), data.process},
-        allotment_book_options{slack, this->first_start},
+        allotment_options{slack, this->first_start},
         [this](account_name const & account)
         {
             auto const found = this->accounts.find(account.value());
@@ -171,10 +172,7 @@
         this->set_cut(node, i, i != node);
         this->set_cut(i, node, i != node);
     }
-    if (!std::exchange(this->nodes[node].isolated, true))
-    {
-        this->nodes[node].isolated_since = this->now;
-    }
+    this->nodes[node].isolated = true;
 }
 
 void allotment_fleet::set_present(std::size_t node, bool present)
@@ -202,7 +200,10 @@
         if (this->nodes[i].present)
         {
             present.push_back(
-                {name_of(i), endpoint{"host", 1}, this->nodes[i].target});
+                {name_of(i),
+                 endpoint{"host", 1},
+                 this->nodes[i].target,
+                 failure_domain("d" + std::to_string(i % domain_count))});
         }
     }
     return present;
@@ -229,7 +230,7 @@
 {
     auto & data = this->nodes[node];
     data.departed = true;
-    data.agent->set_nodes(this->nodes_seen_by(node), this->now);
+    data.agent->set_nodes(this->nodes_seen_by(node));
     data.agent->set_own_departure(data.target);
 }
 
@@ -258,8 +259,7 @@
         {
             if (!this->nodes[i].isolated)
             {
-                this->nodes[i].agent->set_nodes(this->nodes_seen_by(i),
-                                                this->now);
+                this->nodes[i].agent->set_nodes(this->nodes_seen_by(i));
             }
         };
         this->at(when,
@@ -281,7 +281,6 @@
     {
         return;
     }
-    this->set_store_age(node);
     this->accounts.at(account).requests += 1;
     auto const number = ++this->last_request;
     auto const verdict = data.agent->begin(account_name(account),
@@ -298,14 +297,6 @@
     this->poll(node);
 }
 
-void allotment_fleet::set_store_age(std::size_t node)
-{
-    auto & data = this->nodes[node];
-    data.agent->set_store_age(data.isolated ? this->now - data.isolated_since
-                                            : duration(0),
-                              this->now);
-}
-
 void allotment_fleet::count(std::string const & account,
                             allotment_verdict const & verdict)
 {
@@ -339,7 +330,6 @@
 {
     auto & data = this->nodes[node];
     data.next_poll = this->now + allotment_agent::poll_interval();
-    this->set_store_age(node);
     auto todo = data.agent->poll(this->now, this->random());
     for (auto const & decision : todo.decisions)
     {
@@ -380,7 +370,7 @@
             message, refused, sent_at, this->now);
     };
     auto const timeout =
-        message.message.questions.empty() ? ask_timeout : question_timeout;
+        message.message.vote_requests.empty() ? ask_timeout : vote_timeout;
     this->at(this->now + timeout,
              [finish, fail]
              {
@@ -491,8 +481,8 @@
 
 std::size_t allotment_fleet::owner(std::string const & account) const
 {
-    allotment_directory directory(node_name("observer"), this->now);
-    directory.set_nodes(this->present_nodes(), this->now);
+    allotment_directory directory(node_name("observer"));
+    directory.set_nodes(this->present_nodes());
     return std::stoul(
         directory.owner(account_name(account), this->now)->value().substr(1));
 }
--- a/tests/src/simulation/allotment_fleet.hpp
+++ b/tests/src/simulation/allotment_fleet.hpp
@@ -62,7 +62,8 @@
     /// @brief drops messages in one direction
     void set_cut(std::size_t from, std::size_t to, bool cut);
     void heal();
-    /// @brief cuts a node off from the store and all other nodes
+    /// @brief cuts a node off from the store and all other nodes; its view
+    /// stays as it is
     void isolate(std::size_t node);
     /// @brief removes the entry of a node from all views, or adds it
     void set_present(std::size_t node, bool present);
@@ -93,7 +94,6 @@
         bool departed = false;
         // the incarnation of the target in its entry
         target_id target;
-        time_point isolated_since;
         time_point next_poll;
         // what arrived while the process was paused
         std::deque<std::function<void()>> held_back;
@@ -123,7 +123,6 @@
     [[nodiscard]] allotment_directory::node_list
     nodes_seen_by(std::size_t node) const;
     void update_views();
-    void set_store_age(std::size_t node);
     void count(std::string const & account, allotment_verdict const & verdict);
     [[nodiscard]] duration delay();
     [[nodiscard]] double random();
--- a/tests/src/system-gateway-allotments.cpp
+++ b/tests/src/system-gateway-allotments.cpp
@@ -91,15 +91,16 @@
 
     [[nodiscard]] std::size_t owner() const
     {
-        allotment_directory directory(node_name("observer"), time_point());
+        allotment_directory directory(node_name("observer"));
         allotment_directory::node_list nodes;
         for (auto const & member : this->fleet.members)
         {
             nodes.push_back({member->node->state.settings.node,
                              endpoint{"127.0.0.1", 1},
-                             {}});
+                             {},
+                             failure_domain("d1")});
         }
-        directory.set_nodes(nodes, time_point());
+        directory.set_nodes(nodes);
         auto const name =
             *directory.owner(account_name("a"), time_point() + seconds(1));
         return std::stoul(name.value().substr(5));
--- a/tests/src/unit-allotment-exchange.cpp
+++ b/tests/src/unit-allotment-exchange.cpp
@@ -17,14 +17,13 @@
     message.departures.push_back({node_name("n3"), target_id("t3")});
     allotment_ask ask;
     ask.sequence = 7;
-    ask.acknowledged = 6;
     ask.needed = 2;
     ask.wanted = 5;
     ask.returned = 1;
     ask.demand = 9.5;
-    ask.wants_right = true;
+    ask.relay = true;
     message.asks.emplace_back(account_name("a"), ask);
-    message.questions.emplace_back("b");
+    message.vote_requests.push_back({account_name("b"), 5, true});
     return message;
 }
 
@@ -46,9 +45,11 @@
     EXPECT_EQ(read->asks[0].second.wanted, 5U);
     EXPECT_EQ(read->asks[0].second.returned, 1U);
     EXPECT_EQ(read->asks[0].second.demand, 9.5);
-    EXPECT_TRUE(read->asks[0].second.wants_right);
-    EXPECT_FALSE(read->asks[0].second.drops_right);
-    EXPECT_EQ(read->questions.at(0), account_name("b"));
+    EXPECT_TRUE(read->asks[0].second.relay);
+    ASSERT_EQ(read->vote_requests.size(), 1U);
+    EXPECT_EQ(read->vote_requests[0].account, account_name("b"));
+    EXPECT_EQ(read->vote_requests[0].number, 5U);
+    EXPECT_TRUE(read->vote_requests[0].is_return);
 }
 
 TEST(allotment_exchange, response_survives_a_round_trip)
@@ -59,39 +60,45 @@
     grant.sequence = 7;
     grant.from_owner = true;
     grant.tokens = 3;
-    grant.right = 2.5;
     grant.next_token = milliseconds(40);
-    grant.rights_free = milliseconds(3000);
-    grant.recovering = true;
+    grant.remaining = milliseconds(300);
+    grant.owner = node_name("n3");
     sent.grants.emplace_back(account_name("a"), grant);
-    sent.claims.emplace_back(account_name("b"),
-                             allotment_claim{true,
-                                             4,
-                                             milliseconds(500),
-                                             milliseconds(5000),
-                                             milliseconds(2000)});
+    allotment_vote vote;
+    vote.granted = true;
+    vote.provisional = true;
+    vote.unowned_for = milliseconds(20);
+    sent.votes.emplace_back(account_name("b"), vote);
+    vote = {};
+    vote.holder = node_name("n4");
+    vote.remaining = milliseconds(700);
+    sent.votes.emplace_back(account_name("c"), vote);
     failure reason;
     auto const read = allotment_exchange::read_response(
         allotment_exchange::write_response(sent), reason);
     ASSERT_TRUE(read.has_value()) << reason.describe();
+    EXPECT_TRUE(read->grants.at(0).second.from_owner);
     EXPECT_EQ(read->grants.at(0).second.tokens, 3U);
-    EXPECT_EQ(read->grants.at(0).second.right, 2.5);
     EXPECT_EQ(read->grants.at(0).second.next_token, milliseconds(40));
-    EXPECT_TRUE(read->claims.at(0).second.agrees);
-    EXPECT_EQ(read->claims.at(0).second.begins, milliseconds(500));
-    EXPECT_EQ(read->claims.at(0).second.remaining, milliseconds(5000));
-    EXPECT_EQ(read->grants.at(0).second.rights_free, milliseconds(3000));
-    EXPECT_TRUE(read->grants.at(0).second.recovering);
-    EXPECT_EQ(read->claims.at(0).second.rights_free, milliseconds(2000));
+    EXPECT_EQ(read->grants.at(0).second.remaining, milliseconds(300));
+    EXPECT_EQ(read->grants.at(0).second.owner, node_name("n3"));
+    EXPECT_TRUE(read->votes.at(0).second.granted);
+    EXPECT_TRUE(read->votes.at(0).second.provisional);
+    EXPECT_EQ(read->votes.at(0).second.unowned_for, milliseconds(20));
+    EXPECT_FALSE(read->votes.at(1).second.granted);
+    EXPECT_EQ(read->votes.at(1).second.holder, node_name("n4"));
+    EXPECT_EQ(read->votes.at(1).second.remaining, milliseconds(700));
 }
 
-// Guards against tokens or rights out of values that another program sent
+// Guards against tokens or votes out of values that another program sent
 TEST(allotment_exchange, malformed_messages_are_rejected)
 {
-    std::string many = R"({"node":"n","process":1,"questions":["a")";
+    std::string many =
+        R"({"node":"n","process":1,"vote_requests":[{"account":"a",)"
+        R"("number":1,"return":false})";
     for (int i = 0; i < 64; ++i)
     {
-        many += R"(,"a")";
+        many += R"(,{"account":"a","number":1,"return":false})";
     }
     for (std::string const & body :
          {std::string(),
@@ -108,6 +115,9 @@
                       R"("sequence":1,"acknowledged":0,"wanted":1e18}]})"),
           std::string(R"({"node":"n","process":1,"asks":[{"account":"a",)"
                       R"("sequence":1,"acknowledged":0,"demand":-2}]})"),
+          std::string(R"({"node":"n","process":1,"vote_requests":[{}]})"),
+          std::string(R"({"node":"n","process":1,"vote_requests":[)"
+                      R"({"account":"a","number":"x","return":false}]})"),
           many + "]}",
           std::string(70000, ' ') + R"({"node":"n","process":1})"})
     {
@@ -125,9 +135,11 @@
           "{}",
           R"({"node":"n","process":1,"grants":[{"account":"a"}]})",
           R"({"node":"n","process":1,"grants":[{"account":"a",)"
-          R"("sequence":1,"owner":true,"right":1e300}]})",
-          R"({"node":"n","process":1,"claims":[{"account":"a",)"
-          R"("agrees":true,"remaining_us":-1}]})"})
+          R"("sequence":1,"from_owner":true,"tokens":1e300}]})",
+          R"({"node":"n","process":1,"grants":[{"account":"a",)"
+          R"("sequence":1,"owner":7}]})",
+          R"({"node":"n","process":1,"votes":[{"account":"a",)"
+          R"("granted":true,"remaining_us":-1}]})"})
     {
         failure reason;
         EXPECT_FALSE(
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -27,45 +27,47 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// In a process of the first start, a hand-over gave the new owner the whole
-// rate at once, beside the rights that the previous owner had given out.
-TEST(allotment_book, later_owner_waits_for_rights_after_a_first_start)
-{
-    time_point const start(std::chrono::seconds(100));
-    allotment_directory directory(node_name("a"), start);
-    directory.set_nodes({{node_name("a"), {}, {}}, {node_name("b"), {}, {}}},
-                        start);
-    allotment_book book({20, true}, start);
-    auto const handed_over = start + std::chrono::seconds(60);
-    static_cast<void>(book.open(account_name("first"),
-                                allotment_limits{100, 100},
-                                start,
-                                time_point(),
-                                directory,
-                                handed_over));
-    EXPECT_FALSE(book.is_recovering(handed_over));
-    static_cast<void>(book.open(account_name("handed-over"),
-                                allotment_limits{100, 100},
-                                handed_over,
-                                time_point(),
-                                directory,
-                                handed_over));
-    EXPECT_TRUE(book.is_recovering(handed_over));
+/// @brief a view of the named nodes
+allotment_directory::node_list view_of(std::vector<std::string> const & names)
+{
+    allotment_directory::node_list list;
+    for (auto const & name : names)
+    {
+        allotment_member member;
+        member.node = node_name(name);
+        list.push_back(member);
+    }
+    return list;
+}
+
+/// @brief a view of nodes in domains of equal size
+allotment_directory::node_list view_of(std::size_t nodes, std::size_t domains)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < nodes; ++i)
+    {
+        names.push_back("n" + std::to_string(i));
+    }
+    auto list = view_of(names);
+    for (std::size_t i = 0; i < nodes; ++i)
+    {
+        list[i].domain = failure_domain("d" + std::to_string(i % domains));
+    }
+    return list;
 }
 
 // Guards against 429 for an account that is within its allotment
-TEST(allotment_holder, account_of_a_recovering_owner_is_not_exhausted)
+TEST(allotment_holder, account_without_an_owner_is_not_exhausted)
 {
     time_point const now(seconds(100));
-    allotment_ledger ledger({100, 100}, 0, now, now + seconds(6));
     allotment_holder holder({100, 100});
-    EXPECT_FALSE(holder.begin(now, 0, 0).has_value());
-    auto const ask = holder.ask(now, 1);
-    auto const grant = ledger.answer({node_name("b"), 1}, ask, now);
-    holder.record_grant(grant, now, now);
+    EXPECT_FALSE(holder.begin(now, 0).has_value());
+    static_cast<void>(holder.ask(now, 1));
+    holder.record_no_owner(now, milliseconds(25), milliseconds(900));
     auto const verdict = holder.decide(now, 0, true);
     ASSERT_TRUE(verdict.has_value());
     EXPECT_EQ(verdict->outcome, allotment_outcome::no_contact);
+    EXPECT_GT(verdict->retry_after, duration(0));
 }
 
 // Guards against proofs that never expire, since each node that passes one on
@@ -73,15 +75,12 @@
 TEST(allotment_directory, proof_of_another_node_is_not_passed_on)
 {
     time_point const start(seconds(100));
-    allotment_directory::node_list const nodes{{node_name("a"), {}, {}},
-                                               {node_name("b"), {}, {}},
-                                               {node_name("c"), {}, {}}};
-    allotment_directory directory(node_name("a"), start);
-    directory.set_nodes(nodes, start);
+    allotment_directory directory(node_name("a"));
+    directory.set_nodes(view_of({"a", "b", "c"}));
     EXPECT_TRUE(
         directory.record_ended(node_name("b"), milliseconds(400), start));
     EXPECT_TRUE(directory.ended_nodes(start).empty());
-    EXPECT_TRUE(directory.record_refused(node_name("c"), start));
+    directory.record_refused(node_name("c"), start);
     ASSERT_EQ(directory.ended_nodes(start).size(), 1U);
     EXPECT_EQ(directory.ended_nodes(start)[0].node, node_name("c"));
 }
@@ -90,39 +89,203 @@
 TEST(allotment_directory, proof_from_before_a_sign_of_life_does_not_count)
 {
     time_point const start(seconds(100));
-    allotment_directory directory(node_name("a"), start);
-    directory.set_nodes({{node_name("a"), {}, {}}, {node_name("b"), {}, {}}},
-                        start);
+    allotment_directory directory(node_name("a"));
+    directory.set_nodes(view_of({"a", "b"}));
     auto const now = start + milliseconds(200);
-    static_cast<void>(directory.record_alive(node_name("b"), now));
+    directory.record_alive(node_name("b"), now);
     EXPECT_FALSE(directory.record_ended(
         node_name("b"), milliseconds(300), now + milliseconds(10)));
     EXPECT_TRUE(directory.record_ended(
         node_name("b"), milliseconds(495), now + milliseconds(10)));
 }
 
-// Guards against a right beside a promise that none exists
-TEST(allotment_ledger, right_is_issued_after_the_last_promise_only)
+// Guards against accounts that have no owner after the loss of a domain
+TEST(allotment_directory, majority_of_each_group_survives_the_loss_of_a_domain)
 {
-    time_point const start(seconds(100));
-    allotment_ledger ledger({100, 100}, 100, start, start);
-    allotment_process const asker{node_name("b"), 1};
-    allotment_ask ask;
-    ask.demand = 40;
-    time_point promised;
-    std::size_t rights = 0;
-    for (auto now = start; now < start + seconds(10); now += milliseconds(100))
-    {
-        ask.sequence += 1;
-        ask.acknowledged = ask.sequence - 1;
-        ask.wants_right = now >= start + seconds(3);
-        auto const grant = ledger.answer(asker, ask, now);
-        EXPECT_TRUE(grant.right == 0 || now >= promised);
-        EXPECT_TRUE(grant.right == 0 || grant.rights_free == duration(0));
-        promised = std::max(promised, now + grant.rights_free);
-        rights += grant.right > 0 ? 1 : 0;
-    }
-    EXPECT_GE(rights, 30U);
+    auto const nodes = view_of(68, 4);
+    allotment_directory directory(node_name("n0"));
+    directory.set_nodes(nodes);
+    for (int i = 0; i < 100; ++i)
+    {
+        auto const & group = directory.group(account_name(std::to_string(i)));
+        ASSERT_EQ(group.size(), 7U);
+        for (std::size_t domain = 0; domain < 4; ++domain)
+        {
+            std::size_t lost = 0;
+            for (auto const & node : group)
+            {
+                lost +=
+                    std::stoul(node.value().substr(1)) % 4 == domain ? 1 : 0;
+            }
+            EXPECT_LE(lost, 3U);
+        }
+    }
+}
+
+/// @brief voters that a test connects as it likes
+class voters : public testing::Test
+{
+protected:
+    static constexpr std::size_t count = 5;
+
+    void SetUp() override
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            allotment_process const process{node_name("n" + std::to_string(i)),
+                                            i + 1};
+            this->nodes.push_back(
+                {process,
+                 allotment_directory(process.node),
+                 allotment_election(process, true, this->now)});
+            this->nodes.back().directory.set_nodes(view_of(count, 1));
+        }
+        for (auto const & node : this->nodes[0].directory.group(this->account))
+        {
+            this->order.push_back(std::stoul(node.value().substr(1)));
+        }
+    }
+
+    /// @brief lets a node of the group ask the given ones for their votes
+    void campaign(std::size_t rank, std::vector<std::size_t> const & reached)
+    {
+        auto & candidate = this->nodes[this->order[rank]];
+        candidate.election.seek(this->account, this->now);
+        for (auto const & ballot :
+             candidate.election.due_ballots(candidate.directory, this->now))
+        {
+            auto const voter = std::stoul(ballot.node.value().substr(1));
+            for (auto const & request : ballot.requests)
+            {
+                auto const is_reached =
+                    std::any_of(reached.begin(),
+                                reached.end(),
+                                [this, voter](std::size_t other)
+                                {
+                                    return this->order[other] == voter;
+                                });
+                if (!is_reached)
+                {
+                    candidate.election.record_failure(
+                        this->account, ballot.node, this->now);
+                }
+                else if (request.is_return)
+                {
+                    this->nodes[voter].election.take_back(
+                        request, candidate.process, this->now);
+                }
+                else
+                {
+                    candidate.election.record_vote(
+                        this->account,
+                        ballot.node,
+                        this->nodes[voter].election.vote(
+                            request,
+                            candidate.process,
+                            this->nodes[voter].directory,
+                            this->now),
+                        candidate.directory,
+                        this->now,
+                        this->now);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] bool is_owner(std::size_t rank)
+    {
+        auto & node = this->nodes[this->order[rank]];
+        return node.election.is_owner(this->account, node.directory, this->now);
+    }
+
+    struct voting_node
+    {
+        allotment_process process;
+        allotment_directory directory;
+        allotment_election election;
+    };
+
+    account_name const account{"a"};
+    time_point now{seconds(100)};
+    std::vector<voting_node> nodes;
+    std::vector<std::size_t> order;
+};
+
+// Guards against two owners while a part of the nodes is cut off
+TEST_F(voters, owner_in_a_minority_is_replaced_after_its_votes_have_ended)
+{
+    this->campaign(0, {1, 2, 3, 4});
+    EXPECT_TRUE(this->is_owner(0));
+    for (int i = 0; i < 30; ++i)
+    {
+        this->now += milliseconds(100);
+        this->campaign(0, {1});
+        this->campaign(2, {3, 4});
+        EXPECT_FALSE(this->is_owner(0) && this->is_owner(2));
+    }
+    EXPECT_FALSE(this->is_owner(0));
+    EXPECT_TRUE(this->is_owner(2));
+}
+
+// Guards against candidates that hold each other up for good
+TEST_F(voters, one_of_two_candidates_wins)
+{
+    this->campaign(1, {3});
+    this->campaign(0, {4});
+    for (int i = 0; i < 5; ++i)
+    {
+        this->now += milliseconds(60);
+        this->campaign(1, {0, 2, 3, 4});
+        this->campaign(0, {1, 2, 3, 4});
+    }
+    EXPECT_TRUE(this->is_owner(0));
+    EXPECT_FALSE(this->is_owner(1));
+}
+
+// Guards against a second vote of a process that has forgotten its first one
+TEST_F(voters, vote_of_a_restarted_voter_counts_only_among_equal_votes)
+{
+    this->campaign(0, {1, 2});
+    EXPECT_TRUE(this->is_owner(0));
+    auto & restarted = this->nodes[this->order[2]];
+    restarted.election = {restarted.process, false, this->now};
+    this->campaign(3, {2, 4});
+    EXPECT_FALSE(this->is_owner(3));
+    this->now += allotment_timing::vote_validity;
+    this->campaign(3, {2, 4});
+    EXPECT_TRUE(this->is_owner(3));
+    EXPECT_FALSE(this->is_owner(0));
+}
+
+// Guards against a fleet that waits although no voter knows an owner
+TEST_F(voters, restarted_voters_that_agree_elect_an_owner_at_once)
+{
+    for (auto & node : this->nodes)
+    {
+        node.election = {node.process, false, this->now};
+    }
+    this->campaign(0, {1, 2, 3});
+    EXPECT_FALSE(this->is_owner(0));
+    this->now += milliseconds(60);
+    this->campaign(0, {4});
+    EXPECT_TRUE(this->is_owner(0));
+}
+
+// Guards against an owner that nobody reaches and that still gets votes
+TEST_F(voters, owner_that_does_not_answer_gets_no_votes)
+{
+    this->campaign(0, {1, 2, 3, 4});
+    auto & voter = this->nodes[this->order[1]];
+    auto const & owner = this->nodes[this->order[0]].process;
+    auto const sent_at = this->now;
+    this->now += milliseconds(400);
+    voter.directory.record_silence(owner.node, sent_at, this->now);
+    EXPECT_FALSE(
+        voter.election
+            .vote({this->account, 99, false}, owner, voter.directory, this->now)
+            .granted);
+    EXPECT_EQ(voter.election.take_doubted(),
+              std::vector<node_name>{owner.node});
 }
 
 // Guards against refusals below the allotment if all requests enter at one node
@@ -201,8 +364,8 @@
         << a.exhausted << " " << a.no_contact;
 }
 
-// Guards against refusals while the owner is paused or unreachable
-TEST(allotment_fleet, node_that_is_cut_off_uses_its_right)
+// Guards against refusals at a node that does not reach the owner
+TEST(allotment_fleet, node_that_does_not_reach_the_owner_is_served)
 {
     allotment_fleet fleet(6, 6, false);
     fleet.add_account("a", {60, 60});
@@ -210,15 +373,78 @@
     auto const entry = other_than(owner, 6);
     fleet.run_load("a", 36, {entry}, seconds(10));
     fleet.set_cut(entry, owner, true);
-    fleet.run_load("a", 36, {entry}, seconds(5));
-    auto const & a = fleet.accounts.at("a");
+    auto & a = fleet.accounts.at("a");
+    a.requests = 0;
+    a.granted = 0;
+    fleet.run_load("a", 36, {entry}, seconds(10));
+    EXPECT_GE(share(a.granted, a.requests), 0.97)
+        << a.exhausted << " " << a.no_contact;
+    EXPECT_EQ(a.violations, 0U);
+}
+
+// Guards against grants of a node that is cut off from all others
+TEST(allotment_fleet, isolated_node_grants_nothing_after_a_second)
+{
+    allotment_fleet fleet(6, 6, false);
+    fleet.add_account("a", {60, 60});
+    auto const owner = fleet.owner("a");
+    fleet.run_load("a", 36, {owner}, seconds(10));
+    fleet.isolate(owner);
+    fleet.run_load("a", 36, {owner}, seconds(1));
+    auto & a = fleet.accounts.at("a");
+    a.granted = 0;
+    fleet.run_load("a", 36, {owner}, seconds(9));
+    EXPECT_EQ(a.granted, 0U);
+    auto const others = other_than(owner, 6);
+    a.requests = 0;
+    fleet.run_load("a", 36, {others}, seconds(3));
+    EXPECT_GE(share(a.granted, a.requests), 0.97);
+}
+
+// Guards against an account that is refused while its owner stands still, and
+// against two owners when it goes on
+TEST(allotment_fleet, paused_owner_is_replaced)
+{
+    allotment_fleet fleet(6, 6, false);
+    fleet.add_account("a", {60, 60});
+    auto const owner = fleet.owner("a");
+    auto const entry = other_than(owner, 6);
+    fleet.run_load("a", 36, {entry}, seconds(10));
+    fleet.set_paused(owner, true);
+    fleet.run_load("a", 36, {entry}, seconds(2));
+    auto & a = fleet.accounts.at("a");
+    a.requests = 0;
+    a.granted = 0;
+    fleet.run_load("a", 36, {entry}, seconds(6));
+    fleet.set_paused(owner, false);
+    fleet.run_load("a", 36, {entry}, seconds(4));
     EXPECT_GE(share(a.granted, a.requests), 0.97)
         << a.exhausted << " " << a.no_contact;
-    // no right is valid any longer
-    auto const granted = a.granted;
+    EXPECT_EQ(a.violations, 0U);
+}
+
+// Requests reach the owner, but it can be reached by nobody: it must not keep
+// the account.
+TEST(allotment_fleet, owner_that_nobody_reaches_is_replaced)
+{
+    constexpr std::size_t nodes = 6;
+    allotment_fleet fleet(nodes, 6, false);
+    fleet.add_account("a", {60, 60});
+    auto const owner = fleet.owner("a");
+    auto const entry = other_than(owner, nodes);
+    fleet.run_load("a", 36, {entry}, seconds(10));
+    for (std::size_t i = 0; i < nodes; ++i)
+    {
+        fleet.set_cut(i, owner, i != owner);
+    }
     fleet.run_load("a", 36, {entry}, seconds(2));
-    fleet.run_load("a", 36, {entry}, seconds(3));
-    EXPECT_LT(a.granted, granted + 72);
+    auto & a = fleet.accounts.at("a");
+    a.requests = 0;
+    a.granted = 0;
+    fleet.run_load("a", 36, {entry}, seconds(8));
+    EXPECT_GE(share(a.granted, a.requests), 0.97)
+        << a.exhausted << " " << a.no_contact;
+    EXPECT_EQ(a.violations, 0U);
 }
 
 // Guards against clients that are refused while rights of dead processes are
@@ -356,6 +582,7 @@
         {
             data.requests = 0;
             data.granted = 0;
+            data.exhausted = 0;
         }
         this->serve_for(length);
         std::size_t requests = 0;
@@ -372,10 +599,13 @@
     void expect_all_served(duration length)
     {
         static_cast<void>(this->granted_share(length));
+        // requests that still wait
+        this->run_for(milliseconds(500));
         for (auto const & [name, data] : this->accounts)
         {
             EXPECT_GE(share(data.granted, data.requests), 0.95)
-                << name << ": " << data.granted << " of " << data.requests;
+                << name << ": " << data.granted << " of " << data.requests
+                << ", exhausted " << data.exhausted;
             EXPECT_EQ(data.violations, 0U) << name;
         }
     }
@@ -542,13 +772,13 @@
 TEST_P(allotment_departure_test, departure_holds_for_one_target)
 {
     time_point const start(seconds(100));
-    allotment_directory directory(node_name("a"), start);
+    allotment_directory directory(node_name("a"));
     allotment_directory::node_list nodes(2);
     nodes[0].node = node_name("a");
     nodes[0].target = target_id("t1");
     nodes[1].node = node_name("b");
     nodes[1].target = target_id("t2");
-    directory.set_nodes(nodes, start);
+    directory.set_nodes(nodes);
     auto const account = account_name(std::to_string(GetParam()));
     auto const higher = directory.owner(account, start);
     EXPECT_FALSE(
@@ -558,13 +788,13 @@
     EXPECT_EQ(directory.owner(account, start), node_name("a"));
     ASSERT_EQ(directory.departures().size(), 1U);
     nodes[1].target = target_id("t3");
-    directory.set_nodes(nodes, start);
+    directory.set_nodes(nodes);
     EXPECT_TRUE(directory.departures().empty());
     EXPECT_EQ(directory.owner(account, start), higher);
     // an entry that the store has lost is no departure
-    directory.set_nodes({nodes[1]}, start);
+    directory.set_nodes({nodes[1]});
     EXPECT_TRUE(directory.departures().empty());
-    directory.set_nodes(nodes, start);
+    directory.set_nodes(nodes);
     directory.set_own_departure(target_id("t1"));
     ASSERT_EQ(directory.departures().size(), 1U);
     EXPECT_EQ(directory.departures()[0].target, target_id("t1"));
