--- a/include/endivehinge/policy/allotment_election.hpp
+++ b/include/endivehinge/policy/allotment_election.hpp
@@ -118,9 +118,6 @@
     /// @brief whether this node owns an account or seeks to
     [[nodiscard]] bool is_active(time_point now) const;
 
-    /// @brief accounts that this node owns or seeks to
-    [[nodiscard]] std::vector<account_name> sought(time_point now) const;
-
     /// @brief forgets what has ended
     void discard_idle(time_point now);
 
@@ -146,6 +143,7 @@
         time_point next_request;
         duration unowned_for{0};
         bool provisional = false;
+        // from when on a provisional vote may be a full one
         time_point full_from;
         bool in_flight = false;
     };
@@ -155,14 +153,15 @@
         time_point wanted_until;
         // since when it has been wanted without an owner
         time_point sought_since;
-        // of the requests that no answer is known to
-        time_point first_request;
+        // of votes
+        time_point last_request;
         bool established = false;
         time_point since;
         duration unowned_before{0};
         // when it last lost the majority
         std::optional<time_point> lost_at;
         time_point blocked_until;
+        // a node that has a vote, which this one gives way to
         std::optional<node_name> rival;
         time_point rival_until;
         absl::btree_map<node_name, received_vote> votes;
@@ -202,6 +201,19 @@
                                    candidacy const & own,
                                    allotment_directory & directory,
                                    time_point now) const;
+    void record_granted(account_name const & account,
+                        candidacy & own,
+                        node_name const & voter,
+                        allotment_vote const & vote,
+                        time_point sent_at,
+                        time_point now);
+    void record_rejected(account_name const & account,
+                         candidacy & own,
+                         node_name const & voter,
+                         allotment_vote const & vote,
+                         allotment_directory & directory,
+                         time_point now);
+    /// @brief gives way to another candidate
     void yield(account_name const & account,
                candidacy & own,
                node_name const & rival,
--- a/include/endivehinge/policy/allotment_verdict.hpp
+++ b/include/endivehinge/policy/allotment_verdict.hpp
@@ -11,7 +11,7 @@
 {
     granted,    // the request has a token
     exhausted,  // the account is beyond its allotment
-    no_contact, // neither contact to the owner nor a right
+    no_contact, // no owner is reached
 };
 
 /// @brief the decision on one request
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// an ask of a holder with a right is due every 200 ms; four polls for each
+// tokens in stock are replaced when they last for less than 250 ms; five polls
 constexpr duration agent_poll_interval = milliseconds(50);
 // a request waits no longer for a token; covers two nodes that are gone without
 // a word, the election of an owner and a few asks
--- a/src/policy/allotment_election.cpp
+++ b/src/policy/allotment_election.cpp
@@ -1,7 +1,6 @@
 #include <endivehinge/policy/allotment_election.hpp>
 
-#include <algorithm> // clamp, find, max, min, stable_partition
-#include <limits>    // numeric_limits
+#include <algorithm> // any_of, clamp, find, max, min, stable_partition
 #include <utility>   // exchange, move
 
 #include <absl/strings/str_cat.h> // StrAppend, StrCat
@@ -268,7 +267,7 @@
     {
         // a voter that knows another owner says so in this time
         bool const may_be_rejected =
-            votes.in_flight && now - own.first_request < answer_time;
+            votes.in_flight && now - own.last_request < answer_time;
         if (votes.rejected || may_be_rejected)
         {
             return false;
@@ -473,7 +472,7 @@
     }
     if (sends)
     {
-        own.first_request = now;
+        own.last_request = now;
     }
 }
 
@@ -489,41 +488,58 @@
     {
         return;
     }
-    auto & own = found->second;
-    auto & received = own.votes[voter];
-    received.in_flight = false;
+    found->second.votes[voter].in_flight = false;
     if (vote.granted)
     {
-        if (this->has_own_vote(account, now))
-        {
-            received.until = sent_at + allotment_timing::vote_validity;
-            received.provisional = vote.provisional;
-            received.full_from =
-                now + std::min(vote.remaining, allotment_timing::vote_validity);
-            if (vote.provisional && !own.established)
-            {
-                own.blocked_until =
-                    std::max(own.blocked_until, received.full_from);
-            }
-            if (own.rival == voter)
-            {
-                own.rival.reset();
-            }
-            received.unowned_for = vote.unowned_for;
-        }
-        else
-        {
-            // this node has yielded meanwhile
-            this->returns[voter].push_back(
-                {account, ++this->last_number, true});
-        }
-        received.rejected_until = time_point();
+        this->record_granted(account, found->second, voter, vote, sent_at, now);
+    }
+    else
+    {
+        this->record_rejected(
+            account, found->second, voter, vote, directory, now);
+    }
+}
+
+void allotment_election::record_granted(account_name const & account,
+                                        candidacy & own,
+                                        node_name const & voter,
+                                        allotment_vote const & vote,
+                                        time_point sent_at,
+                                        time_point now)
+{
+    auto & received = own.votes[voter];
+    received.rejected_until = time_point();
+    if (!this->has_own_vote(account, now))
+    {
+        // this node has yielded meanwhile
+        this->returns[voter].push_back({account, ++this->last_number, true});
         return;
     }
+    received.until = sent_at + allotment_timing::vote_validity;
+    received.unowned_for = vote.unowned_for;
+    received.provisional = vote.provisional;
+    received.full_from =
+        now + std::min(vote.remaining, allotment_timing::vote_validity);
+    if (vote.provisional && !own.established)
+    {
+        own.blocked_until = std::max(own.blocked_until, received.full_from);
+    }
+    if (own.rival == voter)
+    {
+        own.rival.reset();
+    }
+}
+
+void allotment_election::record_rejected(account_name const & account,
+                                         candidacy & own,
+                                         node_name const & voter,
+                                         allotment_vote const & vote,
+                                         allotment_directory & directory,
+                                         time_point now)
+{
+    auto & received = own.votes[voter];
     received.until = time_point();
     received.next_request = now + request_interval;
-    auto const remaining =
-        std::min(vote.remaining, allotment_timing::vote_validity);
     if (!vote.holder || *vote.holder == this->self.node)
     {
         return;
@@ -534,14 +550,13 @@
         received.rejected_until = now + 2 * request_interval;
         return;
     }
+    auto const remaining =
+        std::min(vote.remaining, allotment_timing::vote_validity);
     received.rejected_until = now + remaining;
-    if (this->is_owner(account, directory, now))
+    bool const has_vote_of_holder = now < own.votes[*vote.holder].until;
+    if (this->is_owner(account, directory, now) || has_vote_of_holder)
     {
-        return;
-    }
-    if (now < own.votes[*vote.holder].until)
-    {
-        // that node has yielded, and returns this vote
+        // a holder that has given its vote returns those that it has received
         return;
     }
     if (*vote.holder == voter ||
@@ -588,20 +603,13 @@
 
 bool allotment_election::is_active(time_point now) const
 {
-    return !this->sought(now).empty() || !this->returns.empty();
-}
-
-std::vector<account_name> allotment_election::sought(time_point now) const
-{
-    std::vector<account_name> result;
-    for (auto const & [account, own] : this->candidacies)
-    {
-        if (now < own.wanted_until)
-        {
-            result.push_back(account);
-        }
-    }
-    return result;
+    return !this->returns.empty() ||
+           std::any_of(this->candidacies.begin(),
+                       this->candidacies.end(),
+                       [now](auto const & item)
+                       {
+                           return now < item.second.wanted_until;
+                       });
 }
 
 void allotment_election::discard_idle(time_point now)
--- a/src/policy/allotment_holder.cpp
+++ b/src/policy/allotment_holder.cpp
@@ -12,8 +12,8 @@
 
 using std::chrono::milliseconds;
 
-// of the averages of demand and of granted tokens; shorter than the validity of
-// a right, longer than the gaps of an account with a few requests per second
+// of the averages of demand and of granted tokens; longer than the gaps of an
+// account with a few requests per second
 constexpr double memory_seconds = 1;
 // requests per second from which tokens are asked for in advance: 4 in the
 // token lifetime, so that this costs less than a message per request
@@ -38,8 +38,7 @@
 constexpr duration min_exhausted_time = milliseconds(10);
 constexpr duration max_exhausted_time = milliseconds(100);
 // an exhausted account is asked for again after this time at the latest: its
-// next token may come sooner than stated, if others return tokens or the right
-// of a dead node is recovered
+// next token may come sooner than stated, if others return tokens
 constexpr duration max_exhausted_pause = milliseconds(500);
 // a request that waits longer for an owner is refused at once
 constexpr duration max_owner_wait = milliseconds(250);
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -51,7 +51,7 @@
                                  allotment_limits limits)
 {
     auto & account = this->accounts.at(name);
-    // tokens and rights of the higher limit are used up within one second
+    // tokens of the higher limit are used up within one second
     account.bound_from =
         limits.rate < account.limits.rate ? this->now + seconds(1) : this->now;
     account.limits = limits;
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -300,7 +300,7 @@
     EXPECT_LT(share(fleet.message_count(), a.requests), 0.15);
 }
 
-// Guards against rights that stay with the nodes that an account has left
+// Guards against tokens that stay with the nodes that an account has left
 TEST(allotment_fleet, account_that_moves_every_second_gets_its_rate)
 {
     allotment_fleet fleet(6, 2, false);
@@ -447,7 +447,7 @@
     EXPECT_EQ(a.violations, 0U);
 }
 
-// Guards against clients that are refused while rights of dead processes are
+// Guards against clients that are refused while votes of dead processes are
 // waited for
 TEST(allotment_fleet, return_of_the_whole_fleet_serves_at_once)
 {
@@ -473,8 +473,8 @@
     EXPECT_EQ(a.violations, 0U);
 }
 
-// Guards against a death of a node that takes its right with it for 6 s
-TEST(allotment_fleet, right_of_a_dead_node_is_recovered)
+// Guards against a death of a node that takes a part of the rate with it
+TEST(allotment_fleet, rate_of_a_dead_node_is_recovered)
 {
     allotment_fleet fleet(6, 8, false);
     fleet.add_account("a", {60, 60});
@@ -849,9 +849,8 @@
 {
 };
 
-// Guards against any sum of tokens and rights beyond the bound: rights that are
-// used while their owner does not deduct them, two owners at once, tokens or
-// rights used after a pause, grants of an earlier owner
+// Guards against any sum of tokens beyond the bound: two owners at once, tokens
+// used after a pause, grants of an earlier owner
 TEST_P(allotment_schedule, bound_holds_in_each_window)
 {
     constexpr std::size_t nodes = 5;
