--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -25,9 +25,9 @@
 // from the first message without an answer to the end of the last one. Longer
 // than most pauses of an event loop that has a tenth of a core
 constexpr duration lost_after = std::chrono::milliseconds(200);
-// nodes that vote for the owner of an account: an owner is found while three of
+// nodes that vote for the owner of an account: an owner is found while four of
 // them are gone without a word
-constexpr std::size_t group_size = 7;
+constexpr std::size_t group_size = 9;
 // remembered groups; bounds memory
 constexpr std::size_t max_groups = 100000;
 
