--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+exec python3 -B "$(dirname "$0")/case.py"
