Decide in one place which response belongs to which request

Cause: client_connection compared IDs only where both sides had one. Health probes, whose responses have none, shared the connections of requests: a late copy ended the probe, and the health response ended the next request. Refusals without an ID matched any request in the same way.

Change: response_matcher decides for all calls and statuses. A response with an ID belongs to the request with this ID only, never to a probe. One without an ID counts only if it is an error or the first response on its connection, which then carries no further request. Probes have connections of their own, eight at most; requests have 192 instead of 200. Probe responses count toward the response memory as before.

--- a/include/endivehinge/detail/gateway/call_options.hpp
+++ b/include/endivehinge/detail/gateway/call_options.hpp
@@ -17,11 +17,12 @@
     time_point deadline;
     // limit for connection establishment, which the deadline limits as well
     duration connect_timeout = std::chrono::milliseconds(500);
-    // name and expected value of the response header that identifies the
-    // request; a response with another value answers an earlier request and is
-    // dropped. An empty name disables the check
+    // name of the response header that identifies the request; a response with
+    // another value answers an earlier request and is dropped. An empty name
+    // disables the check
     std::string id_field;
-    std::string id_value;
+    // no value: the request has no ID, and neither has its response
+    std::optional<std::string> id_value;
     // body size, instead of the limit in the connection's options; a larger
     // response fails the call
     std::optional<std::uint64_t> max_response_bytes;
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -1,8 +1,6 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_CONNECTION_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_CLIENT_CONNECTION_HPP
 
-#include <cstdint>    // uint64_t
-#include <deque>      // deque
 #include <functional> // function
 #include <memory>     // enable_shared_from_this
 #include <optional>   // optional
@@ -15,6 +13,7 @@
 
 #include <endivehinge/detail/gateway/call_options.hpp>
 #include <endivehinge/detail/gateway/call_result.hpp>
+#include <endivehinge/detail/gateway/response_matcher.hpp>
 #include <endivehinge/detail/gateway/upstream_options.hpp>
 
 namespace endivehinge::detail
@@ -52,8 +51,7 @@
     [[nodiscard]] bool is_closed() const;
 
     /// @brief whether a response to this request can be told from all that the
-    /// server may still send: false for some time after an error response to a
-    /// request with the same ID, which a faulty server may send again
+    /// server may still send
     [[nodiscard]] bool can_identify(call_options const & options,
                                     time_point now) const;
 
@@ -79,10 +77,7 @@
     [[nodiscard]] bool record_memory();
     void release_memory();
     void handle_response();
-    [[nodiscard]] bool
-    matches_request_id(response_message const & message) const;
     void update_idle_timeout(response_message const & message);
-    void record_error_response(response_message const & message);
     void arm_timer(time_point expiry);
     void handle_timeout();
     void fail(call_status status, std::string detail);
@@ -110,14 +105,7 @@
     std::size_t dropped_responses = 0;
     std::optional<response_id> memory_id;
 
-    struct error_response
-    {
-        std::uint64_t id_hash = 0;
-        time_point received;
-    };
-
-    // the latest last
-    std::deque<error_response> error_responses;
+    response_matcher matcher;
     duration idle_timeout;
     time_point idle_since;
 };
--- a/include/endivehinge/detail/gateway/health_prober.hpp
+++ b/include/endivehinge/detail/gateway/health_prober.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_HEALTH_PROBER_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_HEALTH_PROBER_HPP
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <string>     // string
 
@@ -20,9 +21,12 @@
 public:
     using response_handler = std::function<void(call_result const &)>;
 
+    /// @param id_field the response header that identifies a request, which
+    /// responses to probes do not have
     health_prober(boost::asio::io_context & loop,
-                  upstream & target_connections,
-                  endpoint const & target);
+                  endpoint const & target,
+                  std::string id_field,
+                  response_registry & responses);
 
     /// @brief sets the probe path; an empty path disables probes
     void set_path(std::string const & health_path);
@@ -47,14 +51,23 @@
     /// makes the next periodic probe unnecessary
     void record_response(time_point now);
 
+    /// @brief closes all idle connections
+    void close_idle();
+
+    /// @brief number of connections opened since construction
+    [[nodiscard]] std::uint64_t opened_connections() const;
+
 private:
     void schedule();
     void probe();
     [[nodiscard]] bool
     send(duration timeout, bool force_new, response_handler done);
 
-    upstream & server;
+    // apart from the connections of requests: a response to a probe has no ID
+    // and could be taken for the response to a request
+    upstream server;
     endpoint address;
+    std::string request_id_field;
     std::string path;
     response_handler handler;
     boost::asio::steady_timer timer;
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -3,11 +3,10 @@
 #include <netinet/tcp.h> // TCP_USER_TIMEOUT, TCP_KEEPIDLE
 #include <sys/socket.h>  // setsockopt
 
-#include <algorithm> // min, none_of
+#include <algorithm> // min
 #include <string>    // string
 #include <utility>   // exchange, move
 
-#include <absl/hash/hash.h>           // Hash
 #include <absl/strings/ascii.h>       // StripAsciiWhitespace
 #include <absl/strings/match.h>       // ConsumePrefix
 #include <absl/strings/numbers.h>     // SimpleAtoi
@@ -45,17 +44,6 @@
 // subtracted from the server's keep-alive timeout, so that a request arrives
 // before the server closes the connection
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1000);
-// a request that was refused is sent again within its time limit or, by its
-// client, some seconds later
-constexpr duration error_response_memory = std::chrono::seconds(30);
-// a connection with more error responses in that time is not used again; bounds
-// the memory
-constexpr std::size_t max_error_responses = 256;
-
-std::uint64_t hash_of(std::string const & id)
-{
-    return absl::Hash<std::string>{}(id);
-}
 
 } // namespace
 
@@ -114,32 +102,7 @@
 bool client_connection::can_identify(call_options const & options,
                                      time_point now) const
 {
-    auto const id_hash = hash_of(options.id_value);
-    return options.id_field.empty() ||
-           std::none_of(this->error_responses.begin(),
-                        this->error_responses.end(),
-                        [id_hash, now](error_response const & earlier)
-                        {
-                            return earlier.id_hash == id_hash &&
-                                   now - earlier.received <=
-                                       error_response_memory;
-                        });
-}
-
-void client_connection::record_error_response(response_message const & message)
-{
-    if (this->request_options.id_field.empty() || message.result_int() < 400)
-    {
-        return;
-    }
-    auto const now = loop_now();
-    while (!this->error_responses.empty() &&
-           now - this->error_responses.front().received > error_response_memory)
-    {
-        this->error_responses.pop_front();
-    }
-    this->error_responses.push_back(
-        {hash_of(this->request_options.id_value), now});
+    return this->matcher.can_identify(options, now);
 }
 
 bool client_connection::is_expired(time_point now) const
@@ -381,9 +344,7 @@
     response_message message = this->parser->release();
     this->start_parser();
     this->parser->skip(this->request.method() == http::verb::head);
-    bool const informational = http::to_status_class(message.result()) ==
-                               http::status_class::informational;
-    if (informational || !this->matches_request_id(message))
+    if (!this->matcher.accept(this->request_options, message, loop_now()))
     {
         this->dropped_responses += 1;
         if (!keep_alive || this->dropped_responses > max_dropped_responses)
@@ -394,8 +355,6 @@
         return;
     }
     this->update_idle_timeout(message);
-    this->record_error_response(message);
-    bool const is_used_up = this->error_responses.size() > max_error_responses;
     call_result result;
     result.status = call_status::answered;
     result.response_started = true;
@@ -403,25 +362,13 @@
     // the connection cannot be reused if the request is not completely sent or
     // if unsolicited bytes follow the response
     if (!keep_alive || !this->send_completed || this->buffer.size() > 0 ||
-        is_used_up)
+        !this->matcher.is_reusable())
     {
         this->close();
     }
     this->finish(std::move(result));
 }
 
-bool client_connection::matches_request_id(
-    response_message const & message) const
-{
-    if (this->request_options.id_field.empty())
-    {
-        return true;
-    }
-    auto const id_header = message.find(this->request_options.id_field);
-    return id_header == message.end() ||
-           id_header->value() == this->request_options.id_value;
-}
-
 void client_connection::update_idle_timeout(response_message const & message)
 {
     auto const field = std_view(message[http::field::keep_alive]);
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -21,17 +21,30 @@
 constexpr duration on_demand_timeout = std::chrono::milliseconds(30);
 // the content is not used
 constexpr std::uint64_t max_probe_response_bytes = 65536;
+// periodic probes of one timeout that are pending at a target that does not
+// respond, and as many on demand
+constexpr std::size_t max_probe_connections = 8;
 // for a connection to the target, which runs on the same machine as this
 // process, so that no network delay adds to it
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 
+upstream_options probe_options(response_registry & responses)
+{
+    upstream_options options;
+    options.responses = &responses;
+    options.max_connections = max_probe_connections;
+    return options;
+}
+
 } // namespace
 
 health_prober::health_prober(boost::asio::io_context & loop,
-                             upstream & target_connections,
-                             endpoint const & target)
-    : server(target_connections)
+                             endpoint const & target,
+                             std::string id_field,
+                             response_registry & responses)
+    : server(loop, target, probe_options(responses))
     , address(target)
+    , request_id_field(std::move(id_field))
     , timer(loop)
 {
 }
@@ -62,6 +75,16 @@
     this->last_response = now;
 }
 
+void health_prober::close_idle()
+{
+    this->server.close_idle();
+}
+
+std::uint64_t health_prober::opened_connections() const
+{
+    return this->server.opened_count();
+}
+
 void health_prober::schedule()
 {
     this->timer.expires_after(probe_interval);
@@ -98,6 +121,7 @@
     call_options options;
     options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
+    options.id_field = this->request_id_field;
     options.max_response_bytes = max_probe_response_bytes;
     return this->server.send(
                std::move(message), options, force_new, std::move(done)) !=
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -22,8 +22,9 @@
 // extends the request deadline, so that the target's own response at the
 // deadline arrives first
 constexpr duration deadline_grace = std::chrono::milliseconds(30);
-// below the smallest number of connections that any target supports
-constexpr std::size_t max_target_connections = 200;
+// with those of health probes below the smallest number of connections that any
+// target supports
+constexpr std::size_t max_target_connections = 192;
 // used if no estimate is available
 constexpr duration default_retry_after = std::chrono::milliseconds(100);
 
@@ -47,7 +48,10 @@
     , adapter(message_codec)
     , log(events)
     , server(loop, node_settings.target_address, target_options(responses))
-    , prober(loop, this->server, node_settings.target_address)
+    , prober(loop,
+             node_settings.target_address,
+             message_codec.request_id_field(),
+             responses)
     , crashes(node_settings, events)
     , lost_result_timer(loop)
     , queue_timer(loop)
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -55,6 +55,7 @@
             this->handle_replacement(before->id, before->state);
         }
         this->server.close_idle();
+        this->prober.close_idle();
         this->cold_until = time_point();
     }
     this->cold_until =
@@ -203,7 +204,7 @@
 
 std::uint64_t local_target::opened_connections() const
 {
-    return this->server.opened_count();
+    return this->server.opened_count() + this->prober.opened_connections();
 }
 
 void local_target::update_admission()
@@ -471,6 +472,7 @@
                 loop_now() + this->properties->cold_start_duration;
         }
         this->server.close_idle();
+        this->prober.close_idle();
         this->log_identity("probe");
         this->update_admission();
     }
