--- a/src/adapters/membership/contact_list.cpp
+++ b/src/adapters/membership/contact_list.cpp
@@ -7,6 +7,7 @@
 #include <absl/time/time.h>            // FromChrono
 #include <nlohmann/json.hpp>           // json
 
+#include <endivehinge/core/json_text.hpp>
 #include <endivehinge/detail/log/log.hpp>
 
 namespace endivehinge::detail
@@ -57,7 +58,7 @@
                         {"run", each.incarnation_number.value()},
                         {"control", each.control_address.to_string()}});
     }
-    return list.dump();
+    return to_json_text(list);
 }
 
 std::vector<contact> read_contacts(std::string const & value)
--- a/src/app/admin_handler.cpp
+++ b/src/app/admin_handler.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h> // StrAppend
 #include <nlohmann/json.hpp>      // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge::detail
 {
 namespace
@@ -23,7 +25,7 @@
     http_response response;
     response.status = status;
     response.headers.set("Content-Type", "application/json");
-    response.body = body.dump();
+    response.body = to_json_text(body);
     return response;
 }
 
--- a/src/app/ingress_handler.cpp
+++ b/src/app/ingress_handler.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>      // json
 
 #include <endivehinge/core/header_names.hpp>
+#include <endivehinge/core/json_text.hpp>
 
 namespace endivehinge::detail
 {
@@ -53,7 +54,7 @@
         {"outcome", to_string(result.kind)},
         {"retry_after_ms", retry_ms},
     };
-    response.body = problem.dump();
+    response.body = to_json_text(problem);
     response.headers.set("Content-Type", "application/problem+json");
     if (rejected)
     {
--- a/src/coordination/assignment.cpp
+++ b/src/coordination/assignment.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp> // json
 
+#include <endivehinge/core/json_text.hpp>
 #include <endivehinge/core/stable_hash.hpp>
 
 namespace endivehinge
@@ -49,12 +50,11 @@
 
 std::string assignment::to_text() const
 {
-    return json{{"epoch", this->number.value()},
-                {"keeper", write_owner(this->leader)},
-                {"renewals", this->renewals},
-                {"members", write_owners(this->members)},
-                {"previous", write_owners(this->previous)}}
-        .dump();
+    return to_json_text({{"epoch", this->number.value()},
+                         {"keeper", write_owner(this->leader)},
+                         {"renewals", this->renewals},
+                         {"members", write_owners(this->members)},
+                         {"previous", write_owners(this->previous)}});
 }
 
 std::optional<assignment> assignment::from_text(std::string const & text,
--- a/src/coordination/configuration_entry.cpp
+++ b/src/coordination/configuration_entry.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/str_cat.h> // StrCat
 #include <nlohmann/json.hpp>      // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge
 {
 namespace
@@ -76,8 +78,7 @@
     {
         value["drained"] = this->drained;
     }
-    // Invalid UTF-8 is replaced; the default handler would throw.
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+    return to_json_text(value);
 }
 
 std::optional<configuration_entry>
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp> // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -269,7 +271,7 @@
                                              {"return", vote.is_return}});
     }
     request_message request{http::verb::post, request_path, 11};
-    request.body() = document.dump();
+    request.body() = to_json_text(document);
     request.keep_alive(true);
     request.prepare_payload();
     return request;
@@ -328,7 +330,7 @@
     {
         document["votes"].push_back(write_vote(account, vote));
     }
-    return document.dump();
+    return to_json_text(document);
 }
 
 std::optional<allotment_response>
--- a/src/gateway/crash_report_exchange.cpp
+++ b/src/gateway/crash_report_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp> // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -59,7 +61,7 @@
         document.push_back(write_report(report));
     }
     request_message message{http::verb::post, request_path, 11};
-    message.body() = document.dump();
+    message.body() = to_json_text(document);
     message.keep_alive(true);
     message.prepare_payload();
     return message;
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -10,6 +10,7 @@
 #include <absl/time/clock.h>         // Now
 #include <absl/time/time.h>          // FormatTime
 
+#include <endivehinge/core/external_text.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 
 namespace endivehinge::detail
@@ -26,9 +27,10 @@
 // bytes that a writable pipe accepts in one write without blocking
 constexpr std::size_t max_line_bytes = 4096;
 
-void append_value(std::string & line, std::string const & value)
+void append_value(std::string & line, std::string const & raw_value)
 {
-    if (!value.empty() && value.find_first_of(" \"=\n\r") == std::string::npos)
+    auto const value = to_printable(raw_value);
+    if (!value.empty() && value.find_first_of(" \"=") == std::string::npos)
     {
         line += value;
         return;
@@ -40,7 +42,7 @@
         {
             line += '\\';
         }
-        line += character == '\n' || character == '\r' ? ' ' : character;
+        line += character;
     }
     line += '"';
 }
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -11,6 +11,8 @@
 #include <absl/strings/str_split.h> // StrSplit
 #include <nlohmann/json.hpp>        // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -228,7 +230,7 @@
     {
         document["rollouts_deferred"] = true;
     }
-    return document.dump();
+    return to_json_text(document);
 }
 
 std::optional<replica_exchange> replica_exchange::read(std::string const & body,
--- a/src/gateway/rollout_control.cpp
+++ b/src/gateway/rollout_control.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h> // StrCat
 #include <nlohmann/json.hpp>      // json
 
+#include <endivehinge/core/json_text.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/rollout_exchange.hpp>
 
@@ -493,7 +494,7 @@
                                    {"responses", judgement.responses},
                                    {"step", this->coordinator->step().reason}};
     }
-    return document.dump();
+    return to_json_text(document);
 }
 
 } // namespace endivehinge::detail
--- a/src/gateway/rollout_exchange.cpp
+++ b/src/gateway/rollout_exchange.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/str_cat.h> // StrCat
 #include <nlohmann/json.hpp>      // json
 
+#include <endivehinge/core/json_text.hpp>
+
 namespace endivehinge::detail
 {
 
@@ -82,7 +84,7 @@
         http::verb::post,
         absl::StrCat(request_path_prefix, instruction.service.value()),
         11};
-    message.body() = document.dump();
+    message.body() = to_json_text(document);
     message.keep_alive(true);
     message.prepare_payload();
     return message;
@@ -145,7 +147,7 @@
         {"closed", counts.closed},
         {"in_progress", counts.in_progress},
         {"routes", std::move(routes)}};
-    return document.dump();
+    return to_json_text(document);
 }
 
 std::optional<rollout_counts> rollout_exchange::read(std::string const & body,
--- a/tests/src/unit-event-log.cpp
+++ b/tests/src/unit-event-log.cpp
@@ -55,6 +55,14 @@
         << output;
 }
 
+TEST_F(event_log_test, lines_are_readable_text)
+{
+    event_log log("node-1", this->pipe_ends[1]);
+    log.write("target_known", {{"target", "a\xFF\x01"}});
+    EXPECT_NE(this->read_available().find("target=\"a\xEF\xBF\xBD \"\n"),
+              std::string::npos);
+}
+
 // writes more than the pipe buffer holds, over many event names, because each
 // name is rate limited
 TEST_F(event_log_test, write_drops_lines_when_pipe_is_full)
