Deliver all responses before a connection or the process ends

Cause: drain closed each connection whose response was in the system's buffer, every 50 ms from 2.3 s after SIGTERM on, and the process ended as soon as no request was pending. The next request of the client reset the connection, which discards what was not delivered. The idle timeout closed in the same way, a request that was still being received did not count, and connections just accepted were closed before their request.

Change: connections end by one path, which shuts down the sending side and receives until the client closes, or 1 s after all was acknowledged, or 5 s without progress. drain leaves out what was in use within 200 ms; finish then stops accepting and ends the rest, for clients and other nodes, and the process ends with the last connection or at its deadline. requests_avoid_unreachable_node ends its idle connections by finish, since drain now waits for recent ones.

--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -87,6 +87,9 @@
     http_listener metrics_listener;
     boost::asio::steady_timer stop_timer;
     time_point stop_started;
+    // while stopping: no connection is accepted any more, and the process ends
+    // with the last one
+    bool ending = false;
     std::function<void()> on_stopped;
 
 private:
--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -33,10 +33,14 @@
     /// @brief replaces the limits, also for open connections
     void set_limits(server_limits const & limits);
 
-    /// @brief closes idle connections, and each other connection after its
-    /// next response
+    /// @brief ends connections that have been idle for a while, and each other
+    /// connection after its next response
     void drain();
 
+    /// @brief stops accepting connections, ends all idle ones, and each other
+    /// connection after its next response; responses are delivered first
+    void finish();
+
     /// @brief stops accepting connections; open connections remain
     void close();
 
@@ -48,6 +52,10 @@
     /// sent
     [[nodiscard]] std::size_t pending_count() const;
 
+    /// @brief number of open connections, also of those that are ended and
+    /// whose client has not closed yet
+    [[nodiscard]] std::size_t open_count() const;
+
     /// @brief the bound port, which the system selects for port 0
     [[nodiscard]] std::uint16_t port() const;
 
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_SERVER_CONNECTION_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_SERVER_CONNECTION_HPP
 
+#include <cstddef>  // size_t
 #include <deque>    // deque
 #include <memory>   // shared_ptr, enable_shared_from_this
 #include <optional> // optional
@@ -33,9 +34,17 @@
     /// @pre called once
     void start();
 
-    /// @brief closes the connection and cancels the requests in progress
+    /// @brief closes the connection and cancels the requests in progress;
+    /// responses that the client has not received yet may be lost
     void close();
 
+    /// @brief ends an idle connection after its last response was delivered,
+    /// unless its client may be about to send a request
+    void drain(time_point now);
+
+    /// @brief ends an idle connection after its last response was delivered
+    void finish();
+
     /// @brief enforces the idle, header and linger timeouts
     void check_timeouts(time_point now);
 
@@ -45,16 +54,19 @@
     /// @brief number of requests whose response has not been sent
     [[nodiscard]] std::size_t pending_count() const;
 
-    /// @brief whether no request is being received, in progress or being
-    /// answered
-    [[nodiscard]] bool is_idle() const;
-
 private:
     friend class exchange;
 
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// @brief whether no request is being received, in progress or being
+    /// answered
+    [[nodiscard]] bool is_idle() const;
+    /// @brief bytes sent, including the end of the connection, that the
+    /// client's system has not acknowledged
+    [[nodiscard]] std::size_t undelivered_bytes();
+    void check_lingering(time_point now);
     void read();
     void handle_readable(boost::system::error_code error);
     void handle_read(boost::system::error_code error, std::size_t size);
@@ -65,6 +77,8 @@
     void reject(boost::system::error_code error);
     void write();
     void handle_write(boost::system::error_code error);
+    /// @brief ends the sending side; the rest is received and dropped until the
+    /// client closes, so that what was sent is delivered
     void shut_down_send();
 
     boost::asio::ip::tcp::socket socket;
@@ -80,6 +94,7 @@
     bool write_pending = false;
     bool continue_sent = false;
     bool lingering = false;
+    std::size_t last_undelivered = 0;
     std::deque<std::shared_ptr<exchange>> pending_exchanges;
     time_point last_activity;
     time_point request_start;
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -20,6 +20,8 @@
 // close one that they are about to use
 constexpr duration peer_idle_timeout = std::chrono::seconds(30);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+// before the end of the process, for connections to end after their responses
+constexpr duration connection_end_time = std::chrono::milliseconds(1000);
 
 server_limits client_limits_of(client_limits const & configured_limits)
 {
@@ -152,15 +154,26 @@
     auto const elapsed = loop_now() - this->stop_started;
     auto const pending = this->client_listener.pending_count() +
                          this->peer_listener.pending_count();
+    auto const now = loop_now();
     if (elapsed >= readiness_propagation_time)
     {
         this->client_listener.drain();
+        this->ending = this->ending || pending == 0;
     }
-    bool const deadline_reached = loop_now() >= this->state.stop.deadline;
-    if ((elapsed >= readiness_propagation_time && pending == 0) ||
-        deadline_reached)
+    this->ending =
+        this->ending || now + connection_end_time >= this->state.stop.deadline;
+    if (this->ending)
     {
-        this->state.log.write("stop", {{"requests", std::to_string(pending)}});
+        this->client_listener.finish();
+        this->peer_listener.finish();
+    }
+    auto const open =
+        this->client_listener.open_count() + this->peer_listener.open_count();
+    if ((this->ending && open == 0) || now >= this->state.stop.deadline)
+    {
+        this->state.log.write("stop",
+                              {{"requests", std::to_string(pending)},
+                               {"connections", std::to_string(open)}});
         this->on_stopped();
         return;
     }
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/http_listener.hpp>
 
-#include <algorithm> // remove_if
+#include <algorithm> // count_if, remove_if
 
 #include <boost/asio/ip/address.hpp> // make_address
 
@@ -72,12 +72,25 @@
 void http_listener::drain()
 {
     this->draining = true;
+    auto const now = loop_now();
     for (auto const & weak : this->connections)
     {
-        if (auto const connection = weak.lock();
-            connection && connection->is_idle())
+        if (auto const connection = weak.lock())
         {
-            connection->close();
+            connection->drain(now);
+        }
+    }
+}
+
+void http_listener::finish()
+{
+    this->draining = true;
+    this->close();
+    for (auto const & weak : this->connections)
+    {
+        if (auto const connection = weak.lock())
+        {
+            connection->finish();
         }
     }
 }
@@ -113,6 +126,18 @@
     return sum;
 }
 
+std::size_t http_listener::open_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(),
+                      this->connections.end(),
+                      [](auto const & weak)
+                      {
+                          auto const connection = weak.lock();
+                          return connection && connection->is_open();
+                      }));
+}
+
 std::uint16_t http_listener::port() const
 {
     return this->acceptor.local_endpoint().port();
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -2,6 +2,9 @@
 
 #include <utility> // move
 
+#include <linux/sockios.h> // SIOCOUTQ
+#include <sys/ioctl.h>     // ioctl
+
 #include <boost/asio/buffer.hpp>      // buffer
 #include <boost/asio/error.hpp>       // eof
 #include <boost/asio/write.hpp>       // async_write
@@ -22,9 +25,15 @@
 
 // fits most requests in one read
 constexpr std::size_t read_buffer_bytes = 4096;
-// time for the client to close its side of a half-closed connection. Closing
-// while unread bytes remain sends a reset, which can destroy the last response
+// time for the client to close its side of a half-closed connection, since the
+// last response was delivered or bytes arrived. Closing while unread bytes
+// remain sends a reset, which can destroy the last response
 constexpr duration linger_timeout = std::chrono::seconds(1);
+// time without progress after which a client no longer receives its response
+constexpr duration delivery_timeout = std::chrono::seconds(5);
+// a client that has sent a request or opened a connection within this time may
+// be about to send one
+constexpr duration drain_idle_time = std::chrono::milliseconds(200);
 
 response_message empty_response(http::status status)
 {
@@ -73,10 +82,7 @@
 {
     if (this->lingering)
     {
-        if (now - this->last_activity > linger_timeout)
-        {
-            this->close();
-        }
+        this->check_lingering(now);
         return;
     }
     if (!this->pending_exchanges.empty())
@@ -90,11 +96,42 @@
         return;
     }
     if (now - this->last_activity > this->connection_limits.idle_timeout)
+    {
+        this->shut_down_send();
+    }
+}
+
+void server_connection::check_lingering(time_point now)
+{
+    auto const undelivered = this->undelivered_bytes();
+    if (undelivered != this->last_undelivered)
+    {
+        this->last_undelivered = undelivered;
+        this->last_activity = now;
+    }
+    if (now - this->last_activity >
+        (undelivered == 0 ? linger_timeout : delivery_timeout))
     {
         this->close();
     }
 }
 
+void server_connection::drain(time_point now)
+{
+    if (this->is_idle() && now - this->last_activity > drain_idle_time)
+    {
+        this->finish();
+    }
+}
+
+void server_connection::finish()
+{
+    if (this->is_idle() && !this->lingering)
+    {
+        this->shut_down_send();
+    }
+}
+
 bool server_connection::is_open() const
 {
     return this->socket.is_open();
@@ -107,8 +144,17 @@
 
 bool server_connection::is_idle() const
 {
+    boost::system::error_code ignored; // nothing is available then
     return this->pending_exchanges.empty() && !this->request_started &&
-           !this->write_pending;
+           !this->write_pending && this->socket.available(ignored) == 0;
+}
+
+std::size_t server_connection::undelivered_bytes()
+{
+    int bytes = 0;
+    bool const is_known =
+        ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return is_known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
 void server_connection::start_parser()
@@ -334,6 +380,7 @@
     {
         request->cancel();
     }
+    this->accepts_requests = false;
     this->lingering = true;
     boost::system::error_code error;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
--- a/tests/src/gateway/target_stand_in.cpp
+++ b/tests/src/gateway/target_stand_in.cpp
@@ -83,7 +83,7 @@
     this->add_fields(message);
     message.set("Request-Id", client.request["Request-Id"]);
     message.set("Server-Stamp", this->id);
-    message.body() = "from " + this->id;
+    message.body() = "from " + this->id + this->extra_body;
     message.keep_alive(true);
     message.prepare_payload();
     client.respond(std::move(message));
--- a/tests/src/gateway/target_stand_in.hpp
+++ b/tests/src/gateway/target_stand_in.hpp
@@ -51,6 +51,8 @@
     int slowdown = 100;
     // further fields of all responses
     std::map<std::string, std::string> extra_fields;
+    // ends the body of all its responses to requests
+    std::string extra_body;
     // IDs of the executed requests, in order
     std::vector<std::string> executed_ids;
     // the last executed request
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -2,8 +2,9 @@
 
 #include <malloc.h> // mallinfo2
 
-#include <deque>    // deque
-#include <optional> // optional
+#include <algorithm> // count
+#include <deque>     // deque
+#include <optional>  // optional
 
 #include <boost/asio/read_until.hpp> // async_read_until
 #include <boost/asio/streambuf.hpp>  // streambuf
@@ -717,6 +718,56 @@
         << "a request behind the close is not accepted";
 }
 
+// A stopping node closed a connection whose response was still in the system's
+// buffer; the next pipelined request then reset it and destroyed the response.
+TEST(server_connection, delivers_the_response_before_a_drained_connection_ends)
+{
+    constexpr std::size_t body_bytes = 1000000;
+    for (bool const is_finished : {false, true})
+    {
+        raw_client client;
+        client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(client.wait_for_requests(1));
+        client.handler.respond(0, std::string(body_bytes, 'x'));
+        ASSERT_TRUE(run_until(client.io,
+                              [&client]
+                              {
+                                  return client.listener.pending_count() == 0;
+                              }));
+        // longer than the client may pause before its next request
+        client.io.run_for(milliseconds(400));
+        is_finished ? client.listener.finish() : client.listener.drain();
+        client.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        client.io.run_for(milliseconds(20));
+        EXPECT_EQ(client.listener.open_count(), 1U);
+        auto const received = client.read_until("never");
+        EXPECT_EQ(std::count(received.begin(), received.end(), 'x'),
+                  static_cast<std::ptrdiff_t>(body_bytes));
+        client.socket.close();
+        EXPECT_TRUE(run_until(client.io,
+                              [&client]
+                              {
+                                  return client.listener.open_count() == 0;
+                              }));
+    }
+}
+
+// A client that has just connected is about to send its request.
+TEST(server_connection, drain_waits_for_the_request_of_a_new_connection)
+{
+    raw_client client;
+    ASSERT_TRUE(run_until(client.io,
+                          [&client]
+                          {
+                              return client.listener.open_count() == 1;
+                          }));
+    client.listener.drain();
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(client.wait_for_requests(1));
+    client.handler.respond(0, "the last");
+    EXPECT_NE(client.read_until("never").find("the last"), std::string::npos);
+}
+
 // ---------------------------------------------------------------------------
 // memory of idle connections
 // ---------------------------------------------------------------------------
--- a/tests/src/system-gateway.cpp
+++ b/tests/src/system-gateway.cpp
@@ -615,7 +615,7 @@
     fleet.start_members(2, "web");
     auto & unreachable_member = *fleet.members[1];
     unreachable_member.node->peer_listener.close();
-    unreachable_member.node->peer_listener.drain();
+    unreachable_member.node->peer_listener.finish();
     for (int i = 0; i < 10; ++i)
     {
         EXPECT_EQ(fleet
