End a stop once all responses are delivered

A stopping node waited for its clients to close their connections, for up to 1.5 s after it had delivered everything: a restart took its target away for longer than it needed. Now it waits until all that was sent was acknowledged 200 ms ago, within which what a client had sent before it saw the end has arrived.

--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -52,9 +52,9 @@
     /// sent
     [[nodiscard]] std::size_t pending_count() const;
 
-    /// @brief number of open connections, also of those that are ended and
-    /// whose client has not closed yet
-    [[nodiscard]] std::size_t open_count() const;
+    /// @brief number of connections that are open and have not been ended with
+    /// all that was sent delivered
+    [[nodiscard]] std::size_t unfinished_count() const;
 
     /// @brief the bound port, which the system selects for port 0
     [[nodiscard]] std::uint16_t port() const;
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -51,6 +51,10 @@
     /// @brief whether the socket is open
     [[nodiscard]] bool is_open() const;
 
+    /// @brief whether the connection is closed, or ended and all that was sent
+    /// has been delivered
+    [[nodiscard]] bool is_finished(time_point now);
+
     /// @brief number of requests whose response has not been sent
     [[nodiscard]] std::size_t pending_count() const;
 
@@ -66,6 +70,8 @@
     /// @brief bytes sent, including the end of the connection, that the
     /// client's system has not acknowledged
     [[nodiscard]] std::size_t undelivered_bytes();
+    /// @brief notes when the client's system acknowledged more
+    void update_delivery(time_point now);
     void check_lingering(time_point now);
     void read();
     void handle_readable(boost::system::error_code error);
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -167,13 +167,13 @@
         this->client_listener.finish();
         this->peer_listener.finish();
     }
-    auto const open =
-        this->client_listener.open_count() + this->peer_listener.open_count();
-    if ((this->ending && open == 0) || now >= this->state.stop.deadline)
+    auto const unfinished = this->client_listener.unfinished_count() +
+                            this->peer_listener.unfinished_count();
+    if ((this->ending && unfinished == 0) || now >= this->state.stop.deadline)
     {
         this->state.log.write("stop",
                               {{"requests", std::to_string(pending)},
-                               {"connections", std::to_string(open)}});
+                               {"connections", std::to_string(unfinished)}});
         this->on_stopped();
         return;
     }
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -126,15 +126,16 @@
     return sum;
 }
 
-std::size_t http_listener::open_count() const
+std::size_t http_listener::unfinished_count() const
 {
+    auto const now = loop_now();
     return static_cast<std::size_t>(
         std::count_if(this->connections.begin(),
                       this->connections.end(),
-                      [](auto const & weak)
+                      [now](auto const & weak)
                       {
                           auto const connection = weak.lock();
-                          return connection && connection->is_open();
+                          return connection && !connection->is_finished(now);
                       }));
 }
 
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -32,8 +32,9 @@
 // time without progress after which a client no longer receives its response
 constexpr duration delivery_timeout = std::chrono::seconds(5);
 // a client that has sent a request or opened a connection within this time may
-// be about to send one
-constexpr duration drain_idle_time = std::chrono::milliseconds(200);
+// be about to send one; what it had sent when a connection was ended has
+// arrived after this time
+constexpr duration recent_use_time = std::chrono::milliseconds(200);
 
 response_message empty_response(http::status status)
 {
@@ -102,6 +103,16 @@
 }
 
 void server_connection::check_lingering(time_point now)
+{
+    this->update_delivery(now);
+    if (now - this->last_activity >
+        (this->last_undelivered == 0 ? linger_timeout : delivery_timeout))
+    {
+        this->close();
+    }
+}
+
+void server_connection::update_delivery(time_point now)
 {
     auto const undelivered = this->undelivered_bytes();
     if (undelivered != this->last_undelivered)
@@ -109,16 +120,11 @@
         this->last_undelivered = undelivered;
         this->last_activity = now;
     }
-    if (now - this->last_activity >
-        (undelivered == 0 ? linger_timeout : delivery_timeout))
-    {
-        this->close();
-    }
 }
 
 void server_connection::drain(time_point now)
 {
-    if (this->is_idle() && now - this->last_activity > drain_idle_time)
+    if (this->is_idle() && now - this->last_activity > recent_use_time)
     {
         this->finish();
     }
@@ -137,6 +143,21 @@
     return this->socket.is_open();
 }
 
+bool server_connection::is_finished(time_point now)
+{
+    if (!this->socket.is_open())
+    {
+        return true;
+    }
+    if (!this->lingering)
+    {
+        return false;
+    }
+    this->update_delivery(now);
+    return this->last_undelivered == 0 &&
+           now - this->last_activity > recent_use_time;
+}
+
 std::size_t server_connection::pending_count() const
 {
     return this->pending_exchanges.size();
