--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -1,6 +1,8 @@
 #include <absl/strings/str_cat.h> // StrAppend
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp> // json
+
 #include <platform/platform.hpp>
 #include <platform/platform_messages.hpp>
 #include <platform/platform_reports.hpp>
@@ -348,6 +350,53 @@
     }
 }
 
+// An unreadable string in one object made the whole list of the store
+// unreadable: after a restart of all nodes no target was found.
+TEST(platform_store, unreadable_string_hides_no_other_object)
+{
+    for (std::string const value :
+         {"desk \\ud83d", "\\udc00", "\xFF\xFE", "a\x01", "\\x", "\xC3"})
+    {
+        for (std::string const & field : {"\"target\":\"" + value + "\"",
+                                          "\"" + value + "\" : 5",
+                                          "\"other\":[\"" + value + "\"]"})
+        {
+            failure reason;
+            auto const page = store_adapter_under_test.read_page(
+                detail::object_kind::targets,
+                R"({"storeRevision":7,"items":[
+                    {"metadata":{"name":"a","revision":1},"spec":{)" +
+                    field +
+                    R"(}},
+                    {"metadata":{"name":"b","revision":2},
+                     "spec":{"text":"caf\u00e9 \ud83d\ude00"}}]})",
+                store_era(1),
+                reason);
+            ASSERT_TRUE(page.has_value()) << field << reason.describe();
+            ASSERT_EQ(page->objects.size(), 2U) << field;
+            EXPECT_FALSE(
+                store_adapter_under_test.read_target(page->objects[0], reason));
+            EXPECT_EQ(page->objects[1].content,
+                      "{\"text\":\"caf\xC3\xA9 \xF0\x9F\x98\x80\"}");
+        }
+    }
+}
+
+TEST(platform_store, object_with_an_unreadable_name_is_left_out)
+{
+    failure reason;
+    auto const page =
+        store_adapter_under_test.read_page(detail::object_kind::configuration,
+                                           R"({"storeRevision":7,"items":[
+            {"metadata":{"name":"\ud83d","revision":1},"spec":{}},
+            {"metadata":{"name":"main","revision":2},"spec":{}}]})",
+                                           store_era(1),
+                                           reason);
+    ASSERT_TRUE(page.has_value()) << reason.describe();
+    ASSERT_EQ(page->objects.size(), 1U);
+    EXPECT_EQ(page->objects[0].name, "main");
+}
+
 // A number that is not finite, in one object, made the whole list of the store
 // unreadable, so that nodes lost all later changes.
 TEST(platform_store, number_that_is_not_finite_hides_no_other_object)
