--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -397,6 +397,36 @@
     EXPECT_EQ(page->objects[0].name, "main");
 }
 
+// An ID of more than 65,535 bytes ended the node that placed a request there.
+TEST(platform_store, entry_with_a_text_that_cannot_be_sent_names_no_target)
+{
+    nlohmann::json const valid = {{"peer", "10.0.0.1:1"},
+                                  {"target", "i"},
+                                  {"service", "s"},
+                                  {"domain", "z"},
+                                  {"state", "ready"},
+                                  {"slots", 1}};
+    auto const is_read = [](nlohmann::json const & spec)
+    {
+        failure reason;
+        return store_adapter_under_test
+            .read_target({"n", object_version(1), spec.dump(), false}, reason)
+            .has_value();
+    };
+    EXPECT_TRUE(is_read(valid));
+    for (auto const * const name : {"target", "service", "domain"})
+    {
+        for (auto const & text : {std::string(70000, 'x'),
+                                  std::string("i\r\nX: y"),
+                                  std::string("i ")})
+        {
+            nlohmann::json spec = valid;
+            spec[name] = text;
+            EXPECT_FALSE(is_read(spec)) << name;
+        }
+    }
+}
+
 // A number that is not finite, in one object, made the whole list of the store
 // unreadable, so that nodes lost all later changes.
 TEST(platform_store, number_that_is_not_finite_hides_no_other_object)
