--- a/include/endivehinge/core/external_text.hpp
+++ b/include/endivehinge/core/external_text.hpp
@@ -11,7 +11,7 @@
 /// JSON, sent as the value of a header field and logged without any change
 ///
 /// Such a text is UTF-8 of 1 to 1,024 bytes, without control characters and
-/// without a space at its begin or end.
+/// without a space at its start or end.
 /// @note thread safety: any thread
 [[nodiscard]] bool is_valid_identifier(std::string_view text);
 
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -21,8 +21,9 @@
 constexpr duration on_demand_timeout = std::chrono::milliseconds(30);
 // the content is not used
 constexpr std::uint64_t max_probe_response_bytes = 65536;
-// periodic probes of one timeout that are pending at a target that does not
-// respond, and as many on demand
+// a target that does not respond has four periodic probes pending at a time,
+// one per interval until the timeout; as many again are left for probes on
+// demand
 constexpr std::size_t max_probe_connections = 8;
 // for a connection to the target, which runs on the same machine as this
 // process, so that no network delay adds to it
