--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -87,8 +87,8 @@
     http_listener metrics_listener;
     boost::asio::steady_timer stop_timer;
     time_point stop_started;
-    // while stopping: no connection is accepted any more, and the process ends
-    // with the last one
+    // set during a stop when no more connections are accepted; the process ends
+    // once all responses are delivered
     bool ending = false;
     std::function<void()> on_stopped;
 
--- a/include/endivehinge/detail/gateway/rollout_control.hpp
+++ b/include/endivehinge/detail/gateway/rollout_control.hpp
@@ -83,7 +83,7 @@
     std::optional<rollout_status> attempted_takeover;
     // expires with this object; calls that end later are ignored
     std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
-    // as last logged
+    // the step that the last log line reported
     std::string logged_step;
 };
 
--- a/include/endivehinge/detail/gateway/rollout_participant.hpp
+++ b/include/endivehinge/detail/gateway/rollout_participant.hpp
@@ -85,7 +85,7 @@
     time_point next_refresh;
     time_point order_since;
     time_point coordinator_seen;
-    // as last logged
+    // the state that the last log line reported
     bool was_open = false;
 };
 
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -20,7 +20,8 @@
 // close one that they are about to use
 constexpr duration peer_idle_timeout = std::chrono::seconds(30);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
-// before the end of the process, for connections to end after their responses
+// before the end of the process, for the last responses to be delivered to slow
+// clients
 constexpr duration connection_end_time = std::chrono::milliseconds(1000);
 
 server_limits client_limits_of(client_limits const & configured_limits)
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -29,11 +29,12 @@
 // last response was delivered or bytes arrived. Closing while unread bytes
 // remain sends a reset, which can destroy the last response
 constexpr duration linger_timeout = std::chrono::seconds(1);
-// time without progress after which a client no longer receives its response
+// time without progress after which a client no longer receives its response;
+// several retransmissions fit into it
 constexpr duration delivery_timeout = std::chrono::seconds(5);
-// a client that has sent a request or opened a connection within this time may
-// be about to send one; what it had sent when a connection was ended has
-// arrived after this time
+// A client that has sent a request or opened a connection within this time may
+// be about to send one. It spans many round trips, so that after it everything
+// has arrived that a client sent before it saw the end of its connection.
 constexpr duration recent_use_time = std::chrono::milliseconds(200);
 
 response_message empty_response(http::status status)
