Report size, transfer and processing time of each configuration

The logs of the incident could not tell a configuration that is long on its way from one that is long in work. configuration_in_force now states routes, bytes and the time from the first byte of the response to its end; a new event, configuration_processed, states for how long the event loop was busy with it. Both times are gauges as well, deferred replica responses are counted, and a call that timed out in the middle of its response says so. No decision changes.

--- a/include/endivehinge/detail/gateway/call_result.hpp
+++ b/include/endivehinge/detail/gateway/call_result.hpp
@@ -3,6 +3,7 @@
 
 #include <string> // string
 
+#include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
 
 namespace endivehinge::detail
@@ -29,6 +30,9 @@
     // whether the server's system refused the connection, which no process
     // accepts then
     bool connection_refused = false;
+    // of the complete response, and the time from its first byte to its end
+    time_point received;
+    duration transfer{0};
     // error description; empty if a response was received
     std::string detail;
 };
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -100,6 +100,7 @@
     bool send_started = false;
     bool send_completed = false;
     bool response_started = false;
+    time_point response_start;
     bool connection_refused = false;
     // received during the request in progress, before its own response
     std::size_t dropped_responses = 0;
--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -12,6 +12,7 @@
 #include <endivehinge/coordination/object_copy.hpp>
 #include <endivehinge/coordination/restored_list_merge.hpp>
 #include <endivehinge/core/clock.hpp>
+#include <endivehinge/detail/gateway/copy_source.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_view.hpp>
 #include <endivehinge/detail/gateway/replica_versions.hpp>
@@ -33,6 +34,9 @@
     struct handlers
     {
         std::function<void()> configuration;
+        // the source of the configuration that has become active
+        std::function<void(copy_source const &)> copied =
+            [](copy_source const &) {};
         std::function<void()> evacuations;
         // the stored entry of this node's target
         std::function<void(std::optional<target_entry>, object_version)> entry;
@@ -57,10 +61,9 @@
     void on_change(handlers new_callbacks);
 
     /// @brief applies changes to the objects of one kind
-    /// @param source names the store or the node that sent them, for the log
     void apply(object_kind kind,
                object_changes const & changes,
-               std::string const & source);
+               copy_source const & source);
 
     /// @brief ends the holds of a restored list whose time has passed, so that
     /// the store's state counts
@@ -124,11 +127,11 @@
                 object_changes const & updates,
                 std::string const & source);
     void apply_configuration(object_changes const & changes,
-                             std::string const & source);
+                             copy_source const & source);
     [[nodiscard]] std::optional<replicated_object> newest_configuration() const;
     /// @return whether the object takes the place of the newest configuration
     bool decode_configuration(replicated_object const & object,
-                              std::string const & source);
+                              copy_source const & source);
     void decode_evacuations(object_changes const & updates,
                             std::string const & source);
     void decode_rollouts(object_changes const & updates,
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -133,6 +133,9 @@
     /// @brief what the reply of a node says about the configuration
     void record_configuration_age(replica_exchange const & reply,
                                   boot_time sent);
+    /// @brief reports for how long the event loop was busy with the response
+    /// that brought the active configuration
+    void report_processing(copy_source const & source);
     /// @brief wakes the requests that waited for the first confirmation
     void report_confirmation(bool was_unconfirmed);
     /// @brief whether the store may have lost a configuration that other nodes
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -51,7 +51,7 @@
     void on_response(object_kind kind, call_result const & result);
     [[nodiscard]] std::optional<store_page> read_page(
         object_kind kind, call_result const & result, std::string & detail);
-    void finish(object_kind kind);
+    void finish(object_kind kind, call_result const & result);
     [[nodiscard]] read_freshness freshness_of(object_kind kind) const;
 
     upstream & store;
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -260,7 +260,11 @@
             this->close();
             return;
         }
-        this->response_started = true;
+        if (!this->response_started)
+        {
+            this->response_started = true;
+            this->response_start = loop_now();
+        }
         boost::system::error_code error;
         std::size_t const consumed =
             this->parser->put(this->buffer.data(), error);
@@ -359,6 +363,8 @@
     result.status = call_status::answered;
     result.response_started = true;
     result.response = std::move(message);
+    result.received = loop_now();
+    result.transfer = result.received - this->response_start;
     // the connection cannot be reused if the request is not completely sent or
     // if unsolicited bytes follow the response
     if (!keep_alive || !this->send_completed || this->buffer.size() > 0 ||
@@ -416,7 +422,9 @@
         this->fail(call_status::not_sent, "connect: timed out");
         return;
     }
-    this->fail(call_status::timed_out, "no response in time");
+    this->fail(call_status::timed_out,
+               this->response_started ? "response not complete in time"
+                                      : "no response in time");
 }
 
 void client_connection::fail(call_status status, std::string detail)
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -67,7 +67,7 @@
 
 void fleet_replica::apply(object_kind kind,
                           object_changes const & changes,
-                          std::string const & source)
+                          copy_source const & source)
 {
     if (kind == object_kind::configuration)
     {
@@ -75,7 +75,8 @@
     }
     else
     {
-        this->decode(kind, this->update_copy(kind, changes, source), source);
+        this->decode(
+            kind, this->update_copy(kind, changes, source.name), source.name);
     }
     // an entry can be written and expire between two reads of the store, so its
     // absence is reported even without a deletion
--- a/src/gateway/fleet_replica_decoding.cpp
+++ b/src/gateway/fleet_replica_decoding.cpp
@@ -84,11 +84,11 @@
 }
 
 void fleet_replica::apply_configuration(object_changes const & changes,
-                                        std::string const & source)
+                                        copy_source const & source)
 {
     auto newest = this->newest_configuration();
     static_cast<void>(
-        this->apply_to_copy(object_kind::configuration, changes, source));
+        this->apply_to_copy(object_kind::configuration, changes, source.name));
     // also at an earlier position: the operators' version decides
     for (auto const & object : changes.objects)
     {
@@ -123,14 +123,14 @@
 }
 
 bool fleet_replica::decode_configuration(replicated_object const & object,
-                                         std::string const & source)
+                                         copy_source const & source)
 {
     failure reason;
     auto parsed = this->adapter.read_configuration(object, reason);
     if (!parsed)
     {
         this->log.write("configuration_unreadable",
-                        {{"reason", reason.describe()}, {"from", source}});
+                        {{"reason", reason.describe()}, {"from", source.name}});
         return false;
     }
     auto const version = parsed->version;
@@ -141,8 +141,13 @@
             "configuration_in_force",
             {{"version", absl::StrCat(version)},
              {"store_version", absl::StrCat(object.version.value())},
-             {"from", source}});
+             {"from", source.name},
+             {"routes",
+              absl::StrCat(this->view.configuration()->routes.size())},
+             {"bytes", absl::StrCat(object.content.size())},
+             {"transfer_ms", format_milliseconds(source.transfer)}});
         this->callbacks.configuration();
+        this->callbacks.copied(source);
     }
     return version == this->view.configuration()->version;
 }
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -130,6 +130,10 @@
 {
     fleet_replica::handlers callbacks;
     callbacks.configuration = std::move(on_configuration);
+    callbacks.copied = [this](copy_source const & source)
+    {
+        this->report_processing(source);
+    };
     callbacks.evacuations = [this]
     {
         this->state.target.set_evacuated(
@@ -315,6 +319,7 @@
         !this->budget.try_spend(reply.content_size(), loop_now()))
     {
         reply.defer();
+        this->state.metrics.increment("replica_responses_deferred");
     }
     response_message response{http::status::ok, 11};
     response.set(http::field::content_type, "application/json");
@@ -736,16 +741,18 @@
         if (reply->kinds[i].version > object_version() ||
             !reply->kinds[i].objects.empty())
         {
-            this->replica.apply(
-                static_cast<object_kind>(i), reply->kinds[i], peer.to_string());
+            this->replica.apply(static_cast<object_kind>(i),
+                                reply->kinds[i],
+                                {peer.to_string(), result});
         }
     }
     this->record_configuration_age(*reply, sent);
     if (this->follows_rollouts() && reply->rollouts &&
         reply->rollouts->version > object_version())
     {
-        this->replica.apply(
-            object_kind::rollouts, *reply->rollouts, peer.to_string());
+        this->replica.apply(object_kind::rollouts,
+                            *reply->rollouts,
+                            {peer.to_string(), result});
     }
     return reply;
 }
@@ -962,6 +969,32 @@
                        });
 }
 
+void replica_sync::report_processing(copy_source const & source)
+{
+    // the event loop serves nothing else until the posted handler runs
+    boost::asio::post(
+        this->state.io,
+        [this,
+         alive = std::weak_ptr<bool>(this->lifetime),
+         received = source.received,
+         version = this->state.fleet.configuration()->version]
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            auto const elapsed = loop_now() - received;
+            this->state.log.write(
+                "configuration_processed",
+                {{"version", absl::StrCat(version)},
+                 {"processing_ms", format_milliseconds(elapsed)}});
+            this->state.metrics.set_gauge("configuration_processing_seconds",
+                                          to_milliseconds(elapsed) / 1000);
+        });
+    this->state.metrics.set_gauge("configuration_transfer_seconds",
+                                  to_milliseconds(source.transfer) / 1000);
+}
+
 // ---------------------------------------------------------------------------
 // age of the configuration
 // ---------------------------------------------------------------------------
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -224,7 +224,7 @@
     this->record_success();
     auto const list_version = pages.version;
     auto const sent_at = this->state_of(kind).list_sent_at;
-    this->replica.apply(kind, std::exchange(pages, {}), "store");
+    this->replica.apply(kind, std::exchange(pages, {}), {"store", result});
     this->confirm(kind, sent_at, duration(0));
     if (this->state_of(kind).lost_histories > 0 &&
         list_version < this->version_of(kind))
@@ -301,7 +301,8 @@
         this->watch(kind);
         return;
     }
-    this->replica.apply(kind, {page->version, false, page->objects}, "store");
+    this->replica.apply(
+        kind, {page->version, false, page->objects}, {"store", result});
     this->confirm(kind, sent_at, duration(0));
     this->run_later(kind, watch_coalescing_delay, &store_session::watch);
 }
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -103,7 +103,7 @@
         this->log.write("snapshot_not_read",
                         {{"kind", to_string(kind)},
                          {"reason", "no free store connection"}});
-        this->finish(kind);
+        this->finish(kind, call_result{});
     }
 }
 
@@ -125,7 +125,7 @@
                         {{"kind", to_string(kind)}, {"reason", detail}});
         // an incomplete list would hide the objects of the missing pages
         changes = {};
-        this->finish(kind);
+        this->finish(kind, result);
         return;
     }
     if (changes.objects.empty())
@@ -141,7 +141,7 @@
         this->list(kind, page->objects.back().name);
         return;
     }
-    this->finish(kind);
+    this->finish(kind, result);
 }
 
 std::optional<store_page> store_snapshot_reader::read_page(
@@ -188,7 +188,7 @@
     return this->wanted_freshness;
 }
 
-void store_snapshot_reader::finish(object_kind kind)
+void store_snapshot_reader::finish(object_kind kind, call_result const & result)
 {
     auto & changes = this->pages[static_cast<std::size_t>(kind)];
     changes.complete = true;
@@ -198,7 +198,7 @@
         kind == object_kind::rollouts && changes.version != object_version();
     if (!changes.objects.empty() || is_known_empty)
     {
-        this->replica.apply(kind, changes, "store snapshot");
+        this->replica.apply(kind, changes, {"store snapshot", result});
         if (kind == object_kind::configuration &&
             this->wanted_freshness == read_freshness::current)
         {
