--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -170,6 +170,12 @@
     return found == this->received_requests_of.end() ? 0 : found->second;
 }
 
+std::uint64_t store_stand_in::list_count_of(std::string const & kind) const
+{
+    auto const found = this->sent_lists_of.find(kind);
+    return found == this->sent_lists_of.end() ? 0 : found->second;
+}
+
 void store_stand_in::end_watches_without_events()
 {
     for (auto const & watch : std::exchange(this->watches, {}))
@@ -346,6 +352,7 @@
         this->send_response(client, 503, json::object());
         return;
     }
+    this->sent_lists_of[kind] += 1;
     json items = json::array();
     bool has_more = false;
     for (auto const & [name, object] : this->kinds[kind])
--- a/tests/src/gateway/store_stand_in.hpp
+++ b/tests/src/gateway/store_stand_in.hpp
@@ -89,6 +89,9 @@
     [[nodiscard]] std::uint64_t
     request_count_of(std::string const & kind) const;
 
+    /// @brief number of pages of lists sent for one kind
+    [[nodiscard]] std::uint64_t list_count_of(std::string const & kind) const;
+
     // the statuses that were written, in order
     std::vector<nlohmann::json> status_writes;
     // while not empty, writes of a status with this state are received, but not
@@ -186,6 +189,7 @@
     std::uint64_t history_start = 0;
     std::uint64_t received_requests = 0;
     std::map<std::string, std::uint64_t> received_requests_of;
+    std::map<std::string, std::uint64_t> sent_lists_of;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
     std::vector<change> history;
     std::vector<pending_watch> watches;
--- /dev/null
+++ b/tests/src/system-gateway-long-configuration.cpp
@@ -0,0 +1,178 @@
+#include <gtest/gtest.h>
+
+#include <unistd.h> // STDOUT_FILENO
+
+#include <endivehinge/detail/gateway/store_snapshot_reader.hpp>
+#include <platform/platform.hpp>
+
+#include "gateway/gateway_fleet.hpp"
+
+namespace endivehinge::tests
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+// about 0.6 MB of text
+constexpr std::size_t route_count = 3000;
+
+/// @brief a configuration with many routes to a service beside its own
+json long_configuration(json spec, int version, std::string const & service)
+{
+    spec["version"] = "r" + std::to_string(version);
+    for (std::size_t i = 0; i < route_count; ++i)
+    {
+        auto const number = std::to_string(i);
+        spec["routes"]["r-" + number] = {
+            {"hostname", "h" + number},
+            {"pathPrefix", "/long/" + number + "/"},
+            {"routeType", "safe"},
+            {"timeoutS", 2.0},
+            {"targetLatencyS", 0.5},
+            {"priority", 1},
+            {"maxAttempts", 2},
+            {"service", service}};
+    }
+    return spec;
+}
+
+bool has_version(fleet_member const & member, std::uint64_t version)
+{
+    auto const & active = member.node->state.fleet.configuration();
+    return active && active->version == version;
+}
+
+bool wait_for_version(gateway_fleet & fleet, std::uint64_t version)
+{
+    return fleet.run_until(
+        [&fleet, version]
+        {
+            for (auto const & member : fleet.members)
+            {
+                if (!has_version(*member, version))
+                {
+                    return false;
+                }
+            }
+            return true;
+        });
+}
+
+unsigned readiness_of(gateway_fleet & fleet, fleet_member & member)
+{
+    detail::upstream client(fleet.io,
+                            member.node->state.settings.readiness_listener,
+                            detail::upstream_options{});
+    detail::call_options options;
+    options.deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    std::optional<detail::call_result> result;
+    auto const call =
+        client.send(detail::request_message{http::verb::get, "/api/readiness", 11},
+                    options,
+                    true,
+                    [&result](detail::call_result received)
+                    {
+                        result = std::move(received);
+                    });
+    EXPECT_TRUE(fleet.run_until(
+        [&result]
+        {
+            return result.has_value();
+        }));
+    return result->response.result_int();
+}
+
+// All nodes read the whole text from the store, each over its own link, since
+// the one that had it sent a long text to one of them only.
+TEST(long_configuration, is_read_from_the_store_once_per_failure_domain)
+{
+    gateway_fleet fleet;
+    fleet.start_members(6, "web");
+    auto const lists = fleet.store.list_count_of("config");
+    fleet.store.put(
+        "config",
+        "main",
+        long_configuration(fleet.store.spec("config", "main"), 2, "web"));
+    ASSERT_TRUE(wait_for_version(fleet, 2));
+    auto spec = fleet.store.spec("config", "main");
+    spec["version"] = "r3";
+    spec["routes"]["r-7"]["timeoutS"] = 1.0;
+    fleet.store.put("config", "main", spec);
+    ASSERT_TRUE(wait_for_version(fleet, 3));
+    EXPECT_EQ(fleet.store.list_count_of("config"), lists)
+        << "the changes arrive through the watch of one node";
+}
+
+// A read that took longer than a fixed time was given up and begun again.
+TEST(long_configuration, copy_that_keeps_arriving_is_not_given_up)
+{
+    gateway_fleet fleet;
+    fleet.configure(1, "web");
+    fleet.store.put(
+        "config",
+        "main",
+        long_configuration(fleet.store.spec("config", "main"), 2, "web"));
+    fault_relay link(fleet.io, {"127.0.0.1", 0}, fleet.store.address());
+    relay_faults slow;
+    slow.delay_to_client = std::chrono::milliseconds(130);
+    link.set_faults(slow);
+    detail::gateway_settings settings;
+    auto const adapters = platform::make_adapters(settings);
+    detail::event_log log("node", STDOUT_FILENO);
+    detail::fleet_view view;
+    detail::store_era_reader eras(*adapters.store, log);
+    detail::fleet_replica replica(
+        view, *adapters.store, log, node_name("node"), false);
+    detail::fleet_replica::handlers handlers;
+    handlers.configuration = [] {};
+    handlers.versions = [](auto const &) {};
+    replica.on_change(std::move(handlers));
+    detail::upstream store(
+        fleet.io, link.address(), detail::upstream_options{});
+    detail::store_snapshot_reader reader(
+        store, *adapters.store, log, eras, replica);
+    bool done = false;
+    reader.read({true, false, false, false},
+                detail::read_freshness::current,
+                [&done]
+                {
+                    done = true;
+                });
+    EXPECT_TRUE(fleet.run_until(
+        [&done]
+        {
+            return done;
+        }));
+    EXPECT_TRUE(view.configuration() != nullptr);
+}
+
+// The store may answer the first read of a process with data that is seconds
+// old. A ready node must not serve clients by it.
+TEST(long_configuration, node_is_ready_once_its_configuration_is_confirmed)
+{
+    gateway_fleet fleet;
+    fleet.configure(1, "web");
+    fleet.store.stale_configurations = fleet.store.list("config");
+    fleet.configure(2, "web");
+    fleet.store.answers_old_data_only = true;
+    auto & member = fleet.add("web");
+    ASSERT_TRUE(fleet.run_until(
+        [&member]
+        {
+            return has_version(member, 1);
+        }));
+    EXPECT_EQ(readiness_of(fleet, member), 503U);
+    fleet.store.answers_old_data_only = false;
+    ASSERT_TRUE(fleet.run_until(
+        [&member]
+        {
+            return has_version(member, 2);
+        }));
+    EXPECT_EQ(readiness_of(fleet, member), 200U);
+}
+
+} // namespace
+} // namespace endivehinge::tests
