Give a transfer up when nothing arrives, not when it is long

Cause: pulls, lists and watches had a time limit for the whole response (0.4 to 3 s), although its length has no bound and a node's link may carry 10 Mbit/s.

Change: call_options::progress_limit. While bytes arrive, the deadline is at least this long after the last of them, and 10 s after the first byte at most. Bytes that wait unread when the timer fires count as arrived.

--- a/include/endivehinge/detail/gateway/call_options.hpp
+++ b/include/endivehinge/detail/gateway/call_options.hpp
@@ -13,8 +13,13 @@
 /// @brief options of one HTTP call
 struct call_options
 {
-    // the call fails if it is not complete at this time
+    // the call fails if it is not complete at this time, and without a progress
+    // limit also if the response is still arriving
     time_point deadline;
+    // while bytes of the response arrive, the deadline is not earlier than this
+    // long after the last of them; 0: the deadline does not move. For responses
+    // whose length, and with it their time on a slow link, has no bound
+    duration progress_limit{0};
     // limit for connection establishment, which the deadline limits as well
     duration connect_timeout = std::chrono::milliseconds(500);
     // name of the response header that identifies the request; a response with
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -80,6 +80,10 @@
     void update_idle_timeout(response_message const & message);
     void arm_timer(time_point expiry);
     void handle_timeout();
+    /// @brief moves the deadline of a call with a progress limit
+    /// @return whether the deadline is later than before
+    [[nodiscard]] bool extend_deadline();
+    [[nodiscard]] bool has_unread_bytes();
     void fail(call_status status, std::string detail);
     void finish(call_result result);
     void close();
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -53,6 +53,12 @@
               duration timeout,
               client_connection::result_handler done);
 
+    /// @brief like call(), for a response of any length
+    /// @param limit for the response to begin, and without further bytes of it
+    void transfer(request_message message,
+                  duration limit,
+                  client_connection::result_handler done);
+
     /// @brief like call(), but on a new connection, since the open connections
     /// may no longer transmit data
     void call_on_new_connection(request_message message,
@@ -96,7 +102,7 @@
     };
 
     void send(request_message message,
-              duration timeout,
+              call_options options,
               bool force_new,
               client_connection::result_handler done);
     [[nodiscard]] dispatch_result read_result(call_result result);
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -45,6 +45,10 @@
 // before the server closes the connection
 constexpr duration keep_alive_margin = std::chrono::milliseconds(1000);
 
+// of a response that keeps arriving; several times what the longest object of
+// the store takes on a link of 10 Mbit/s
+constexpr duration max_transfer_time = std::chrono::seconds(10);
+
 } // namespace
 
 client_connection::client_connection(asio::io_context & loop,
@@ -229,6 +233,7 @@
     if (!error)
     {
         this->buffer.commit(size);
+        static_cast<void>(this->extend_deadline());
         this->parse();
         return;
     }
@@ -407,6 +412,33 @@
         });
 }
 
+bool client_connection::extend_deadline()
+{
+    auto const limit = this->request_options.progress_limit;
+    if (!this->request_active || limit == duration(0))
+    {
+        return false;
+    }
+    auto const now = loop_now();
+    auto const extended =
+        std::min(now + limit,
+                 (this->response_started ? this->response_start : now) +
+                     max_transfer_time);
+    if (extended <= this->request_options.deadline)
+    {
+        return false;
+    }
+    this->request_options.deadline = extended;
+    this->arm_timer(extended);
+    return true;
+}
+
+bool client_connection::has_unread_bytes()
+{
+    boost::system::error_code ignored; // nothing is available then
+    return this->socket.available(ignored) > 0;
+}
+
 void client_connection::handle_timeout()
 {
     // the handler of a wait that expired before the timer was armed again can
@@ -422,6 +454,11 @@
         this->fail(call_status::not_sent, "connect: timed out");
         return;
     }
+    if (this->has_unread_bytes() && this->extend_deadline())
+    {
+        // this process was busy; the bytes have arrived
+        return;
+    }
     this->fail(call_status::timed_out,
                this->response_started ? "response not complete in time"
                                       : "no response in time");
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -56,6 +56,13 @@
     return options;
 }
 
+call_options options_of(duration timeout)
+{
+    call_options options;
+    options.deadline = loop_now() + timeout;
+    return options;
+}
+
 } // namespace
 
 peer_node::peer_node(boost::asio::io_context & loop,
@@ -396,23 +403,30 @@
                      duration timeout,
                      client_connection::result_handler done)
 {
-    this->send(std::move(message), timeout, false, std::move(done));
+    this->send(std::move(message), options_of(timeout), false, std::move(done));
+}
+
+void peer_node::transfer(request_message message,
+                         duration limit,
+                         client_connection::result_handler done)
+{
+    auto options = options_of(limit);
+    options.progress_limit = limit;
+    this->send(std::move(message), options, false, std::move(done));
 }
 
 void peer_node::call_on_new_connection(request_message message,
                                        duration timeout,
                                        client_connection::result_handler done)
 {
-    this->send(std::move(message), timeout, true, std::move(done));
+    this->send(std::move(message), options_of(timeout), true, std::move(done));
 }
 
 void peer_node::send(request_message message,
-                     duration timeout,
+                     call_options options,
                      bool force_new,
                      client_connection::result_handler done)
 {
-    call_options options;
-    options.deadline = loop_now() + timeout;
     options.connect_timeout = connect_timeout;
     if (this->connections.send(std::move(message), options, force_new, done))
     {
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -478,7 +478,7 @@
         {
             continue;
         }
-        this->state.peer(seed).call(
+        this->state.peer(seed).transfer(
             replica_exchange::write_request(this->replica.versions()),
             pull_timeout,
             [this, seed, sent = boot_clock::now()](call_result const & result)
@@ -635,7 +635,7 @@
 void replica_sync::pull(endpoint const & peer, bool from_source)
 {
     this->pulling = true;
-    this->state.peer(peer).call(
+    this->state.peer(peer).transfer(
         replica_exchange::write_request(this->replica.versions()),
         pull_timeout,
         [this, peer, from_source, sent = boot_clock::now()](
@@ -929,7 +929,7 @@
     this->settle_pull_pending = true;
     // the operator may have repeated a change that the next regular pull would
     // bring only after the settle time
-    this->state.peer(*source).call(
+    this->state.peer(*source).transfer(
         replica_exchange::write_request(this->replica.versions()),
         pull_timeout,
         [this, peer = *source, finish, sent = boot_clock::now()](
--- a/src/gateway/store_session.cpp
+++ b/src/gateway/store_session.cpp
@@ -27,8 +27,11 @@
 // and other nodes report changes that a silent connection loses; calls are
 // charged
 constexpr duration watch_hold_time = std::chrono::milliseconds(4800);
-// for the response to arrive after the hold time
+// for the response to begin after the hold time
 constexpr duration watch_response_margin = std::chrono::milliseconds(400);
+// without further bytes of a response that has begun; a long configuration
+// takes seconds on a slow link
+constexpr duration progress_limit = std::chrono::milliseconds(1500);
 // between a change and the next watch, so that changes in quick succession
 // need one call
 constexpr duration watch_coalescing_delay = std::chrono::milliseconds(150);
@@ -146,6 +149,7 @@
 {
     call_options options;
     options.deadline = loop_now() + timeout;
+    options.progress_limit = progress_limit;
     auto const call_generation = this->generation;
     auto & state = this->state_of(kind);
     state.sent_at = boot_clock::now();
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -14,12 +14,11 @@
 namespace
 {
 
-// when a process starts; the store usually responds in milliseconds, and if it
-// does not, other nodes may respond earlier
+// for a response to begin, and without further bytes of it. When a process
+// starts: the store usually responds in milliseconds, and if it does not, other
+// nodes may respond earlier
 constexpr duration stale_read_timeout = std::chrono::milliseconds(400);
-// when no other node can send the objects. A configuration of 2,000 routes
-// takes half a second over a link of 10 Mbit/s, and longer beside requests; a
-// read that is given up and repeated never ends
+// the same when no other node can send the objects
 constexpr duration current_read_timeout = std::chrono::milliseconds(3000);
 
 /// @brief the newest object of the first page, from which the replica continues
@@ -86,10 +85,10 @@
         this->configuration_sent_at = boot_clock::now();
     }
     call_options options;
-    options.deadline =
-        loop_now() + (this->wanted_freshness == read_freshness::current
-                          ? current_read_timeout
-                          : stale_read_timeout);
+    options.progress_limit = this->wanted_freshness == read_freshness::current
+                                 ? current_read_timeout
+                                 : stale_read_timeout;
+    options.deadline = loop_now() + options.progress_limit;
     auto const connection = this->store.send(
         this->adapter.list_request(kind, after, this->freshness_of(kind)),
         options,
