Send a configuration as its change, along a tree of the failure domain

Cause: each change sent the whole text to each node. What a node may send in a second is limited (transfer_budget), so that all but one read the text from the store, each over its own link; four sources in series were asked in one case.

A node that has a new configuration notifies five others of its failure domain, which pull from it and notify five others. Deferred changes are requested again from another node after 60 to 180 ms, from the store only after 1.5 s; versions that arrive during a pull are pulled after it. A node that starts asks other nodes for the configuration before it reads the store. Earlier versions neither ask for nor get the compressed form.

--- a/include/endivehinge/detail/gateway/fleet_replica.hpp
+++ b/include/endivehinge/detail/gateway/fleet_replica.hpp
@@ -11,6 +11,7 @@
 
 #include <endivehinge/coordination/object_copy.hpp>
 #include <endivehinge/coordination/restored_list_merge.hpp>
+#include <endivehinge/coordination/text_history.hpp>
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/gateway/copy_source.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
@@ -89,6 +90,9 @@
     [[nodiscard]] replicated_object const *
     find_target(node_name const & name) const;
 
+    /// @brief the last texts of the active configuration
+    [[nodiscard]] text_history & configuration_texts();
+
     /// @brief the changes that a copy at an older version is missing; with the
     /// active configuration even if the store has an earlier one
     [[nodiscard]] object_changes
@@ -167,6 +171,7 @@
     time_point targets_restored_at;
     // name of the object that holds the configuration
     std::string configuration_name;
+    text_history texts;
     // the newest configuration while the copy has an earlier one or none
     std::optional<replicated_object> retained_configuration;
 };
--- a/include/endivehinge/detail/gateway/hop_fields.hpp
+++ b/include/endivehinge/detail/gateway/hop_fields.hpp
@@ -21,6 +21,10 @@
     std::string incarnation_id;
 };
 
+/// @brief adds the field that read_hop_sender() reads
+/// @note thread safety: any thread
+void write_hop_sender(request_message & message, hop_sender const & sender);
+
 /// @brief adds the header fields that describe a request to another node
 /// @note thread safety: any thread
 void write_hop_request(dispatch_request & request,
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -27,6 +27,7 @@
     void run(std::shared_ptr<exchange> const & incoming,
              dispatch_request request);
     [[nodiscard]] bool handle_query(exchange & incoming);
+    void receive_notice(exchange & incoming);
     void receive_crash_reports(exchange & incoming);
     void refuse(exchange & incoming, char const * reason, bool closed);
     void respond(exchange & incoming, dispatch_result result);
--- a/include/endivehinge/detail/gateway/replica_exchange.hpp
+++ b/include/endivehinge/detail/gateway/replica_exchange.hpp
@@ -5,6 +5,7 @@
 #include <optional> // optional
 
 #include <endivehinge/coordination/object_changes.hpp>
+#include <endivehinge/coordination/text_history.hpp>
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/failure.hpp>
 #include <endivehinge/detail/gateway/http_types.hpp>
@@ -13,6 +14,15 @@
 namespace endivehinge::detail
 {
 
+/// @brief the content of an object, compressed
+struct packed_content
+{
+    std::string object;
+    // the text that the content was compressed with; 0: none
+    std::uint64_t base_digest = 0;
+    std::string bytes;
+};
+
 /// @brief changes to the store copies that one node sends to another
 struct replica_exchange
 {
@@ -36,10 +46,19 @@
     std::array<bool, 3> deferred{};
     bool rollouts_deferred = false;
 
+    // the content of the active configuration, which its object then lacks;
+    // empty: all content is in the objects
+    std::optional<packed_content> packed;
+
     /// @brief the length of the objects to send, in bytes
     /// @note thread safety: const; any thread
     [[nodiscard]] std::size_t content_size() const;
 
+    /// @brief sends the active configuration compressed if it is to be sent
+    /// @param base_digest the text that the requester holds
+    /// @note thread safety: none
+    void pack(text_history & texts, std::uint64_t base_digest);
+
     /// @brief marks all changes as deferred instead of sending them
     /// @note thread safety: none
     void defer();
@@ -50,8 +69,18 @@
 
     /// @brief creates a request for changes newer than these versions
     /// @note thread safety: any thread
+    /// @param held_digest names the text of the active configuration of the
+    /// requester; 0: it has none
     [[nodiscard]] static request_message
-    write_request(replica_versions const & known_versions);
+    write_request(replica_versions const & known_versions,
+                  std::uint64_t held_digest);
+
+    /// @brief the text that the requester holds, 0 for none
+    /// @return no value if it reads no compressed content, like earlier
+    /// versions
+    /// @note thread safety: any thread
+    [[nodiscard]] static std::optional<std::uint64_t>
+    read_held_digest(request_message const & message);
 
     /// @brief whether a request contains eras; those of earlier versions do not
     /// @note thread safety: any thread
@@ -67,10 +96,18 @@
     [[nodiscard]] std::string write() const;
 
     /// @brief reads the body of a response
+    /// @param held_text the text that the request named, or null
     /// @param reason invalid_message if the body is malformed
     /// @note thread safety: any thread
     [[nodiscard]] static std::optional<replica_exchange>
-    read(std::string const & body, failure & reason);
+    read(std::string const & body,
+         text_history::text_pointer const & held_text,
+         failure & reason);
+
+private:
+    [[nodiscard]] object_changes & configuration();
+    /// @return false if the content cannot be restored
+    [[nodiscard]] bool unpack(text_history::text_pointer const & held_text);
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -93,15 +93,43 @@
     [[nodiscard]] bool has_failed(endpoint const & peer) const;
     void mark_failed(endpoint const & peer, std::string const & reason);
     void pull(endpoint const & peer, bool from_source);
-    void on_pull_response(endpoint const & peer,
-                          bool from_source,
-                          boot_time sent,
-                          call_result const & result);
+
+    /// @brief a request for changes and what came of it
+    struct pull_response
+    {
+        endpoint peer;
+        boot_time sent;
+        // the configuration's text that the request named, or null
+        text_history::text_pointer held_text;
+        call_result result;
+    };
+
+    /// @brief versions that a node of the local failure domain has stated
+    struct announcement
+    {
+        endpoint peer;
+        replica_versions versions;
+    };
+
+    /// @param done called once
+    void request_changes(endpoint const & peer,
+                         std::function<void(pull_response const &)> done);
+    void on_pull_response(pull_response const & response, bool from_source);
     [[nodiscard]] std::optional<replica_exchange>
-    apply_pull_response(endpoint const & peer,
-                        boot_time sent,
-                        call_result const & result,
-                        std::string & detail);
+    apply_pull_response(pull_response const & response, std::string & detail);
+    /// @brief requests deferred changes again, in the end from the store
+    void handle_deferral(replica_exchange const & reply);
+    /// @brief queries the seeds unless the configuration arrives before
+    void arm_seed_timer();
+    /// @brief pulls deferred changes from a node that is likely to have them
+    void pull_from_holder();
+    /// @brief pulls what was announced during the last pull, if it is still
+    /// missing
+    void pull_announced();
+    /// @brief notifies the nodes that this node passes its changes on to
+    void notify_followers();
+    /// @brief reads the configuration from the store if no node has sent it
+    void arm_configuration_read_timer();
     void pull_from_random_node();
     void remove_unreachable_entry();
     /// @brief removes entries of departed targets that a restored store has
@@ -162,6 +190,12 @@
     // ends the holds of a restored list
     boost::asio::steady_timer settle_timer;
     boost::asio::steady_timer discovery_timer;
+    boost::asio::steady_timer deferral_timer;
+    boost::asio::steady_timer configuration_read_timer;
+    // of the first of the deferred responses in a row
+    std::optional<time_point> deferred_since;
+    // the last one during the pull in progress
+    std::optional<announcement> announced;
     bool discovery_pending = false;
     // whether this process has known a target beside it
     bool has_had_target = false;
--- a/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
+++ b/include/endivehinge/detail/gateway/store_snapshot_reader.hpp
@@ -46,6 +46,9 @@
               read_freshness freshness,
               std::function<void()> done);
 
+    /// @brief whether a read is in progress, so that another is ignored
+    [[nodiscard]] bool is_reading() const;
+
 private:
     void list(object_kind kind, std::string const & after);
     void on_response(object_kind kind, call_result const & result);
--- a/src/gateway/fleet_replica.cpp
+++ b/src/gateway/fleet_replica.cpp
@@ -162,6 +162,11 @@
     return versions;
 }
 
+text_history & fleet_replica::configuration_texts()
+{
+    return this->texts;
+}
+
 object_version fleet_replica::version_of(object_kind kind) const
 {
     return this->copy_of(kind).version();
--- a/src/gateway/fleet_replica_decoding.cpp
+++ b/src/gateway/fleet_replica_decoding.cpp
@@ -101,6 +101,10 @@
             this->configuration_name = object.name;
         }
     }
+    if (newest)
+    {
+        this->texts.record(newest->content);
+    }
     this->retained_configuration.reset();
     auto const * const stored = this->copy_of(object_kind::configuration)
                                     .find(this->configuration_name);
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -238,16 +238,21 @@
 
 } // namespace
 
-void write_hop_request(dispatch_request & request,
-                       hop_sender const & sender,
-                       time_point now)
+void write_hop_sender(request_message & message, hop_sender const & sender)
 {
-    auto & message = request.message;
     message.set(sender_field,
                 absl::StrCat(sender.peer.to_string(),
                              " ",
                              write_versions(sender.versions)));
     write_position(message, sender.versions);
+}
+
+void write_hop_request(dispatch_request & request,
+                       hop_sender const & sender,
+                       time_point now)
+{
+    auto & message = request.message;
+    write_hop_sender(message, sender);
     message.set(target_field, request.target.value());
     message.set(service_field, request.service.value());
     message.set(route_field, request.route);
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -8,6 +8,7 @@
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
 #include <endivehinge/detail/gateway/rollout_exchange.hpp>
+#include <endivehinge/detail/gateway/version_notice.hpp>
 
 namespace endivehinge::detail
 {
@@ -76,6 +77,11 @@
 
 bool peer_service::handle_query(exchange & incoming)
 {
+    if (version_notice::is_request(incoming.request))
+    {
+        this->receive_notice(incoming);
+        return true;
+    }
     if (replica_exchange::is_request(incoming.request))
     {
         this->replicas.serve(incoming);
@@ -106,6 +112,20 @@
     return false;
 }
 
+void peer_service::receive_notice(exchange & incoming)
+{
+    auto const sender = read_hop_sender(incoming.request);
+    response_message response{
+        sender ? http::status::ok : http::status::bad_request, 11};
+    response.keep_alive(true);
+    response.prepare_payload();
+    incoming.respond(std::move(response));
+    if (sender)
+    {
+        this->replicas.receive_peer_versions(sender->peer, sender->versions);
+    }
+}
+
 void peer_service::receive_crash_reports(exchange & incoming)
 {
     failure reason;
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>        // json
 
 #include <endivehinge/core/json_text.hpp>
+#include <endivehinge/core/packed_text.hpp>
+#include <endivehinge/detail/gateway/store_adapter.hpp>
 
 namespace endivehinge::detail
 {
@@ -28,6 +30,11 @@
 // are in force; earlier versions ignore them
 constexpr char const * request_path_prefix = "/endivehinge/replica/";
 constexpr char const * configuration_age_field = "configuration_age_us";
+// names the text of the requester's active configuration
+constexpr char const * held_digest_field = "Endivehinge-Held-Configuration";
+constexpr char const * packed_field = "packed";
+// four times the platform's limit for an object
+constexpr std::size_t max_text_bytes = 4194304;
 constexpr char const * read_step = "parse a replica response of another node";
 
 /// @param era of the changes that contain the object; not repeated per object
@@ -111,7 +118,8 @@
 }
 
 request_message
-replica_exchange::write_request(replica_versions const & known_versions)
+replica_exchange::write_request(replica_versions const & known_versions,
+                                std::uint64_t held_digest)
 {
     std::vector<std::uint64_t> numbers;
     for (auto const & version : known_versions.kinds)
@@ -128,10 +136,23 @@
         numbers.push_back(known_versions.rollouts->value());
         numbers.push_back(known_versions.rollouts->era().value());
     }
-    return request_message{
+    request_message message{
         http::verb::get,
         absl::StrCat(request_path_prefix, absl::StrJoin(numbers, ",")),
         11};
+    message.set(held_digest_field, absl::StrCat(held_digest));
+    return message;
+}
+
+std::optional<std::uint64_t>
+replica_exchange::read_held_digest(request_message const & message)
+{
+    auto const found = message.find(held_digest_field);
+    std::uint64_t digest = 0;
+    return found != message.end() &&
+                   absl::SimpleAtoi(std::string(found->value()), &digest)
+               ? std::optional(digest)
+               : std::nullopt;
 }
 
 bool replica_exchange::states_eras(request_message const & message)
@@ -178,6 +199,7 @@
 std::size_t replica_exchange::content_size() const
 {
     std::size_t size = this->rollouts ? content_size_of(*this->rollouts) : 0;
+    size += this->packed ? this->packed->bytes.size() : 0;
     for (auto const & changes : this->kinds)
     {
         size += content_size_of(changes);
@@ -185,8 +207,57 @@
     return size;
 }
 
+void replica_exchange::pack(text_history & texts, std::uint64_t base_digest)
+{
+    auto const newest = texts.newest();
+    if (!newest)
+    {
+        return;
+    }
+    for (auto & object : this->configuration().objects)
+    {
+        if (!object.deleted && object.content == *newest)
+        {
+            object.content.clear();
+            this->packed =
+                packed_content{object.name,
+                               texts.holds(base_digest) ? base_digest : 0,
+                               texts.packed(base_digest)};
+            return;
+        }
+    }
+}
+
+object_changes & replica_exchange::configuration()
+{
+    return this->kinds[static_cast<std::size_t>(object_kind::configuration)];
+}
+
+bool replica_exchange::unpack(text_history::text_pointer const & held_text)
+{
+    auto const base = this->packed->base_digest;
+    if (base != 0 &&
+        (!held_text || text_history::digest_of(*held_text) != base))
+    {
+        return false;
+    }
+    auto text = unpack_text(this->packed->bytes,
+                            base != 0 ? *held_text : std::string(),
+                            max_text_bytes);
+    for (auto & object : this->configuration().objects)
+    {
+        if (text && object.name == this->packed->object)
+        {
+            object.content = std::move(*text);
+            return true;
+        }
+    }
+    return false;
+}
+
 void replica_exchange::defer()
 {
+    this->packed.reset();
     for (std::size_t i = 0; i < this->kinds.size(); ++i)
     {
         this->deferred[i] = this->kinds[i].version > object_version();
@@ -230,15 +301,25 @@
     {
         document["rollouts_deferred"] = true;
     }
-    return to_json_text(document);
+    if (!this->packed)
+    {
+        return to_json_text(document);
+    }
+    document[packed_field] = {{"object", this->packed->object},
+                              {"base", this->packed->base_digest}};
+    return absl::StrCat(to_json_text(document), "\n", this->packed->bytes);
 }
 
-std::optional<replica_exchange> replica_exchange::read(std::string const & body,
-                                                       failure & reason)
+std::optional<replica_exchange>
+replica_exchange::read(std::string const & body,
+                       text_history::text_pointer const & held_text,
+                       failure & reason)
 {
     try
     {
-        auto const parsed = json::parse(body);
+        // compressed content follows the only line of the JSON text
+        auto const end = body.find('\n');
+        auto const parsed = json::parse(body.substr(0, end));
         replica_exchange exchange;
         exchange.age =
             std::chrono::microseconds(parsed.at("age_us").get<std::int64_t>());
@@ -269,6 +350,23 @@
             exchange.rollouts = read_changes(*found);
         }
         exchange.rollouts_deferred = parsed.value("rollouts_deferred", false);
+        if (auto const found = parsed.find(packed_field);
+            found != parsed.end() && end != std::string::npos)
+        {
+            exchange.packed =
+                packed_content{found->at("object").get<std::string>(),
+                               found->at("base").get<std::uint64_t>(),
+                               body.substr(end + 1)};
+            if (!exchange.unpack(held_text))
+            {
+                reason = {failure_id::invalid_message,
+                          read_step,
+                          "",
+                          "compressed content cannot be restored"};
+                return std::nullopt;
+            }
+            exchange.packed.reset();
+        }
         return exchange;
     }
     catch (json::exception const & error)
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -1,13 +1,15 @@
 #include <endivehinge/detail/gateway/replica_sync.hpp>
 
-#include <algorithm> // any_of, max
-#include <utility>   // exchange
+#include <algorithm> // any_of, find, max, remove_if
+#include <utility>   // exchange, move
 
 #include <absl/strings/str_cat.h> // StrCat
 #include <boost/asio/post.hpp>    // post
 
+#include <endivehinge/coordination/relay_tree.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/replica_exchange.hpp>
+#include <endivehinge/detail/gateway/version_notice.hpp>
 
 namespace endivehinge::detail
 {
@@ -20,8 +22,17 @@
 // between pulls from the replication source; bounds the delay of a change at a
 // node that receives no requests
 constexpr duration source_check_interval = std::chrono::milliseconds(800);
-// for the response of another node, and for removing an entry
+// for the response of another node to begin, and without further bytes of it;
+// for removing an entry
 constexpr duration pull_timeout = std::chrono::milliseconds(400);
+// from a deferred response to the next request, by when other nodes have the
+// changes as well
+constexpr duration deferral_delay = std::chrono::milliseconds(120);
+// after the first deferred response, a node reads the store itself
+constexpr duration max_deferral = std::chrono::milliseconds(1500);
+// after the start, for other nodes to send the configuration, compressed,
+// before a node reads the whole text from the store
+constexpr duration configuration_read_delay = std::chrono::milliseconds(200);
 // after the start, for the snapshot of the store to arrive before the seeds are
 // queried; their responses may cross failure domains
 constexpr duration seed_query_delay = std::chrono::milliseconds(50);
@@ -123,6 +134,8 @@
     , remote_pull_timer(shared.io)
     , settle_timer(shared.io)
     , discovery_timer(shared.io)
+    , deferral_timer(shared.io)
+    , configuration_read_timer(shared.io)
 {
 }
 
@@ -207,20 +220,58 @@
     this->started_at = loop_now();
     this->last_store_response = this->started_at;
     this->last_pull_response = this->started_at;
-    this->snapshot.read({true, true, true, this->follows_rollouts()},
+    // nodes of a fleet that runs send the configuration faster than the store
+    this->snapshot.read({this->state.settings.first_start,
+                         true,
+                         true,
+                         this->follows_rollouts()},
                         read_freshness::may_be_stale,
                         [this]
                         {
                             this->start_source_selection();
                         });
+    this->arm_configuration_read_timer();
+    this->arm_seed_timer();
+}
+
+void replica_sync::arm_seed_timer()
+{
     this->seed_timer.expires_after(seed_query_delay);
     this->seed_timer.async_wait(
         [this](boost::system::error_code error)
         {
-            if (!error && !this->state.fleet.configuration())
+            if (error || this->state.fleet.configuration())
+            {
+                return;
+            }
+            if (this->pulling)
+            {
+                // the replication source is about to send the same
+                this->arm_seed_timer();
+                return;
+            }
+            this->query_seeds();
+        });
+}
+
+void replica_sync::arm_configuration_read_timer()
+{
+    this->configuration_read_timer.expires_after(configuration_read_delay);
+    this->configuration_read_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (error || this->state.fleet.configuration())
+            {
+                return;
+            }
+            if (this->snapshot.is_reading())
             {
-                this->query_seeds();
+                this->arm_configuration_read_timer();
+                return;
             }
+            this->snapshot.read({true, false, false, false},
+                                read_freshness::may_be_stale,
+                                [] {});
         });
 }
 
@@ -312,6 +363,10 @@
             this->replica.changes_since(object_kind::configuration,
                                         object_version());
     }
+    if (auto const held = replica_exchange::read_held_digest(incoming.request))
+    {
+        reply.pack(this->replica.configuration_texts(), *held);
+    }
     this->newest_requester_configuration =
         std::max(this->newest_requester_configuration,
                  known_versions.configuration_version);
@@ -478,13 +533,12 @@
         {
             continue;
         }
-        this->state.peer(seed).transfer(
-            replica_exchange::write_request(this->replica.versions()),
-            pull_timeout,
-            [this, seed, sent = boot_clock::now()](call_result const & result)
+        this->request_changes(
+            seed,
+            [this, seed](pull_response const & response)
             {
                 std::string detail;
-                if (!this->apply_pull_response(seed, sent, result, detail))
+                if (!this->apply_pull_response(response, detail))
                 {
                     this->mark_failed(seed, detail);
                 }
@@ -635,25 +689,42 @@
 void replica_sync::pull(endpoint const & peer, bool from_source)
 {
     this->pulling = true;
+    this->request_changes(peer,
+                          [this, from_source](pull_response const & response)
+                          {
+                              this->pulling = false;
+                              this->has_pulled = true;
+                              this->on_pull_response(response, from_source);
+                              this->pull_announced();
+                          });
+}
+
+void replica_sync::request_changes(
+    endpoint const & peer, std::function<void(pull_response const &)> done)
+{
+    auto const & texts = this->replica.configuration_texts();
+    pull_response response;
+    response.peer = peer;
+    response.sent = boot_clock::now();
+    response.held_text = texts.newest();
     this->state.peer(peer).transfer(
-        replica_exchange::write_request(this->replica.versions()),
+        replica_exchange::write_request(this->replica.versions(),
+                                        texts.newest_digest()),
         pull_timeout,
-        [this, peer, from_source, sent = boot_clock::now()](
-            call_result const & result)
+        [response = std::move(response),
+         done = std::move(done)](call_result result) mutable
         {
-            this->pulling = false;
-            this->has_pulled = true;
-            this->on_pull_response(peer, from_source, sent, result);
+            response.result = std::move(result);
+            done(response);
         });
 }
 
-void replica_sync::on_pull_response(endpoint const & peer,
-                                    bool from_source,
-                                    boot_time sent,
-                                    call_result const & result)
+void replica_sync::on_pull_response(pull_response const & response,
+                                    bool from_source)
 {
+    auto const & peer = response.peer;
     std::string detail;
-    auto const reply = this->apply_pull_response(peer, sent, result, detail);
+    auto const reply = this->apply_pull_response(response, detail);
     if (!reply)
     {
         if (from_source)
@@ -705,28 +776,24 @@
 }
 
 std::optional<replica_exchange>
-replica_sync::apply_pull_response(endpoint const & peer,
-                                  boot_time sent,
-                                  call_result const & result,
+replica_sync::apply_pull_response(pull_response const & response,
                                   std::string & detail)
 {
+    auto const & peer = response.peer;
+    auto const & result = response.result;
     failure reason;
     reason.detail = result.detail;
     auto reply = result.status == call_status::answered &&
                          result.response.result() == http::status::ok
-                     ? replica_exchange::read(result.response.body(), reason)
+                     ? replica_exchange::read(
+                           result.response.body(), response.held_text, reason)
                      : std::nullopt;
     detail = reason.detail;
     if (!reply)
     {
         return std::nullopt;
     }
-    this->snapshot.read({reply->deferred[0],
-                         reply->deferred[1],
-                         reply->deferred[2],
-                         reply->rollouts_deferred && this->follows_rollouts()},
-                        read_freshness::current,
-                        [] {});
+    this->handle_deferral(*reply);
     if (!this->follows_earlier_history(*reply))
     {
         // the changes of an earlier history are ignored, so that a node which
@@ -746,7 +813,7 @@
                                 {peer.to_string(), result});
         }
     }
-    this->record_configuration_age(*reply, sent);
+    this->record_configuration_age(*reply, response.sent);
     if (this->follows_rollouts() && reply->rollouts &&
         reply->rollouts->version > object_version())
     {
@@ -757,10 +824,76 @@
     return reply;
 }
 
+void replica_sync::handle_deferral(replica_exchange const & reply)
+{
+    std::array<bool, object_kind_count> const kinds = {
+        reply.deferred[0],
+        reply.deferred[1],
+        reply.deferred[2],
+        reply.rollouts_deferred && this->follows_rollouts()};
+    if (std::find(kinds.begin(), kinds.end(), true) == kinds.end())
+    {
+        this->deferred_since.reset();
+        return;
+    }
+    auto const now = loop_now();
+    this->deferred_since = this->deferred_since.value_or(now);
+    if (now - *this->deferred_since >= max_deferral)
+    {
+        this->deferred_since.reset();
+        this->snapshot.read(kinds, read_freshness::current, [] {});
+        return;
+    }
+    this->deferral_timer.expires_after(std::chrono::duration_cast<duration>(
+        deferral_delay * (0.5 + this->state.random())));
+    this->deferral_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error && !this->pulling)
+            {
+                this->pull_from_holder();
+            }
+        });
+}
+
+void replica_sync::pull_announced()
+{
+    auto const latest = std::exchange(this->announced, std::nullopt);
+    if (latest && !this->pulling &&
+        latest->versions.is_newer_than(this->replica.versions()))
+    {
+        this->pull(latest->peer, false);
+    }
+}
+
+void replica_sync::notify_followers()
+{
+    for (auto const & follower :
+         relay_children(this->state.settings.node, this->candidates()))
+    {
+        this->state.peer(follower).call(
+            version_notice::write_request(this->state.own_sender),
+            pull_timeout,
+            [](call_result const &)
+            {
+                // one that missed it learns of the change with its next pull
+            });
+    }
+}
+
 void replica_sync::receive_peer_versions(endpoint const & peer,
                                          replica_versions const & versions)
 {
-    if (this->pulling || !this->may_pull_for(versions))
+    if (this->pulling)
+    {
+        if (versions.is_newer_than(this->state.own_sender.versions) &&
+            this->is_in_local_domain(peer))
+        {
+            this->announced = announcement{peer, versions};
+        }
+        return;
+    }
+    if (!this->may_pull_for(versions))
     {
         return;
     }
@@ -787,6 +920,31 @@
         });
 }
 
+void replica_sync::pull_from_holder()
+{
+    if (this->announced)
+    {
+        this->pull_announced();
+        return;
+    }
+    auto nodes = this->candidates();
+    nodes.erase(std::remove_if(nodes.begin(),
+                               nodes.end(),
+                               [](auto const & node)
+                               {
+                                   return node.failed;
+                               }),
+                nodes.end());
+    if (nodes.empty())
+    {
+        this->pull_from_random_node();
+        return;
+    }
+    auto const selected = static_cast<std::size_t>(
+        this->state.random() * static_cast<double>(nodes.size()));
+    this->pull(nodes[selected].peer, false);
+}
+
 void replica_sync::pull_from_random_node()
 {
     auto const nodes =
@@ -929,18 +1087,16 @@
     this->settle_pull_pending = true;
     // the operator may have repeated a change that the next regular pull would
     // bring only after the settle time
-    this->state.peer(*source).transfer(
-        replica_exchange::write_request(this->replica.versions()),
-        pull_timeout,
-        [this, peer = *source, finish, sent = boot_clock::now()](
-            call_result const & result)
+    this->request_changes(
+        *source,
+        [this, finish](pull_response const & response)
         {
             std::string detail;
-            if (!this->apply_pull_response(peer, sent, result, detail))
+            if (!this->apply_pull_response(response, detail))
             {
                 this->state.log.write(
                     "replica_source_failed",
-                    {{"peer", peer.to_string()}, {"reason", detail}});
+                    {{"peer", response.peer.to_string()}, {"reason", detail}});
             }
             finish();
         });
@@ -990,6 +1146,7 @@
                  {"processing_ms", format_milliseconds(elapsed)}});
             this->state.metrics.set_gauge("configuration_processing_seconds",
                                           to_milliseconds(elapsed) / 1000);
+            this->notify_followers();
         });
     this->state.metrics.set_gauge("configuration_transfer_seconds",
                                   to_milliseconds(source.transfer) / 1000);
--- a/src/gateway/store_snapshot_reader.cpp
+++ b/src/gateway/store_snapshot_reader.cpp
@@ -78,6 +78,11 @@
     }
 }
 
+bool store_snapshot_reader::is_reading() const
+{
+    return this->pending_kinds > 0;
+}
+
 void store_snapshot_reader::list(object_kind kind, std::string const & after)
 {
     if (kind == object_kind::configuration && after.empty())
--- a/tests/src/unit-hop-fields.cpp
+++ b/tests/src/unit-hop-fields.cpp
@@ -291,7 +291,7 @@
                      {{"zone \"x\"", object_version(8), "{\"a\":1}", false},
                       {"gone", object_version(9), "", true}}};
     failure reason;
-    auto const read = replica_exchange::read(sent.write(), reason);
+    auto const read = replica_exchange::read(sent.write(), nullptr, reason);
     ASSERT_TRUE(read.has_value());
     EXPECT_EQ(read->age, sent.age);
     EXPECT_TRUE(read->in_contact);
@@ -303,7 +303,8 @@
     for (auto const * const bad :
          {"", "{}", "[]", "{\"age_us\":1}", "{\"age_us\":\"x\",\"kinds\":[]}"})
     {
-        EXPECT_FALSE(replica_exchange::read(bad, reason).has_value()) << bad;
+        EXPECT_FALSE(replica_exchange::read(bad, nullptr, reason).has_value())
+            << bad;
         EXPECT_EQ(reason.id, failure_id::invalid_message);
     }
 }
@@ -317,7 +318,7 @@
     EXPECT_EQ(sent.content_size(), 8U);
     sent.defer();
     failure reason;
-    auto const read = replica_exchange::read(sent.write(), reason);
+    auto const read = replica_exchange::read(sent.write(), nullptr, reason);
     ASSERT_TRUE(read.has_value());
     EXPECT_EQ(read->deferred, (std::array<bool, 3>{true, false, false}));
     EXPECT_EQ(read->content_size(), 0U);
@@ -328,7 +329,7 @@
 TEST(replica_exchange, request_contains_replica_versions)
 {
     auto const request =
-        replica_exchange::write_request(sample_sender().versions);
+        replica_exchange::write_request(sample_sender().versions, 0);
     EXPECT_TRUE(replica_exchange::is_request(request));
     EXPECT_EQ(replica_exchange::read_request(request).kinds,
               sample_sender().versions.kinds);
