A node is ready once its configuration is confirmed

Callers: a node that starts may serve them by a configuration that is seconds old.

Cause: the store may answer the first read of a process with old data, and readiness asked for any configuration.

Change: a node is ready when its configuration is known to have been current at some moment since the process started, or when neither the store nor another node has said so for 2 s.

long_configuration.node_is_ready_once_its_configuration_is_confirmed failed before and leaves the list of known failures.

--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -102,6 +102,12 @@
     {
         return std::optional<duration>();
     };
+    // whether clients may be served by the active configuration: it was known
+    // to be current since this process started, or nothing can tell
+    std::function<bool()> is_configuration_confirmed = []
+    {
+        return true;
+    };
     // set while the gateway runs; gets tokens for accounts with a limit
     allotment_client * allotments = nullptr;
     // describes this node in requests to other nodes
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -130,6 +130,8 @@
     void notify_followers();
     /// @brief reads the configuration from the store if no node has sent it
     void arm_configuration_read_timer();
+    /// @brief whether clients may be served by the active configuration
+    [[nodiscard]] bool is_configuration_confirmed() const;
     void pull_from_random_node();
     void remove_unreachable_entry();
     /// @brief removes entries of departed targets that a restored store has
--- a/src/gateway/readiness_service.cpp
+++ b/src/gateway/readiness_service.cpp
@@ -15,8 +15,9 @@
     auto status = http::status::not_found;
     if (this->state.adapter.is_readiness_probe(incoming->request))
     {
-        bool const ready =
-            this->state.fleet.configuration() && !this->state.stopping;
+        bool const ready = this->state.fleet.configuration() &&
+                           this->state.is_configuration_confirmed() &&
+                           !this->state.stopping;
         status = ready ? http::status::ok : http::status::service_unavailable;
     }
     response_message response{status, 11};
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -33,6 +33,9 @@
 // after the start, for other nodes to send the configuration, compressed,
 // before a node reads the whole text from the store
 constexpr duration configuration_read_delay = std::chrono::milliseconds(200);
+// after the start, with a configuration that neither the store nor another node
+// has confirmed; then they are taken for unreachable
+constexpr duration max_confirmation_wait = std::chrono::milliseconds(2000);
 // after the start, for the snapshot of the store to arrive before the seeds are
 // queried; their responses may cross failure domains
 constexpr duration seed_query_delay = std::chrono::milliseconds(50);
@@ -196,6 +199,10 @@
     {
         return this->configuration_age();
     };
+    this->state.is_configuration_confirmed = [this]
+    {
+        return this->is_configuration_confirmed();
+    };
     this->session.on_current_configuration(
         [this](boot_time sent, duration hold)
         {
@@ -1196,6 +1203,12 @@
                : this->freshness.age(boot_clock::now());
 }
 
+bool replica_sync::is_configuration_confirmed() const
+{
+    return this->configuration_age().has_value() ||
+           loop_now() - this->started_at > max_confirmation_wait;
+}
+
 duration replica_sync::contact_age() const
 {
     return loop_now() - std::max(this->last_store_response,
