Target stand-in: record the death once

Two of the three requests had found the breaking point reached at the same moment, and each wrote the event before the process ended. The first one now ends the process alone. The check is as it was.

--- a/tools/common/target_handler.cpp
+++ b/tools/common/target_handler.cpp
@@ -1,6 +1,6 @@
 #include <common/target_handler.hpp>
 
-#include <unistd.h> // _exit
+#include <unistd.h> // _exit, pause
 
 #include <algorithm> // min
 
@@ -248,6 +248,14 @@
 
 void target_handler::die(http_request const & message)
 {
+    if (this->dying.exchange(true))
+    {
+        // another request ends this process; this one gets no response
+        while (true)
+        {
+            ::pause();
+        }
+    }
     this->write(history_event::died, message);
     ::_exit(exit_died);
 }
--- a/tools/common/target_handler.hpp
+++ b/tools/common/target_handler.hpp
@@ -78,6 +78,7 @@
     chain_caller chain;
     execution_slots slots;
     // requests that came in and were not answered yet
+    std::atomic<bool> dying{false};
     std::atomic<std::int64_t> present{0};
     std::atomic<std::uint64_t> started{0};
     std::atomic<std::uint64_t> shed{0};
