Read deferred changes from the store also if nodes without them respond

Found by reading: a response of a node that has no news ended the wait after which deferred changes are read from the store, so that a node between a busy and an outdated one might never read them. The kinds are noted now until they arrive.

--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_SYNC_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REPLICA_SYNC_HPP
 
+#include <array>      // array
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
@@ -117,6 +118,8 @@
     void on_pull_response(pull_response const & response, bool from_source);
     [[nodiscard]] std::optional<replica_exchange>
     apply_pull_response(pull_response const & response, std::string & detail);
+    /// @brief notes which kinds a node has deferred or sent
+    void record_deferral(replica_exchange const & reply);
     /// @brief requests deferred changes again, in the end from the store
     void handle_deferral(replica_exchange const & reply);
     /// @brief queries the seeds unless the configuration arrives before
@@ -194,7 +197,9 @@
     boost::asio::steady_timer discovery_timer;
     boost::asio::steady_timer deferral_timer;
     boost::asio::steady_timer configuration_read_timer;
-    // of the first of the deferred responses in a row
+    // indexed by object_kind: a node has changes and has not sent them
+    std::array<bool, object_kind_count> deferred_kinds{};
+    // of the first response since which any kind is deferred
     std::optional<time_point> deferred_since;
     // the last one during the pull in progress
     std::optional<announcement> announced;
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -831,13 +831,25 @@
     return reply;
 }
 
+void replica_sync::record_deferral(replica_exchange const & reply)
+{
+    for (std::size_t i = 0; i < reply.kinds.size(); ++i)
+    {
+        // a node without the changes sends neither
+        bool const has_changes = reply.kinds[i].version > object_version();
+        this->deferred_kinds[i] =
+            reply.deferred[i] || (this->deferred_kinds[i] && !has_changes);
+    }
+    auto & rollouts =
+        this->deferred_kinds[static_cast<std::size_t>(object_kind::rollouts)];
+    rollouts = this->follows_rollouts() &&
+               (reply.rollouts_deferred || (rollouts && !reply.rollouts));
+}
+
 void replica_sync::handle_deferral(replica_exchange const & reply)
 {
-    std::array<bool, object_kind_count> const kinds = {
-        reply.deferred[0],
-        reply.deferred[1],
-        reply.deferred[2],
-        reply.rollouts_deferred && this->follows_rollouts()};
+    this->record_deferral(reply);
+    auto const & kinds = this->deferred_kinds;
     if (std::find(kinds.begin(), kinds.end(), true) == kinds.end())
     {
         this->deferred_since.reset();
@@ -848,7 +860,9 @@
     if (now - *this->deferred_since >= max_deferral)
     {
         this->deferred_since.reset();
-        this->snapshot.read(kinds, read_freshness::current, [] {});
+        this->snapshot.read(std::exchange(this->deferred_kinds, {}),
+                            read_freshness::current,
+                            [] {});
         return;
     }
     this->deferral_timer.expires_after(std::chrono::duration_cast<duration>(
@@ -866,8 +880,7 @@
 void replica_sync::pull_announced()
 {
     auto const latest = std::exchange(this->announced, std::nullopt);
-    if (latest && !this->pulling &&
-        latest->versions.is_newer_than(this->replica.versions()))
+    if (latest && !this->pulling && this->may_pull_for(latest->versions))
     {
         this->pull(latest->peer, false);
     }
@@ -929,9 +942,9 @@
 
 void replica_sync::pull_from_holder()
 {
-    if (this->announced)
+    if (auto const latest = std::exchange(this->announced, std::nullopt))
     {
-        this->pull_announced();
+        this->pull(latest->peer, false);
         return;
     }
     auto nodes = this->candidates();
