State the age of a configuration also while the store is away

A node that starts is ready once it knows how old its configuration is. Nodes without contact to the store stated that age only where there are client accounts, so that a node that started beside them waited for its 2 s. long_configuration.nodes_without_contact_state_its_age_to_a_starting_node fails without the change.

--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -335,7 +335,7 @@
     reply.age = this->contact_age();
     reply.in_contact = this->has_store_contact();
     if (auto const & active = this->state.fleet.configuration();
-        active && active->requires_accounts)
+        active && (active->requires_accounts || !reply.in_contact))
     {
         reply.states_configuration_age = true;
         reply.configuration_age = this->configuration_age();
--- a/tests/src/system-gateway-long-configuration.cpp
+++ b/tests/src/system-gateway-long-configuration.cpp
@@ -174,5 +174,37 @@
     EXPECT_EQ(readiness_of(fleet, member), 200U);
 }
 
+// Otherwise it would wait for a confirmation that cannot come.
+TEST(long_configuration, nodes_without_contact_state_its_age_to_a_starting_node)
+{
+    gateway_fleet fleet;
+    fleet.start_members(3, "web");
+    fleet.store.unresponsive = true;
+    fleet.store.close_watch_connections();
+    ASSERT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            for (auto const & member : fleet.members)
+            {
+                if (member->node->replicas.has_store_contact())
+                {
+                    return false;
+                }
+            }
+            return true;
+        }));
+    auto const & seed = fleet.members[0]->node->state.settings;
+    fleet.seeds = {seed.report_listener};
+    auto & member = *fleet.members[2];
+    member.node->state.settings.seeds = fleet.seeds;
+    fleet.restart_node(member);
+    EXPECT_TRUE(fleet.run_until(
+        [&member]
+        {
+            return member.node->state.configuration_age().has_value();
+        }));
+    EXPECT_EQ(readiness_of(fleet, member), 200U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
