Log failed pulls, and send plainly what cannot be sent compressed

Cause: a pull from a node that is not the replication source failed without a log line, also if its compressed content could not be restored. A text longer than the receiver accepts, or one that could not be compressed, would have failed each pull. Change: event replica_pull_failed; such a text is sent uncompressed. No test sends a text beyond 4 MiB.

--- a/include/endivehinge/core/packed_text.hpp
+++ b/include/endivehinge/core/packed_text.hpp
@@ -11,6 +11,7 @@
 
 /// @brief compresses a text, as the differences from a similar text
 /// @param base empty: the text alone
+/// @return empty if there is no memory for the compression
 /// @note pure; thread safety: any thread
 [[nodiscard]] std::string pack_text(std::string_view text,
                                     std::string_view base);
--- a/src/core/packed_text.cpp
+++ b/src/core/packed_text.cpp
@@ -48,7 +48,6 @@
     std::string packed(ZSTD_compressBound(text.size()), '\0');
     auto const size = ZSTD_compress2(
         context.get(), packed.data(), packed.size(), text.data(), text.size());
-    // fails only without memory, and then no base is the text of any node
     packed.resize(ZSTD_isError(size) != 0 ? 0 : size);
     return packed;
 }
--- a/src/gateway/replica_exchange.cpp
+++ b/src/gateway/replica_exchange.cpp
@@ -210,7 +210,9 @@
 void replica_exchange::pack(text_history & texts, std::uint64_t base_digest)
 {
     auto const newest = texts.newest();
-    if (!newest)
+    // the receiver accepts no longer text; compression fails without memory
+    if (!newest || newest->size() > max_text_bytes ||
+        texts.packed(base_digest).empty())
     {
         return;
     }
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -739,6 +739,12 @@
             this->mark_failed(peer, detail);
             this->update_source();
         }
+        else
+        {
+            this->state.log.write(
+                "replica_pull_failed",
+                {{"peer", peer.to_string()}, {"reason", detail}});
+        }
         return;
     }
     if (!from_source)
