--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -101,7 +101,7 @@
         return json{{"hostname", "h.example"},
                     {"pathPrefix", prefix},
                     {"routeType", type},
-                    {"timeoutS", 2.0},
+                    {"timeoutS", this->route_timeout_s},
                     {"targetLatencyS", 0.5},
                     {"priority", 1},
                     {"maxAttempts", this->route_attempts},
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -93,6 +93,7 @@
     store_stand_in store;
     std::vector<std::unique_ptr<fleet_member>> members;
     int route_attempts = 2;
+    double route_timeout_s = 2.0;
     // in the settings of each new node
     double hedge_share = 0;
     // seeds in the settings of each new node
--- a/tests/src/system-gateway-stop-delivery.cpp
+++ b/tests/src/system-gateway-stop-delivery.cpp
@@ -45,6 +45,8 @@
             [this]
             {
                 this->stopped = true;
+                // as the end of the process does
+                this->fleet.members[0]->node->client_listener.abort();
             });
     }
 
@@ -135,5 +137,32 @@
     EXPECT_EQ(this->fleet.execution_count("id-2"), 0U);
 }
 
+// Responses that a target had completed were lost behind a longer one of the
+// same pipelining client when the process ended.
+TEST_F(gateway_stop_delivery, completed_response_behind_a_longer_one_is_sent)
+{
+    this->fleet.members[0]->target->request_hook =
+        [this](std::shared_ptr<detail::exchange> const & incoming)
+    {
+        if (incoming->request.target() != "/safe/long")
+        {
+            this->fleet.members[0]->target->respond(*incoming, 200);
+        }
+    };
+    this->fleet.route_timeout_s = 8.0;
+    this->fleet.configure(2, "web");
+    this->fleet.run_for(milliseconds(300));
+    this->stop();
+    this->fleet.run_for(milliseconds(500));
+    this->send("GET /safe/long HTTP/1.1\r\nHost: h.example\r\n"
+               "Request-Id: id-1\r\nDeadline-Ms: 8000\r\n\r\n"
+               "GET /safe/short HTTP/1.1\r\nHost: h.example\r\n"
+               "Request-Id: id-2\r\nDeadline-Ms: 8000\r\n\r\n");
+    auto const received = this->receive_all();
+    EXPECT_EQ(this->fleet.execution_count("id-1"), 1U);
+    bool const delivered = received.find("from i-0") != std::string::npos;
+    EXPECT_EQ(this->fleet.execution_count("id-2"), delivered ? 1U : 0U);
+}
+
 } // namespace
 } // namespace endivehinge::tests
