Answer every request before a stopping process ends

Callers that send several requests at once lost responses at a planned stop: requests that their targets had completed up to 3.4 s before, behind a longer one of the same connection, and requests that no target had seen.

Cause: a stop looked at each request by itself, and cut what was in progress at the end. Responses of a connection are sent in order.

A request that waits is refused as soon as it cannot complete any more. Responses that are not delivered and requests that are concluded have log lines.

--- a/include/endivehinge/detail/gateway/exchange.hpp
+++ b/include/endivehinge/detail/gateway/exchange.hpp
@@ -30,8 +30,21 @@
     /// response
     void on_cancel(std::function<void()> action);
 
+    /// @brief sets the action to run from time to time while the process stops,
+    /// in which the request may be answered early
+    void on_stop_review(std::function<void()> action);
+
+    /// @brief runs the action set with on_stop_review(), unless the request is
+    /// finished
+    void review_stop();
+
+    /// @brief sets the action to run if the connection ends before the response
+    /// was sent
+    void on_response_lost(std::function<void()> action);
+
     /// @brief marks the request as cancelled, since the client has
-    /// disconnected, and runs the action set with on_cancel()
+    /// disconnected, and runs the action set with on_cancel(); if it has a
+    /// response, runs the action set with on_response_lost() instead
     void cancel();
 
     /// @brief whether a response was set or the request was cancelled
@@ -45,6 +58,8 @@
 
     std::weak_ptr<server_connection> connection;
     std::function<void()> cancel_action;
+    std::function<void()> stop_review_action;
+    std::function<void()> response_lost_action;
     std::optional<response_message> response;
     bool keep_alive = true;
     bool cancelled = false;
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -90,11 +90,15 @@
     // set during a stop when no more connections are accepted; the process ends
     // once all responses are delivered
     bool ending = false;
+    // set during a stop once requests in progress are answered by the node
+    bool concluded = false;
     std::function<void()> on_stopped;
 
 private:
     void apply_configuration();
     void check_stopped();
+    /// @brief answers requests that cannot complete before the process ends
+    void review_requests(time_point now);
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -41,6 +41,13 @@
     /// connection after its next response; responses are delivered first
     void finish();
 
+    /// @brief lets requests in progress be answered early while the process
+    /// stops
+    void review_stop();
+
+    /// @brief refuses the requests that are still being received
+    void refuse_partial_requests();
+
     /// @brief stops accepting connections; open connections remain
     void close();
 
@@ -61,6 +68,9 @@
 
 private:
     void accept();
+    /// @brief calls a function with each connection; it may close connections
+    template <typename Function>
+    void for_each_connection(Function call) const;
     void check_connections();
 
     boost::asio::io_context & io;
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -43,9 +43,9 @@
                  event_log & events,
                  response_registry & responses);
 
-    [[nodiscard]] cancel_action run(dispatch_request request,
-                                    result_handler done,
-                                    silence_handler on_silence) override;
+    [[nodiscard]] control run(dispatch_request request,
+                              result_handler done,
+                              silence_handler on_silence) override;
 
     /// @brief applies a status report that a target sent to this node
     /// @return whether the report is about this target
@@ -141,6 +141,11 @@
     void start(admission_ticket ticket);
     /// @brief refuses a request that was about to start
     void abandon(admission_ticket ticket, char const * reason);
+    /// @brief cancels a request that waits or runs
+    void cancel(admission_ticket ticket);
+    /// @brief cancels a request that has not started
+    /// @return whether it was cancelled
+    [[nodiscard]] bool withdraw(admission_ticket ticket);
     void
     send(admission_ticket ticket, state_pointer const & state, bool force_new);
     void handle_call_result(admission_ticket ticket, call_result result);
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -43,9 +43,9 @@
               event_log & log,
               response_registry & responses);
 
-    [[nodiscard]] cancel_action run(dispatch_request request,
-                                    result_handler done,
-                                    silence_handler on_silence) override;
+    [[nodiscard]] control run(dispatch_request request,
+                              result_handler done,
+                              silence_handler on_silence) override;
 
     /// @brief sends a request to the node itself, not to its target
     /// @param done called once
--- a/include/endivehinge/detail/gateway/request_dispatch.hpp
+++ b/include/endivehinge/detail/gateway/request_dispatch.hpp
@@ -46,7 +46,7 @@
         // the target and the data on which its selection was based
         target_candidate candidate;
         slow_target_action slow_action = slow_target_action::decline;
-        target_runner::cancel_action cancel;
+        target_runner::control control;
         std::size_t index = 0;
         time_point started_at;
         // second attempt beside one in progress
@@ -112,6 +112,12 @@
     void arm_deadline();
     void handle_deadline();
     void handle_cancel();
+    /// @brief answers the request if it cannot complete before the process ends
+    void review_stop();
+    /// @brief sends the last answer of a target, a failure or a refusal
+    void finish_before_stop();
+    /// @brief withdraws the attempts that wait for their target
+    void withdraw_attempts();
     void cancel_attempts();
     void respond(response_message message, char const * outcome);
     /// @brief records a request that was not answered with success: its client
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -45,6 +45,13 @@
     /// @brief ends an idle connection after its last response was delivered
     void finish();
 
+    /// @brief lets requests in progress be answered early while the process
+    /// stops
+    void review_stop();
+
+    /// @brief refuses a request that is still being received
+    void refuse_partial_request();
+
     /// @brief enforces the idle, header and linger timeouts
     void check_timeouts(time_point now);
 
--- a/include/endivehinge/detail/gateway/target_runner.hpp
+++ b/include/endivehinge/detail/gateway/target_runner.hpp
@@ -16,8 +16,16 @@
     using result_handler = std::function<void(dispatch_result)>;
     // called while the request stays in flight
     using silence_handler = std::function<void()>;
-    // cancels the request; its handlers are not called afterwards
-    using cancel_action = std::function<void()>;
+
+    /// @brief controls a request after run(); its handlers are not called after
+    /// it was cancelled or withdrawn
+    struct control
+    {
+        std::function<void()> cancel;
+        // cancels the request unless it may have been sent to a target or
+        // another node; returns whether it was cancelled
+        std::function<bool()> withdraw;
+    };
 
     target_runner() = default;
     target_runner(target_runner const &) = delete;
@@ -30,9 +38,9 @@
     /// the target does not confirm that it handles the request; done may still
     /// receive any result. Not called before run() returns
     /// @note thread safety: event loop only
-    [[nodiscard]] virtual cancel_action run(dispatch_request request,
-                                            result_handler done,
-                                            silence_handler on_silence) = 0;
+    [[nodiscard]] virtual control run(dispatch_request request,
+                                      result_handler done,
+                                      silence_handler on_silence) = 0;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/exchange.hpp>
 
-#include <utility> // move
+#include <utility> // exchange, move
 
 #include <endivehinge/detail/gateway/server_connection.hpp>
 
@@ -24,6 +24,7 @@
     }
     this->response = std::move(message);
     this->cancel_action = nullptr;
+    this->stop_review_action = nullptr;
     if (auto const owner = this->connection.lock())
     {
         owner->write();
@@ -35,13 +36,42 @@
     this->cancel_action = std::move(action);
 }
 
+void exchange::on_stop_review(std::function<void()> action)
+{
+    this->stop_review_action = std::move(action);
+}
+
+void exchange::review_stop()
+{
+    // responding removes the action
+    if (auto const action = this->stop_review_action; action)
+    {
+        action();
+    }
+}
+
+void exchange::on_response_lost(std::function<void()> action)
+{
+    this->response_lost_action = std::move(action);
+}
+
 void exchange::cancel()
 {
-    if (this->is_finished())
+    if (this->response)
+    {
+        if (auto const action =
+                std::exchange(this->response_lost_action, nullptr))
+        {
+            action();
+        }
+        return;
+    }
+    if (this->cancelled)
     {
         return;
     }
     this->cancelled = true;
+    this->stop_review_action = nullptr;
     if (auto const action = std::move(this->cancel_action))
     {
         action();
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -10,10 +10,6 @@
 // the platform probes readiness every second and stops sending clients after
 // two negative responses
 constexpr duration readiness_propagation_time = std::chrono::milliseconds(2300);
-// before clients have left, for the requests of other nodes to end
-constexpr duration peer_drain_time = std::chrono::milliseconds(300);
-// time before the platform kills the process, for sending the last responses
-constexpr duration kill_safety_margin = std::chrono::milliseconds(300);
 // a client's header plus the fields that the sending node adds
 constexpr std::uint32_t peer_header_bytes = 65536;
 // longer than other nodes keep an idle connection, so that this side does not
@@ -139,17 +135,35 @@
     this->on_stopped = std::move(callback);
     this->state.stopping = true;
     this->stop_started = loop_now();
-    this->state.stop.drain_start =
-        this->stop_started + readiness_propagation_time - peer_drain_time;
-    this->state.stop.deadline = this->stop_started +
-                                this->state.settings.bounds.stop_grace -
-                                kill_safety_margin;
+    this->state.stop = stop_schedule::begin(
+        this->stop_started, this->state.settings.bounds.stop_grace);
     this->state.log.write(
         "stop_began",
         {{"requests", std::to_string(this->client_listener.pending_count())}});
     this->check_stopped();
 }
 
+void gateway_parts::review_requests(time_point now)
+{
+    if (now >= this->state.stop.conclusion && !this->concluded)
+    {
+        this->concluded = true;
+        this->state.log.write(
+            "stop_concluded",
+            {{"requests",
+              std::to_string(this->client_listener.pending_count())},
+             {"peer_requests",
+              std::to_string(this->peer_listener.pending_count())}});
+    }
+    if (this->concluded)
+    {
+        this->client_listener.refuse_partial_requests();
+        this->peer_listener.refuse_partial_requests();
+    }
+    this->client_listener.review_stop();
+    this->peer_listener.review_stop();
+}
+
 void gateway_parts::check_stopped()
 {
     auto const elapsed = loop_now() - this->stop_started;
@@ -168,6 +182,7 @@
         this->client_listener.finish();
         this->peer_listener.finish();
     }
+    this->review_requests(now);
     auto const unfinished = this->client_listener.unfinished_count() +
                             this->peer_listener.unfinished_count();
     if ((this->ending && unfinished == 0) || now >= this->state.stop.deadline)
@@ -175,6 +190,9 @@
         this->state.log.write("stop",
                               {{"requests", std::to_string(pending)},
                                {"connections", std::to_string(unfinished)}});
+        // logs the responses that were not delivered
+        this->client_listener.abort();
+        this->peer_listener.abort();
         this->on_stopped();
         return;
     }
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -69,30 +69,55 @@
     this->connection_limits = limits;
 }
 
-void http_listener::drain()
+template <typename Function>
+void http_listener::for_each_connection(Function call) const
 {
-    this->draining = true;
-    auto const now = loop_now();
     for (auto const & weak : this->connections)
     {
         if (auto const connection = weak.lock())
         {
-            connection->drain(now);
+            call(*connection);
         }
     }
 }
 
+void http_listener::drain()
+{
+    this->draining = true;
+    this->for_each_connection(
+        [now = loop_now()](auto & connection)
+        {
+            connection.drain(now);
+        });
+}
+
+void http_listener::review_stop()
+{
+    this->for_each_connection(
+        [](auto & connection)
+        {
+            connection.review_stop();
+        });
+}
+
+void http_listener::refuse_partial_requests()
+{
+    this->for_each_connection(
+        [](auto & connection)
+        {
+            connection.refuse_partial_request();
+        });
+}
+
 void http_listener::finish()
 {
     this->draining = true;
     this->close();
-    for (auto const & weak : this->connections)
-    {
-        if (auto const connection = weak.lock())
+    this->for_each_connection(
+        [](auto & connection)
         {
-            connection->finish();
-        }
-    }
+            connection.finish();
+        });
 }
 
 void http_listener::close()
@@ -104,25 +129,21 @@
 void http_listener::abort()
 {
     this->close();
-    for (auto const & weak : this->connections)
-    {
-        if (auto const connection = weak.lock())
+    this->for_each_connection(
+        [](auto & connection)
         {
-            connection->close();
-        }
-    }
+            connection.close();
+        });
 }
 
 std::size_t http_listener::pending_count() const
 {
     std::size_t sum = 0;
-    for (auto const & weak : this->connections)
-    {
-        if (auto const connection = weak.lock())
+    this->for_each_connection(
+        [&sum](auto const & connection)
         {
-            sum += connection->pending_count();
-        }
-    }
+            sum += connection.pending_count();
+        });
     return sum;
 }
 
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -62,9 +62,9 @@
 // requests
 // ---------------------------------------------------------------------------
 
-target_runner::cancel_action local_target::run(dispatch_request request,
-                                               result_handler done,
-                                               silence_handler /*on_silence*/)
+target_runner::control local_target::run(dispatch_request request,
+                                         result_handler done,
+                                         silence_handler /*on_silence*/)
 {
     auto const state = std::make_shared<request_state>();
     state->request = std::move(request);
@@ -89,10 +89,15 @@
                            state->done(refused);
                        }
                    });
-        return [state]
-        {
-            state->done = nullptr;
-        };
+        return {[state]
+                {
+                    state->done = nullptr;
+                },
+                [state]
+                {
+                    state->done = nullptr;
+                    return true;
+                }};
     }
     this->requests[ticket] = state;
     asio::post(this->io,
@@ -100,21 +105,42 @@
                {
                    this->process_queue();
                });
-    return [this, ticket]
+    return {[this, ticket]
+            {
+                this->cancel(ticket);
+            },
+            [this, ticket]
+            {
+                return this->withdraw(ticket);
+            }};
+}
+
+void local_target::cancel(admission_ticket ticket)
+{
+    auto const found = this->requests.find(ticket);
+    if (found == this->requests.end())
     {
-        auto const found = this->requests.find(ticket);
-        if (found == this->requests.end())
-        {
-            return;
-        }
-        if (found->second->connection)
-        {
-            found->second->connection->cancel();
-        }
-        this->requests.erase(found);
-        this->admission.cancel(ticket);
-        this->process_queue();
-    };
+        return;
+    }
+    if (found->second->connection)
+    {
+        found->second->connection->cancel();
+    }
+    this->requests.erase(found);
+    this->admission.cancel(ticket);
+    this->process_queue();
+}
+
+bool local_target::withdraw(admission_ticket ticket)
+{
+    auto const found = this->requests.find(ticket);
+    if (found == this->requests.end() ||
+        found->second->started_at != time_point())
+    {
+        return false;
+    }
+    this->cancel(ticket);
+    return true;
 }
 
 target_admission_verdict local_target::admit(request_state & state)
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -82,9 +82,9 @@
 {
 }
 
-target_runner::cancel_action peer_node::run(dispatch_request request,
-                                            result_handler done,
-                                            silence_handler on_silence)
+target_runner::control peer_node::run(dispatch_request request,
+                                      result_handler done,
+                                      silence_handler on_silence)
 {
     auto const sequence = ++this->last_sequence;
     request.in_flight_id = this->in_flight_id_of(sequence);
@@ -136,7 +136,7 @@
                           });
     }
     this->arm_watchdog();
-    return [this, sequence]
+    auto const cancel = [this, sequence]
     {
         auto const found = this->in_flight_requests.find(sequence);
         if (found == this->in_flight_requests.end())
@@ -149,6 +149,11 @@
         }
         this->in_flight_requests.erase(found);
     };
+    return {cancel,
+            []
+            {
+                return false;
+            }};
 }
 
 void peer_node::complete_request(std::uint64_t sequence, call_result result)
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -151,7 +151,7 @@
                        dispatch_request request)
 {
     auto const in_flight_id = request.in_flight_id;
-    auto const cancel = this->state.target.run(
+    auto const control = this->state.target.run(
         std::move(request),
         [this, incoming, in_flight_id](dispatch_result result)
         {
@@ -169,10 +169,30 @@
         },
         [] {});
     incoming->on_cancel(
-        [this, cancel, in_flight_id]
+        [this, control, in_flight_id]
         {
             this->in_flight_requests.end(in_flight_id);
-            cancel();
+            control.cancel();
+        });
+    incoming->on_stop_review(
+        [this, control, in_flight_id, &client = *incoming]
+        {
+            if (loop_now() < this->state.stop.conclusion)
+            {
+                return;
+            }
+            this->in_flight_requests.end(in_flight_id);
+            if (control.withdraw())
+            {
+                this->refuse(client, "node_stops", true);
+                return;
+            }
+            control.cancel();
+            dispatch_result unknown;
+            unknown.outcome = dispatch_outcome::indeterminate;
+            unknown.reason = "node_stops";
+            unknown.reached_target = true;
+            this->respond(client, std::move(unknown));
         });
 }
 
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -34,9 +34,6 @@
 // a request during which so many targets crashed is not retried; their reports
 // may still be on the way
 constexpr std::uint32_t max_crashed_targets = 2;
-// a request that arrives within this time before the process ends is accepted
-// only if its deadline is earlier; clients have been notified to leave by then
-constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
 // share of its time that a call of a running request may take; the rest is left
 // to the request that made it
 constexpr double usable_call_time_share = 0.7;
@@ -75,6 +72,19 @@
                 self->handle_cancel();
             }
         });
+    this->client->on_stop_review(
+        [weak = this->weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->review_stop();
+            }
+        });
+    this->client->on_response_lost(
+        [&log = this->state.log, lost = this->id]
+        {
+            log.write("response_undelivered", {{"id", lost}});
+        });
     if (this->has_configuration())
     {
         this->route_request();
@@ -233,10 +243,10 @@
     {
         return false;
     }
-    auto const end = this->state.stop.deadline;
-    bool const arrived_late = end - this->client->arrival < shutdown_margin;
-    bool const may_run_longer = this->urgency.deadline > end;
-    return arrived_late && may_run_longer;
+    return !this->state.stop.accepts_from_client(
+        this->urgency.deadline,
+        this->state.mean_service_time(*this->route),
+        this->client->arrival);
 }
 
 void request_dispatch::prepare_message()
@@ -564,7 +574,7 @@
         chosen.candidate.local
             ? static_cast<target_runner &>(this->state.target)
             : this->state.peer(entry.peer);
-    target_attempt->cancel = runner.run(
+    target_attempt->control = runner.run(
         std::move(request),
         [self = this->shared_from_this(),
          target_attempt](dispatch_result result)
@@ -832,10 +842,60 @@
 {
     for (auto const & target_attempt : this->attempts)
     {
-        if (!target_attempt->finished && target_attempt->cancel)
+        if (!target_attempt->finished && target_attempt->control.cancel)
+        {
+            target_attempt->finished = true;
+            target_attempt->control.cancel();
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------
+// stop of the process
+// ---------------------------------------------------------------------------
+
+void request_dispatch::review_stop()
+{
+    auto const now = loop_now();
+    auto const & stop = this->state.stop;
+    auto const mean_run_time = this->route != nullptr
+                                   ? this->state.mean_service_time(*this->route)
+                                   : duration(0);
+    if (!stop.can_complete(mean_run_time, now))
+    {
+        this->withdraw_attempts();
+        if (!this->progress.any_running())
+        {
+            this->finish_without_answer("node_stops", default_retry_delay);
+            return;
+        }
+    }
+    if (now >= stop.conclusion)
+    {
+        // one that is not answered would hold back the responses behind it
+        this->finish_before_stop();
+    }
+}
+
+void request_dispatch::finish_before_stop()
+{
+    if (this->fallback_response)
+    {
+        this->respond(std::move(*this->fallback_response), "failed_by_target");
+        return;
+    }
+    this->reject("node_stops", default_retry_delay);
+}
+
+void request_dispatch::withdraw_attempts()
+{
+    for (auto const & target_attempt : this->attempts)
+    {
+        if (!target_attempt->finished && target_attempt->control.withdraw &&
+            target_attempt->control.withdraw())
         {
             target_attempt->finished = true;
-            target_attempt->cancel();
+            this->progress.record_refusal(target_attempt->index, false);
         }
     }
 }
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -139,6 +139,23 @@
     }
 }
 
+void server_connection::review_stop()
+{
+    auto const reviewed = this->pending_exchanges;
+    for (auto const & request : reviewed)
+    {
+        request->review_stop();
+    }
+}
+
+void server_connection::refuse_partial_request()
+{
+    if (this->accepts_requests && this->request_started)
+    {
+        this->reject(http::error::partial_message);
+    }
+}
+
 bool server_connection::is_open() const
 {
     return this->socket.is_open();
