Serve clients that end their sending side, absolute targets and empty lines

Callers that shut down their sending side after a request got no answer, a target in absolute form got 404, an empty line ahead of a request 400 (RFC 9112, sections 3.2.2 and 2.2).

Cause: the end of the client's bytes was taken for a client that has left. The two cannot be told apart by what is received.

Change: an interim response, which HTTP/1.1 clients ignore, is sent to such a client; one that has closed its connection answers with a reset, and its requests are cancelled within 50 ms and a round trip. Only for connections of clients, HTTP/1.0 excepted. Absolute targets are replaced by their path, and their authority becomes the Host field. Up to eight empty lines are ignored.

--- a/include/endivehinge/detail/gateway/http_types.hpp
+++ b/include/endivehinge/detail/gateway/http_types.hpp
@@ -32,6 +32,11 @@
     return {text.data(), text.size()};
 }
 
+/// @brief replaces a target in absolute form (`http://host/path`) by its path
+/// and query, and the Host field by its authority (RFC 9112, section 3.2.2)
+/// @note thread safety: none; the caller owns the message
+void convert_to_origin_form(request_message & message);
+
 /// @brief removes the hop-by-hop header fields, which apply to one connection
 /// only, and the fields that the Connection field lists
 /// @note thread safety: none; the caller owns the fields
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -7,6 +7,7 @@
 #include <optional> // optional
 
 #include <boost/asio/ip/tcp.hpp>            // tcp
+#include <boost/asio/steady_timer.hpp>      // steady_timer
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
 #include <boost/beast/http/parser.hpp>      // request_parser
 
@@ -87,6 +88,15 @@
     void start_parser();
     void handle_request();
     void send_continue();
+    void write_continue();
+    /// @brief discards empty lines ahead of a request
+    /// @return whether more bytes are needed to tell
+    [[nodiscard]] bool skip_empty_lines();
+    /// @brief continues with the responses after the client ended its sending
+    /// side
+    void handle_end_of_requests();
+    /// @brief closes the connection once the client has closed it
+    void watch_for_reset();
     void reject(boost::system::error_code error);
     void write();
     void handle_write(boost::system::error_code error);
@@ -107,6 +117,10 @@
     bool write_pending = false;
     bool continue_sent = false;
     bool lingering = false;
+    // the client ended its sending side
+    bool half_closed = false;
+    std::size_t empty_lines = 0;
+    std::optional<boost::asio::steady_timer> reset_timer;
     std::size_t last_undelivered = 0;
     std::deque<std::shared_ptr<exchange>> pending_exchanges;
     time_point last_activity;
--- a/include/endivehinge/detail/gateway/server_limits.hpp
+++ b/include/endivehinge/detail/gateway/server_limits.hpp
@@ -19,6 +19,8 @@
     duration idle_timeout = std::chrono::seconds(15);
     // requests in progress per connection; reading pauses at this limit
     std::size_t max_pipelined_requests = 16;
+    // whether a client that ends its sending side still gets its responses
+    bool accepts_half_close = false;
     // limits the file descriptors of one listener; further connections are
     // closed
     std::size_t max_connections = 2000;
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -39,6 +39,7 @@
     {
         limits.idle_timeout = configured_limits.idle_timeout;
     }
+    limits.accepts_half_close = true;
     return limits;
 }
 
--- a/src/gateway/http_types.cpp
+++ b/src/gateway/http_types.cpp
@@ -1,7 +1,9 @@
 #include <endivehinge/detail/gateway/http_types.hpp>
 
-#include <string> // string
-#include <vector> // vector
+#include <algorithm>   // min
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
 
 #include <boost/beast/http/rfc7230.hpp> // token_list
 
@@ -10,6 +12,23 @@
 
 namespace http = boost::beast::http;
 
+void convert_to_origin_form(request_message & message)
+{
+    constexpr char const * scheme_end = "://";
+    std::string const target(message.target());
+    auto const scheme = target.find(scheme_end);
+    if (target.empty() || target.front() == '/' || scheme == std::string::npos)
+    {
+        return;
+    }
+    auto const authority = scheme + std::string_view(scheme_end).size();
+    auto const path =
+        std::min(target.find_first_of("/?", authority), target.size());
+    message.set(http::field::host, target.substr(authority, path - authority));
+    bool const has_path = path < target.size() && target[path] == '/';
+    message.target((has_path ? "" : "/") + target.substr(path));
+}
+
 void remove_connection_fields(header_fields & fields)
 {
     std::vector<std::string> listed_fields;
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -3,6 +3,7 @@
 #include <utility> // move
 
 #include <linux/sockios.h> // SIOCOUTQ
+#include <poll.h>          // poll
 #include <sys/ioctl.h>     // ioctl
 
 #include <boost/asio/buffer.hpp>      // buffer
@@ -36,6 +37,11 @@
 // be about to send one. It spans many round trips, so that after it everything
 // has arrived that a client sent before it saw the end of its connection.
 constexpr duration recent_use_time = std::chrono::milliseconds(200);
+// RFC 9112, section 2.2: at least one empty line ahead of a request is ignored
+constexpr std::size_t max_empty_lines = 8;
+// a request whose client has left is cancelled within this time and a round
+// trip
+constexpr duration reset_check_interval = std::chrono::milliseconds(50);
 
 response_message empty_response(http::status status)
 {
@@ -208,7 +214,7 @@
 
 void server_connection::read()
 {
-    if (this->read_pending || !this->socket.is_open())
+    if (this->read_pending || this->half_closed || !this->socket.is_open())
     {
         return;
     }
@@ -243,6 +249,13 @@
                                     std::size_t size)
 {
     this->read_pending = false;
+    if (error == asio::error::eof &&
+        this->connection_limits.accepts_half_close &&
+        !this->pending_exchanges.empty())
+    {
+        this->handle_end_of_requests();
+        return;
+    }
     if (error)
     {
         this->close();
@@ -259,6 +272,69 @@
     this->parse();
 }
 
+bool server_connection::skip_empty_lines()
+{
+    auto const * const bytes =
+        static_cast<char const *>(this->buffer.data().data());
+    if (bytes[0] != '\r' || this->empty_lines >= max_empty_lines)
+    {
+        return false;
+    }
+    if (this->buffer.size() == 1)
+    {
+        return true;
+    }
+    if (bytes[1] != '\n')
+    {
+        return false;
+    }
+    this->empty_lines += 1;
+    this->buffer.consume(2);
+    return this->buffer.size() == 0 || this->skip_empty_lines();
+}
+
+void server_connection::handle_end_of_requests()
+{
+    this->half_closed = true;
+    this->accepts_requests = false;
+    auto const & front = *this->pending_exchanges.front();
+    if (front.request.version() < 11)
+    {
+        // an interim response cannot tell whether this client has left
+        this->close();
+        return;
+    }
+    if (!this->write_pending)
+    {
+        // a client that has closed its connection answers with a reset
+        this->write_continue();
+    }
+    this->watch_for_reset();
+}
+
+void server_connection::watch_for_reset()
+{
+    pollfd state{this->socket.native_handle(), 0, 0};
+    if (::poll(&state, 1, 0) > 0)
+    {
+        this->close();
+        return;
+    }
+    if (!this->reset_timer)
+    {
+        this->reset_timer.emplace(this->socket.get_executor());
+    }
+    this->reset_timer->expires_after(reset_check_interval);
+    this->reset_timer->async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error)
+        {
+            if (!error && self->socket.is_open())
+            {
+                self->watch_for_reset();
+            }
+        });
+}
+
 void server_connection::parse()
 {
     while (this->accepts_requests && this->buffer.size() > 0)
@@ -268,8 +344,13 @@
         {
             return;
         }
+        if (!this->request_started && this->skip_empty_lines())
+        {
+            break;
+        }
         if (!this->request_started)
         {
+            this->empty_lines = 0;
             this->request_started = true;
             this->request_start = loop_now();
         }
@@ -302,8 +383,10 @@
 void server_connection::handle_request()
 {
     bool const keep_alive = this->parser->keep_alive();
+    auto message = this->parser->release();
+    convert_to_origin_form(message);
     auto const incoming = std::make_shared<exchange>(
-        this->weak_from_this(), this->parser->release(), loop_now());
+        this->weak_from_this(), std::move(message), loop_now());
     incoming->keep_alive = keep_alive;
     this->accepts_requests = keep_alive;
     this->start_parser();
@@ -320,6 +403,11 @@
         return;
     }
     this->continue_sent = true;
+    this->write_continue();
+}
+
+void server_connection::write_continue()
+{
     static std::string const continue_response =
         "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(this->socket,
@@ -368,9 +456,10 @@
     this->write_pending = true;
     auto const front = this->pending_exchanges.front();
     // requests behind this one may be running already
-    bool const drained = this->draining && this->pending_exchanges.size() == 1;
+    bool const is_last = (this->draining || this->half_closed) &&
+                         this->pending_exchanges.size() == 1;
     bool const keep_alive =
-        front->keep_alive && !drained && front->response->keep_alive();
+        front->keep_alive && !is_last && front->response->keep_alive();
     front->keep_alive = keep_alive;
     if (!keep_alive || this->draining)
     {
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -599,6 +599,64 @@
                           }));
 }
 
+TEST(server_connection, client_that_ends_its_sending_side_gets_its_responses)
+{
+    server_limits limits;
+    limits.accepts_half_close = true;
+    raw_client client(limits);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(client.wait_for_requests(2));
+    client.socket.shutdown(tcp::socket::shutdown_send);
+    client.io.run_for(milliseconds(300));
+    EXPECT_EQ(client.handler.cancelled, 0U);
+    client.handler.respond(1, "second");
+    client.handler.respond(0, "first.");
+    auto const received = client.read_until("connection ends");
+    EXPECT_LT(received.find("first."), received.find("second"));
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
+TEST(server_connection, client_that_closes_cancels_where_half_close_is_accepted)
+{
+    server_limits limits;
+    limits.accepts_half_close = true;
+    raw_client client(limits);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(client.wait_for_requests(1));
+    client.socket.close();
+    client.io.run_for(milliseconds(200));
+    EXPECT_EQ(client.handler.cancelled, 1U);
+}
+
+TEST(server_connection, target_in_absolute_form_is_replaced_by_its_path)
+{
+    raw_client client;
+    client.send("GET http://app.example:80/a/1?b=c HTTP/1.1\r\n"
+                "Host: other\r\n\r\n"
+                "GET HTTP://app.example HTTP/1.1\r\nHost: other\r\n\r\n"
+                "GET /a?u=http://x/ HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(client.wait_for_requests(3));
+    auto const & first = client.handler.exchanges[0]->request;
+    EXPECT_EQ(std_view(first.target()), "/a/1?b=c");
+    EXPECT_EQ(std_view(first[http::field::host]), "app.example:80");
+    auto const & second = client.handler.exchanges[1]->request;
+    EXPECT_EQ(std_view(second.target()), "/");
+    EXPECT_EQ(std_view(second[http::field::host]), "app.example");
+    auto const & third = client.handler.exchanges[2]->request;
+    EXPECT_EQ(std_view(third.target()), "/a?u=http://x/");
+    EXPECT_EQ(std_view(third[http::field::host]), "h");
+}
+
+TEST(server_connection, empty_lines_ahead_of_a_request_are_ignored)
+{
+    raw_client client;
+    client.send("\r\nGET /1 HTTP/1.1\r\nHost: h\r\n\r\n\r\n\r");
+    ASSERT_TRUE(client.wait_for_requests(1));
+    client.send("\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(client.wait_for_requests(2));
+}
+
 TEST(server_connection, accepts_chunked_body)
 {
     raw_client client;
