Count every byte of a message, and reserve nothing for a stated length

Callers lost all requests of a node when one target sent a chunk extension, trailer fields or a body of a huge stated length without end: the process grew to 591 MB, or ended with std::bad_alloc.

Cause: Boost.Beast limits the header and the body, but neither the line between two chunks nor the trailer. Its eager parser goes on after an error in the header if body bytes follow, so that the limit on a stated length did not hold, and string_body reserves what is stated. No handler of the event loop caught exceptions.

Change: message_parser is the one place for messages of targets, clients, nodes and the store: it parses the header alone first, limits what is not consumed and all framing bytes, and its body grows with what arrives. An exception in a call fails that call; one that reaches the event loop is logged and the loop goes on.

--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -9,10 +9,10 @@
 #include <boost/asio/ip/tcp.hpp>            // tcp
 #include <boost/asio/steady_timer.hpp>      // steady_timer
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
-#include <boost/beast/http/parser.hpp>      // response_parser
 
 #include <endivehinge/detail/gateway/call_options.hpp>
 #include <endivehinge/detail/gateway/call_result.hpp>
+#include <endivehinge/detail/gateway/message_parser.hpp>
 #include <endivehinge/detail/gateway/response_matcher.hpp>
 #include <endivehinge/detail/gateway/upstream_options.hpp>
 
@@ -60,9 +60,6 @@
     [[nodiscard]] bool is_expired(time_point now) const;
 
 private:
-    using response_parser =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     void connect();
     void handle_connect(boost::system::error_code error);
     void configure_socket();
@@ -70,6 +67,7 @@
     void read();
     void handle_readable(boost::system::error_code error);
     void handle_read(boost::system::error_code error, std::size_t size);
+    void handle_bytes(std::size_t size);
     void parse();
     void start_parser();
     /// @brief accounts for the memory of the response in progress
@@ -93,7 +91,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
     boost::beast::flat_buffer buffer;
-    std::optional<response_parser> parser;
+    std::optional<message_parser<false>> parser;
     request_message request;
     call_options request_options;
     result_handler completion_handler;
--- a/include/endivehinge/detail/gateway/gateway.hpp
+++ b/include/endivehinge/detail/gateway/gateway.hpp
@@ -40,6 +40,8 @@
     [[nodiscard]] bool run(failure & reason);
 
 private:
+    /// @brief runs the event loop; an exception ends only its handler
+    void run_loop();
     void handle_signal();
     void reload();
 
--- a/include/endivehinge/detail/gateway/server_connection.hpp
+++ b/include/endivehinge/detail/gateway/server_connection.hpp
@@ -9,9 +9,9 @@
 #include <boost/asio/ip/tcp.hpp>            // tcp
 #include <boost/asio/steady_timer.hpp>      // steady_timer
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
-#include <boost/beast/http/parser.hpp>      // request_parser
 
 #include <endivehinge/detail/gateway/exchange.hpp>
+#include <endivehinge/detail/gateway/message_parser.hpp>
 #include <endivehinge/detail/gateway/request_handler.hpp>
 #include <endivehinge/detail/gateway/server_limits.hpp>
 
@@ -69,9 +69,6 @@
 private:
     friend class exchange;
 
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     /// @brief whether no request is being received, in progress or being
     /// answered
     [[nodiscard]] bool is_idle() const;
@@ -110,7 +107,7 @@
     // while set, the response to the last pending request closes the connection
     bool const & draining;
     boost::beast::flat_buffer buffer;
-    std::optional<request_parser> parser;
+    std::optional<message_parser<true>> parser;
     bool request_started = false;
     bool read_pending = false;
     bool accepts_requests = true;
--- a/include/endivehinge/detail/gateway/upstream_options.hpp
+++ b/include/endivehinge/detail/gateway/upstream_options.hpp
@@ -2,7 +2,7 @@
 #define ENDIVEHINGE_DETAIL_GATEWAY_UPSTREAM_OPTIONS_HPP
 
 #include <cstddef> // size_t
-#include <cstdint> // uint64_t
+#include <cstdint> // uint32_t, uint64_t
 
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
@@ -20,6 +20,8 @@
     duration unacknowledged_timeout = std::chrono::milliseconds(1500);
     // active and idle connections
     std::size_t max_connections = 128;
+    // status line and header fields; a longer header fails the call
+    std::uint32_t max_header_bytes = 16384;
     // body size; a larger response fails the call
     std::uint64_t max_response_bytes = 67108864;
     // limits the memory of responses in progress on all connections of the
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>  // setsockopt
 
 #include <algorithm> // min
+#include <exception> // exception
 #include <string>    // string
 #include <utility>   // exchange, move
 
@@ -15,6 +16,7 @@
 #include <boost/beast/http/error.hpp> // error
 #include <boost/beast/http/write.hpp> // async_write
 
+#include <endivehinge/detail/gateway/deferred_exception.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/read_buffer.hpp>
 
@@ -171,9 +173,7 @@
 void client_connection::write()
 {
     this->send_started = true;
-    this->parser->skip(this->request.method() == http::verb::head);
-    this->parser->body_limit(this->request_options.max_response_bytes.value_or(
-        this->connection_options.max_response_bytes));
+    this->start_parser();
     http::async_write(this->socket,
                       this->request,
                       [self = this->shared_from_this()](
@@ -232,14 +232,12 @@
     }
     if (!error)
     {
-        this->buffer.commit(size);
-        static_cast<void>(this->extend_deadline());
-        this->parse();
+        this->handle_bytes(size);
         return;
     }
     if (error == asio::error::eof && this->request_active &&
         this->response_started && this->parser->is_header_done() &&
-        !this->parser->content_length().has_value() && !this->parser->chunked())
+        this->parser->needs_eof())
     {
         // a response without a length extends to the end of the connection
         boost::system::error_code parse_error;
@@ -255,6 +253,22 @@
                "read: " + error.message());
 }
 
+void client_connection::handle_bytes(std::size_t size)
+{
+    try
+    {
+        this->buffer.commit(size);
+        static_cast<void>(this->extend_deadline());
+        this->parse();
+    }
+    catch (std::exception const & error)
+    {
+        rethrow_from_loop(this->socket.get_executor());
+        this->fail(call_status::connection_lost,
+                   std::string("exception: ") + error.what());
+    }
+}
+
 void client_connection::parse()
 {
     while (!this->closed && this->buffer.size() > 0)
@@ -271,9 +285,7 @@
             this->response_start = loop_now();
         }
         boost::system::error_code error;
-        std::size_t const consumed =
-            this->parser->put(this->buffer.data(), error);
-        this->buffer.consume(consumed);
+        this->parser->put(this->buffer, error);
         if (!this->record_memory())
         {
             return;
@@ -288,20 +300,9 @@
                        "parse: " + error.message());
             return;
         }
-        if (this->parser->is_done())
-        {
-            this->handle_response();
-            if (this->request_active)
-            {
-                // the handler sent another request, or a response to an earlier
-                // request was dropped
-                continue;
-            }
-        }
-        else if (consumed == 0)
-        {
-            break;
-        }
+        // afterwards the loop continues with the response of another request,
+        // if the handler sent one or this response was dropped
+        this->handle_response();
     }
     this->read();
 }
@@ -309,7 +310,7 @@
 bool client_connection::record_memory()
 {
     auto * const responses = this->connection_options.responses;
-    auto const bytes = this->parser->get().body().capacity();
+    auto const bytes = this->parser->body_memory() + this->buffer.capacity();
     if (responses == nullptr || bytes < min_accounted_bytes)
     {
         return true;
@@ -342,9 +343,14 @@
 
 void client_connection::start_parser()
 {
-    this->parser.emplace();
-    this->parser->eager(true);
-    this->parser->body_limit(this->connection_options.max_response_bytes);
+    this->parser.emplace(
+        message_limits{this->connection_options.max_header_bytes,
+                       this->request_options.max_response_bytes.value_or(
+                           this->connection_options.max_response_bytes)});
+    if (this->request.method() == http::verb::head)
+    {
+        this->parser->skip_body();
+    }
 }
 
 void client_connection::handle_response()
@@ -352,7 +358,6 @@
     bool const keep_alive = this->parser->keep_alive();
     response_message message = this->parser->release();
     this->start_parser();
-    this->parser->skip(this->request.method() == http::verb::head);
     if (!this->matcher.accept(this->request_options, message, loop_now()))
     {
         this->dropped_responses += 1;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/gateway.hpp>
 
-#include <csignal> // SIGHUP, SIGINT, SIGPIPE, SIGTERM, signal
+#include <csignal>   // SIGHUP, SIGINT, SIGPIPE, SIGTERM, signal
+#include <exception> // exception
 
 #include <endivehinge/detail/gateway/gateway_parts.hpp>
 
@@ -32,10 +33,28 @@
     this->signals.add(SIGINT);
     this->signals.add(SIGHUP);
     this->handle_signal();
-    this->loop.run();
+    this->run_loop();
     return true;
 }
 
+void gateway::run_loop()
+{
+    for (;;)
+    {
+        try
+        {
+            this->loop.run();
+            return;
+        }
+        catch (std::exception const & error)
+        {
+            this->parts->state.metrics.increment("exceptions");
+            this->parts->state.log.write("exception",
+                                         {{"reason", error.what()}});
+        }
+    }
+}
+
 void gateway::handle_signal()
 {
     this->signals.async_wait(
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -39,6 +39,8 @@
 constexpr duration response_arrival_limit = 2 * silence_limit;
 // concurrent requests to one node; limits file descriptors
 constexpr std::size_t max_peer_connections = 256;
+// a target's header plus the fields that the node beside it adds
+constexpr std::uint32_t max_peer_header_bytes = 32768;
 // how long an entry is taken to be out of date after its address stated so; the
 // store removes it within this time
 constexpr duration disproved_time = std::chrono::seconds(60);
@@ -50,6 +52,7 @@
 upstream_options peer_options(response_registry & responses)
 {
     upstream_options options;
+    options.max_header_bytes = max_peer_header_bytes;
     options.responses = &responses;
     options.idle_timeout = idle_timeout;
     options.max_connections = max_peer_connections;
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/server_connection.hpp>
 
-#include <utility> // move
+#include <exception> // exception
+#include <utility>   // move
 
 #include <linux/sockios.h> // SIOCOUTQ
 #include <poll.h>          // poll
@@ -12,6 +13,7 @@
 #include <boost/beast/http/error.hpp> // error
 #include <boost/beast/http/write.hpp> // async_write
 
+#include <endivehinge/detail/gateway/deferred_exception.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
 #include <endivehinge/detail/gateway/read_buffer.hpp>
 
@@ -204,10 +206,8 @@
 
 void server_connection::start_parser()
 {
-    this->parser.emplace();
-    this->parser->eager(true);
-    this->parser->header_limit(this->connection_limits.header_bytes);
-    this->parser->body_limit(this->connection_limits.body_bytes);
+    this->parser.emplace(message_limits{this->connection_limits.header_bytes,
+                                        this->connection_limits.body_bytes});
     this->request_started = false;
     this->continue_sent = false;
 }
@@ -269,7 +269,15 @@
         return;
     }
     this->buffer.commit(size);
-    this->parse();
+    try
+    {
+        this->parse();
+    }
+    catch (std::exception const &)
+    {
+        rethrow_from_loop(this->socket.get_executor());
+        this->close();
+    }
 }
 
 bool server_connection::skip_empty_lines()
@@ -355,9 +363,7 @@
             this->request_start = loop_now();
         }
         boost::system::error_code error;
-        std::size_t const consumed =
-            this->parser->put(this->buffer.data(), error);
-        this->buffer.consume(consumed);
+        this->parser->put(this->buffer, error);
         if (error == http::error::need_more)
         {
             break;
@@ -367,14 +373,7 @@
             this->reject(error);
             return;
         }
-        if (this->parser->is_done())
-        {
-            this->handle_request();
-        }
-        else if (consumed == 0)
-        {
-            break;
-        }
+        this->handle_request();
     }
     this->send_continue();
     this->read();
@@ -391,14 +390,22 @@
     this->accepts_requests = keep_alive;
     this->start_parser();
     this->pending_exchanges.push_back(incoming);
-    this->handler.handle(incoming);
+    try
+    {
+        this->handler.handle(incoming);
+    }
+    catch (std::exception const &)
+    {
+        rethrow_from_loop(this->socket.get_executor());
+        incoming->respond(empty_response(http::status::internal_server_error));
+    }
 }
 
 void server_connection::send_continue()
 {
     if (!this->request_started || this->continue_sent ||
         !this->pending_exchanges.empty() || !this->parser->is_header_done() ||
-        this->parser->get()[http::field::expect].empty())
+        this->parser->header()[http::field::expect].empty())
     {
         return;
     }
