--- a/tests/src/gateway/fault_relay.cpp
+++ b/tests/src/gateway/fault_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // remove_if
 #include <array>     // array
+#include <string>    // string
 #include <utility>   // exchange, move
 
 #include <boost/asio/steady_timer.hpp> // steady_timer
@@ -77,6 +78,7 @@
 
         boost::asio::steady_timer timer;
         std::array<char, chunk_bytes> bytes{};
+        std::string text;
     };
 
     void read(direction_state & direction)
@@ -105,17 +107,23 @@
             this->read(direction);
             return;
         }
+        direction.text.assign(direction.bytes.data(), size);
+        if (!is_to_server && this->faults->rewrite_to_client)
+        {
+            direction.text =
+                this->faults->rewrite_to_client(std::move(direction.text));
+        }
         direction.timer.expires_after(is_to_server
                                           ? this->faults->delay_to_server
                                           : this->faults->delay_to_client);
         direction.timer.async_wait(
-            [self = this->shared_from_this(), &direction, is_to_server, size](
+            [self = this->shared_from_this(), &direction, is_to_server](
                 error_code)
             {
                 auto & sink = is_to_server ? self->server : self->client;
                 boost::asio::async_write(
                     sink,
-                    boost::asio::buffer(direction.bytes.data(), size),
+                    boost::asio::buffer(direction.text),
                     [self, &direction](error_code error, std::size_t)
                     {
                         error ? self->reset() : self->read(direction);
--- a/tests/src/gateway/fault_relay.hpp
+++ b/tests/src/gateway/fault_relay.hpp
@@ -1,8 +1,10 @@
 #ifndef ENDIVEHINGE_TESTS_GATEWAY_FAULT_RELAY_HPP
 #define ENDIVEHINGE_TESTS_GATEWAY_FAULT_RELAY_HPP
 
-#include <memory> // enable_shared_from_this, shared_ptr, weak_ptr
-#include <vector> // vector
+#include <functional> // function
+#include <memory>     // enable_shared_from_this, shared_ptr, weak_ptr
+#include <string>     // string
+#include <vector>     // vector
 
 #include <boost/asio/io_context.hpp> // io_context
 #include <boost/asio/ip/tcp.hpp>     // tcp
@@ -22,6 +24,8 @@
     // discard bytes sent in this direction; the connection stays open
     bool drop_to_server = false;
     bool drop_to_client = false;
+    // replaces the bytes of the server; not used if empty
+    std::function<std::string(std::string)> rewrite_to_client;
 };
 
 /// @brief a TCP relay in front of a server that injects network faults
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -59,6 +59,12 @@
         settings.target_address = member->target_link->address();
     }
     settings.store = this->store.address();
+    if (this->use_store_relays)
+    {
+        member->store_link = std::make_unique<fault_relay>(
+            this->io, endpoint{"127.0.0.1", 0}, settings.store);
+        settings.store = member->store_link->address();
+    }
     settings.seeds = this->seeds;
     settings.hedge_share = this->hedge_share;
     settings.bounds.retry_burst = 100;
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -27,6 +27,8 @@
     // relay between node and target, if use_target_relays is set
     std::unique_ptr<fault_relay> target_link;
     std::unique_ptr<detail::gateway_parts> node;
+    // relay between node and store, if use_store_relays is set
+    std::unique_ptr<fault_relay> store_link;
     // what the target states in its reports
     std::string version = "v1";
 };
@@ -108,6 +110,8 @@
     std::optional<detail::rollout_bounds> rollouts;
     // puts a relay between each new node and its target
     bool use_target_relays = false;
+    // puts a relay between each new node and the store
+    bool use_store_relays = false;
 
 private:
     /// @brief reserves a port by keeping a socket bound to it, so that no
