Keep connections that are at their limit of requests in progress

Callers with 16 requests in progress on one connection lost all of them once they sent another: the connection ended without an answer.

Cause: at the limit a connection does not read, and while no response is being written nothing refers to it; the listener held it weakly, so that it was destroyed.

Change: the listener owns its connections until they are closed. It accepts the next one, and arms its check, before it handles the present one, so that an exception there ends neither.

Result: server_connection.requests_beyond_the_pipelining_limit_lose_no_response failed before (no fifth request at a limit of four) and passes.

--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -79,7 +79,9 @@
     boost::asio::steady_timer check_timer;
     server_limits connection_limits;
     bool draining = false;
-    std::vector<std::weak_ptr<server_connection>> connections;
+    // keeps connections that wait neither for bytes nor for a response to be
+    // sent
+    std::vector<std::shared_ptr<server_connection>> connections;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -72,12 +72,9 @@
 template <typename Function>
 void http_listener::for_each_connection(Function call) const
 {
-    for (auto const & weak : this->connections)
+    for (auto const & connection : this->connections)
     {
-        if (auto const connection = weak.lock())
-        {
-            call(*connection);
-        }
+        call(*connection);
     }
 }
 
@@ -153,10 +150,9 @@
     return static_cast<std::size_t>(
         std::count_if(this->connections.begin(),
                       this->connections.end(),
-                      [now](auto const & weak)
+                      [now](auto const & connection)
                       {
-                          auto const connection = weak.lock();
-                          return connection && !connection->is_finished(now);
+                          return !connection->is_finished(now);
                       }));
 }
 
@@ -186,6 +182,8 @@
                     });
                 return;
             }
+            // first, so that an exception does not end the listener
+            this->accept();
             if (this->connections.size() <
                 this->connection_limits.max_connections)
             {
@@ -197,30 +195,11 @@
                 this->connections.push_back(connection);
                 connection->start();
             }
-            this->accept();
         });
 }
 
 void http_listener::check_connections()
 {
-    auto const now = loop_now();
-    for (auto const & weak : this->connections)
-    {
-        if (auto const connection = weak.lock();
-            connection && connection->is_open())
-        {
-            connection->check_timeouts(now);
-        }
-    }
-    auto const closed =
-        std::remove_if(this->connections.begin(),
-                       this->connections.end(),
-                       [](auto const & weak)
-                       {
-                           auto const connection = weak.lock();
-                           return !connection || !connection->is_open();
-                       });
-    this->connections.erase(closed, this->connections.end());
     this->check_timer.expires_after(timeout_check_interval);
     this->check_timer.async_wait(
         [this](boost::system::error_code error)
@@ -230,6 +209,22 @@
                 this->check_connections();
             }
         });
+    auto const now = loop_now();
+    this->for_each_connection(
+        [now](auto & connection)
+        {
+            if (connection.is_open())
+            {
+                connection.check_timeouts(now);
+            }
+        });
+    auto const closed = std::remove_if(this->connections.begin(),
+                                       this->connections.end(),
+                                       [](auto const & connection)
+                                       {
+                                           return !connection->is_open();
+                                       });
+    this->connections.erase(closed, this->connections.end());
 }
 
 } // namespace endivehinge::detail
--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -586,6 +586,29 @@
     EXPECT_LT(received.find("first."), received.find("second"));
 }
 
+// A connection at its limit of requests in progress had no pending operation,
+// and ended with all of them.
+TEST(server_connection, requests_beyond_the_pipelining_limit_lose_no_response)
+{
+    server_limits limits;
+    limits.max_pipelined_requests = 4;
+    raw_client client(limits);
+    constexpr std::size_t requests = 10;
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    ASSERT_TRUE(client.wait_for_requests(limits.max_pipelined_requests));
+    client.io.run_for(milliseconds(50));
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        ASSERT_TRUE(client.wait_for_requests(i + 1));
+        client.handler.respond(i, "response-" + std::to_string(i) + ";");
+    }
+    EXPECT_NE(client.read_until("response-9;").find("response-9;"),
+              std::string::npos);
+}
+
 TEST(server_connection, cancels_requests_when_client_disconnects)
 {
     raw_client client;
