Review: a sounder worker in the scripts, and what case 6 rests on

The worker bounds what it runs, queues and sheds, stops at the time limit, is cold after its start and says that it leaves. One of three workers of the service is taken away, and the control looks at all workers.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -13,7 +13,8 @@
 REUSE_AFTER_S = 2.0   # bound reuseAfterS
 SIGTERM_AFTER_S = 1.0  # after the worker has ended
 INTERVAL_S = 0.02     # between the requests of a client
-SERVICES = ("seats", "seats", "routes", "payouts", "payouts", "routes")
+SERVICES = ("seats", "seats", "routes", "payouts", "payouts", "routes",
+            "seats")
 
 
 class Client:
@@ -96,8 +97,10 @@
         await asyncio.sleep(REUSE_AFTER_S + 0.2)
         other = stand_ins.Worker(lab.record, machine, "payouts")
         other.work_s = 0.2
+        other.cold_until = stand_ins.now() + lab.COLD_START_S
         await other.open()
         other.start_reports()
+        workers.append(other)
         lab.record.write("the address of the worker goes to", other.id,
                          "of payouts")
     await stopping
@@ -105,15 +108,23 @@
     for client in clients:
         client.stop()
     await asyncio.sleep(1.5)
-    ran = [identity for _, identity in other.runs] if other else []
+    # at any worker of the deployment
+    owned = {k for client in clients for k in client.answers}
+    ran = [(at, identity) for w in workers if w.service != "seats"
+           for at, identity in w.runs if identity in owned]
+    right = sum(identity in owned for w in workers if w.service == "seats"
+                for _, identity in w.runs)
     answers = {k: v for client in clients for k, v in client.answers.items()}
-    told = sum(answers.get(identity) == 200 for identity in ran)
-    lab.record.write("bookings for seats run by payouts:", len(ran),
+    told = sum(answers[identity] == 200 for _, identity in ran)
+    first = round(min(ran)[0] - ended, 2) if ran else "-"
+    lab.record.write("bookings for seats run by seats:", right,
+                     "- by another service:", len(ran),
                      "- answered to the client with 200:", told,
-                     "- first", round(other.runs[0][0] - ended, 2) if ran
-                     else "-", "s after the end of the worker")
-    print(len(ran), "bookings for seats were run by payouts,", told,
-          "answered with 200")
-    return not ran
+                     "- first", first, "s after the end of the worker",
+                     "- most at once at a worker:",
+                     max(w.most_running for w in workers))
+    print(right, "bookings for seats were run by seats,", len(ran),
+          "by another service,", told, "of these answered with 200")
+    return not ran and right > 0
 
 stand_ins.main(HERE, play)
--- a/review/stand-ins/lab.py
+++ b/review/stand-ins/lab.py
@@ -76,7 +76,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-STATUS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
+STATUS = {200: "OK", 504: "Gateway Timeout", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
           410: "Gone", 421: "Misdirected Request",
           503: "Service Unavailable"}
 
@@ -225,9 +225,14 @@
 # ---------------------------------------------------------------------------
 
 class Worker:
-    """A sound worker: runs what it is sent, unless it is for another id."""
+    """A sound worker. It runs `slots` requests at once, queues a few more and
+    sheds the rest, stops at the time limit that it is given, answers 421 if
+    another id is expected, and says on its health path and with `Connection:
+    close` that it leaves."""
 
-    def __init__(self, record, machine, service, slots=16):
+    QUEUE = 48
+
+    def __init__(self, record, machine, service, slots=12):
         self.record = record
         self.machine = machine
         self.service = service
@@ -238,8 +243,12 @@
         self.state = "ready"
         self.left = False          # it has said that it leaves
         self.running = 0
+        self.most_running = 0
+        self.waiting = []          # futures of queued requests
         self.runs = []             # (time, request id)
         self.work_s = 0.02
+        self.cold_until = 0.0
+        self.cold_probes = 0       # health answers that bore Cold-Ms
         self.beating = None
         self.server = None
         self.writers = set()
@@ -258,22 +267,38 @@
         self.record.write("worker", self.id, "ended")
 
     def load(self):
-        return ("Server-Load",
-                "%d,0,%d,100" % (min(self.running, self.slots), self.slots))
+        return ("Server-Load", "%d,%d,%d,100" % (
+            self.running, len(self.waiting), self.slots))
+
+    def leaving(self):
+        return self.left or self.state != "ready"
+
+    def cold_remaining(self):
+        return max(self.cold_until - now(), 0.0)
+
+    def health(self):
+        fields = [("Instance-Id", self.id), self.load()]
+        if self.cold_remaining():
+            self.cold_probes += 1
+            fields.append(("Cold-Ms", "%d" % (self.cold_remaining() * 1000)))
+        return self.answer(503 if self.leaving() else 200, fields)
+
+    def answer(self, status, fields, body=b""):
+        if self.leaving():
+            fields = fields + [("Connection", "close")]
+        return response(status, fields, body)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while True:
                 (verb, path, _), fields, body = await read_message(reader)
-                if path == "/health" and verb == "GET":
-                    leaving = self.left or self.state != "ready"
-                    writer.write(response(
-                        503 if leaving else 200,
-                        [("Instance-Id", self.id), self.load()]))
-                else:
-                    writer.write(await self.run(verb, path, fields, body))
+                answer = self.health() if path == "/health" else \
+                    await self.run(verb, path, fields, body)
+                writer.write(answer)
                 await writer.drain()
+                if b"Connection: close" in answer:
+                    break
         except (OSError, asyncio.IncompleteReadError, ValueError,
                 asyncio.CancelledError):
             pass
@@ -283,21 +308,53 @@
 
     async def run(self, verb, path, fields, body):
         request = fields.get("request-id", "")
-        expected = fields.get("expect-instance", self.id)
-        if expected != self.id:
+        if fields.get("expect-instance", self.id) != self.id:
             self.record.write("worker", self.id, "421", request)
-            return response(421, [("Instance-Id", self.id)])
+            return self.answer(421, [("Instance-Id", self.id)])
+        end = now() + float(fields.get("deadline-ms", "30000")) / 1000
+        if not await self.get_slot(end):
+            self.record.write("worker", self.id, "sheds", request)
+            return self.answer(503, [("Request-Id", request),
+                                     ("Not-Executed", "1"), self.load()])
         self.runs.append((now(), request))
-        self.running += 1
+        self.most_running = max(self.most_running, self.running)
         self.record.write("worker", self.id, "of", self.service, "runs",
                           request, verb, path, len(body), "bytes")
+        work_s = self.work_s
+        try:
+            await asyncio.sleep(max(min(work_s, end - now()), 0))
+        finally:
+            self.free_slot()
+        stamp = [("Request-Id", request),
+                 ("Server-Stamp", "stamp." + self.id), self.load()]
+        if now() > end:
+            return self.answer(504, stamp)
+        return self.answer(200, stamp, b"done " + request.encode())
+
+    async def get_slot(self, end):
+        if self.running < self.slots:
+            self.running += 1
+            return True
+        if len(self.waiting) >= self.QUEUE:
+            return False
+        turn = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.wait_for(turn, max(end - now(), 0))
+            return True    # free_slot() has passed its slot on
+        except asyncio.TimeoutError:
+            return False
         finally:
-            self.running -= 1
-        return response(200, [("Request-Id", request),
-                              ("Server-Stamp", "stamp." + self.id),
-                              self.load()], b"done " + request.encode())
+            if turn in self.waiting:
+                self.waiting.remove(turn)
+
+    def free_slot(self):
+        while self.waiting:
+            turn = self.waiting.pop(0)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
 
     def report(self):
         self.sequence += 1
@@ -309,7 +366,7 @@
              "info": {"service": self.service, "version": "v1",
                       "zone": self.machine.zone, "slots": self.slots},
              "status": {"state": self.state, "sequence": sequence,
-                        "coldRemainingS": 0}}).encode()
+                        "coldRemainingS": self.cold_remaining()}}).encode()
 
     async def send_report(self, body):
         got = await call(self.machine.control,
@@ -457,6 +514,7 @@
               "retryBudgetBurst=58", "coldOverageFactor=1.5", "coldSlack=5",
               "evacuationDelayS=5", "recoveryS=15", "probesPerS=60"]
     zones = ["zone-a", "zone-b", "zone-c"]
+    COLD_START_S, COLD_PER_S = 3.0, 34.0   # of the services of sit-lahore
 
     def __init__(self, case):
         self.case = case
@@ -500,8 +558,9 @@
         for name in services:
             spec["services"][name] = {
                 "healthCheckPath": "/health", "maxConnections": 220,
-                "protocol": "h1", "tls": False, "coldStartS": 0.0,
-                "coldPerS": 1000.0}
+                "protocol": "h1", "tls": False,
+                "coldStartS": self.COLD_START_S,
+                "coldPerS": self.COLD_PER_S}
         spec.update(more)
         self.store.put("config", "main", spec)
         self.record.write("operator writes config", spec["version"])
