--- a/review/8/play.py
+++ b/review/8/play.py
@@ -14,11 +14,12 @@
 RESTART_S = 0.5      # until the process of the node starts again
 LATE_S = 1.7         # from the send of the last report to its arrival
 SERVES_ON_S = 9.0    # the worker, after its confirmation
-INTERVAL_S = 0.01    # between the requests of clients
+SERVICES = ("seats", "seats", "routes", "routes", "seats", "seats")
+INTERVAL_S = 0.008   # between the requests of clients
 
 
 async def play(lab, trouble):
-    for number, service in enumerate(("seats", "seats", "routes", "routes")):
+    for number, service in enumerate(SERVICES):
         lab.add_machine(service, number % 3)
     lab.configure(
         1,
@@ -28,7 +29,7 @@
     workers = []
     for machine in lab.machines:
         worker = stand_ins.Worker(lab.record, machine, machine.service)
-        worker.work_s = 0.2
+        worker.work_s = 0.3
         await worker.open()
         await machine.start()
         worker.start_reports()
