--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,6 +1,5 @@
 """A worker in service becomes cold again, as its health path says at once."""
 import asyncio
-import json
 import os
 import sys
 
@@ -15,55 +14,24 @@
 COLD_S = 3.0              # coldStartS
 REPORT_S = 1.5            # heartbeatIntervalS
 INTERVAL_S = 0.006        # between the requests of clients
+TOLD = os.environ.get("TOLD") == "1"   # a report says so at once (trial)
 
 
 class ColdWorker(stand_ins.Worker):
-    cold_from = cold_until = 0.0
+    cold_from = 0.0
     crashed = False
-    probes = 0
-
-    def remaining(self):
-        return max(self.cold_until - stand_ins.now(), 0)
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                (verb, path, _), fields, body = \
-                    await stand_ins.read_message(reader)
-                if path == "/health" and verb == "GET":
-                    answer = [("Instance-Id", self.id), self.load()]
-                    if self.remaining():
-                        answer.append(
-                            ("Cold-Ms", "%d" % (self.remaining() * 1000)))
-                        self.probes += 1
-                    writer.write(stand_ins.response(200, answer))
-                else:
-                    writer.write(await self.run(verb, path, fields, body))
-                await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, ValueError,
-                asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
 
     async def run(self, verb, path, fields, body):
         answer = await super().run(verb, path, fields, body)
         since = max(stand_ins.now() - 1, self.cold_from)
         last = [at for at, _ in self.runs if at > since]
-        if self.remaining() and len(last) > CRASHES_AT and not self.crashed:
+        if self.cold_remaining() and len(last) > CRASHES_AT and not self.crashed:
             self.crashed = True
             self.record.write("worker", self.id, "crashes of the load, with",
                               self.running, "requests")
             await self.close()
         return answer
 
-    def report_of(self, sequence):
-        report = json.loads(super().report_of(sequence))
-        report["status"]["coldRemainingS"] = self.remaining()
-        return json.dumps(report).encode()
-
 
 async def play(lab, trouble):
     for number, service in enumerate(("seats", "routes", "routes")):
@@ -73,8 +41,6 @@
         {"seat": ("seats.example", "/seat/", "unsafe", "seats", 2),
          "status": ("routes.example", "/status/", "safe", "routes", 2)},
         ["seats", "routes"])
-    lab.store.objects[("config", "main")]["spec"]["services"]["seats"].update(
-        {"coldStartS": COLD_S, "coldPerS": float(COLD_PER_S)})
     workers = []
     for machine in lab.machines:
         worker = ColdWorker(lab.record, machine, machine.service)
@@ -122,6 +88,8 @@
         worker.cold_from = cold_from
         worker.cold_until = cold_from + COLD_S
         lab.record.write("worker", worker.id, "becomes cold for", COLD_S, "s")
+        if TOLD:
+            await worker.send_report(worker.report())
     await asyncio.sleep(COLD_S)
     sending.cancel()
     await asyncio.sleep(1.5)
@@ -135,12 +103,15 @@
             sent[first] <= sent[request] and at <= sent[first] + 1
             for at, request in arrived))
     lost = sum(status in (0, 502, 504) for status in answers.values())
-    lab.record.write("most requests in one second at the cold worker:", most,
+    before = sum(cold_from - 1 <= at < cold_from for at, _ in worker.runs)
+    lab.record.write("requests in the second before:", before,
+                     "- most in one second at the cold worker:", most,
                      "- allowed:", ALLOWED, "- health probes meanwhile:",
-                     worker.probes, "- crashed:", worker.crashed,
+                     worker.cold_probes, "- crashed:", worker.crashed,
                      "- requests lost:", lost)
-    print("most requests in a second of cold:", most, "of", ALLOWED,
+    print("in the second before:", before,
+          "- most requests in a second of cold:", most, "of", ALLOWED,
           "- crashed:", worker.crashed, "- lost:", lost)
-    return most <= ALLOWED
+    return most <= ALLOWED and (trouble or lost == 0)
 
 stand_ins.main(HERE, play)
