Adopt only incarnations that the target's own service has named

Cause: a health response names an id, but no service. The node took any id that its address stated for the next incarnation of its own service, published it and wrote it into requests, so that the target's own check passed. The report that named the other service was refused with 400 and changed nothing. A stopping node and a node whose settings had changed adopted targets all the same.

Ruled out: the entries of other nodes. They named the new id because the node beside it had published it; a hop is refused by the service that it names, which is now checked first, also if the id matches.

Change: an id is known by a report of its own service and address or by the entry that an earlier process stored for that service; a health response only shows which known incarnation is there, and another id ends the use of the current one. A report for another service at the own address makes the node probe at once. A stopping node adopts nothing (503). A reload applies service and address.

The stand-in of the crashing requests reports its restarts, as targets do.

--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -44,6 +44,9 @@
     /// closes the connection
     void cancel();
 
+    /// @brief completes the call in progress, and carries no further one
+    void close_after_response();
+
     /// @brief whether the connection is open and has no call in progress
     [[nodiscard]] bool is_idle() const;
 
@@ -104,6 +107,7 @@
     bool response_started = false;
     time_point response_start;
     bool connection_refused = false;
+    bool is_last_call = false;
     // received during the request in progress, before its own response
     std::size_t dropped_responses = 0;
     std::optional<response_id> memory_id;
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -96,6 +96,8 @@
 
 private:
     void apply_configuration();
+    /// @brief applies the configured properties of the own target's service
+    void apply_target_properties();
     void check_stopped();
     /// @brief answers requests that cannot complete before the process ends
     void review_requests(time_point now);
--- a/include/endivehinge/detail/gateway/health_prober.hpp
+++ b/include/endivehinge/detail/gateway/health_prober.hpp
@@ -31,6 +31,9 @@
     /// @brief sets the probe path; an empty path disables probes
     void set_path(std::string const & health_path);
 
+    /// @brief sends further probes to another address
+    void set_address(endpoint const & target);
+
     /// @brief starts periodic probes
     /// @param on_response called with each result
     /// @pre called once
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -47,9 +47,24 @@
                               result_handler done,
                               silence_handler on_silence) override;
 
+    /// @brief what became of a status report
+    enum class report_result
+    {
+        accepted,
+        other_target, // it is about a target of another service or address
+        declined,     // this node stops and adopts no new incarnation
+    };
+
     /// @brief applies a status report that a target sent to this node
-    /// @return whether the report is about this target
-    bool report(target_notice const & notice);
+    report_result report(target_notice const & notice);
+
+    /// @brief no new incarnation of the target is adopted from now on, because
+    /// this node stops; its address may go to another target meanwhile
+    void stop_adopting();
+
+    /// @brief follows a change of the service or the address in the settings:
+    /// the node belongs to another target from now on
+    void reassign();
 
     /// @brief applies the configured properties of the target's service
     void set_properties(service_properties const & configured);
@@ -61,8 +76,8 @@
     /// @brief sets whether the target's failure domain is evacuated
     void set_evacuated(bool is_evacuated);
 
-    /// @brief takes over from the stored entry that the target is leaving,
-    /// which an earlier process of this node may have confirmed to it
+    /// @brief takes over from the stored entry which incarnation of the target
+    /// an earlier process of this node knew, and whether it was leaving
     void restore(target_entry const & stored);
     /// @brief sets the gate for versions of the target; null: none
     /// @param participant must outlive this object
@@ -169,6 +184,9 @@
     /// @brief closes the target after it responded that it is leaving
     void drain(target_id const & target);
     void handle_replacement(target_id const & ended, target_state last_state);
+    void handle_loss(target_status_report const & lost);
+    /// @brief a target of another service stated that it is at this address
+    void handle_report_of_other_target(target_status_report const & received);
     void log_identity(char const * source);
     /// @brief whether the target may have crashed; then the result is held
     /// until finish_lost_requests()
--- a/include/endivehinge/detail/gateway/upstream.hpp
+++ b/include/endivehinge/detail/gateway/upstream.hpp
@@ -36,6 +36,10 @@
     /// @brief closes all idle connections
     void close_idle();
 
+    /// @brief sends further requests to another address; requests in progress
+    /// are completed at the earlier one
+    void set_remote(endpoint const & address);
+
     /// @brief number of connections opened since construction
     [[nodiscard]] std::uint64_t opened_count() const;
 
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -95,6 +95,11 @@
     this->close();
 }
 
+void client_connection::close_after_response()
+{
+    this->is_last_call = true;
+}
+
 bool client_connection::is_idle() const
 {
     return !this->request_active && !this->closed;
@@ -377,8 +382,8 @@
     result.transfer = result.received - this->response_start;
     // the connection cannot be reused if the request is not completely sent or
     // if unsolicited bytes follow the response
-    if (!keep_alive || !this->send_completed || this->buffer.size() > 0 ||
-        !this->matcher.is_reusable())
+    if (!keep_alive || this->is_last_call || !this->send_completed ||
+        this->buffer.size() > 0 || !this->matcher.is_reusable())
     {
         this->close();
     }
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -107,11 +107,7 @@
     this->client_listener.set_limits(client_limits_of(configuration.limits));
     this->state.splits.retain(configuration.routes);
     this->state.target.set_accounts(configuration.accounts);
-    if (auto const * const own_service =
-            configuration.find_service(this->state.settings.service))
-    {
-        this->state.target.set_properties(*own_service);
-    }
+    this->apply_target_properties();
     if (configuration.requires_accounts)
     {
         this->allotments.start();
@@ -119,12 +115,33 @@
     this->state.notify_configuration();
 }
 
+void gateway_parts::apply_target_properties()
+{
+    auto const & configuration = this->state.fleet.configuration();
+    auto const * const own_service =
+        configuration
+            ? configuration->find_service(this->state.settings.service)
+            : nullptr;
+    if (own_service != nullptr)
+    {
+        this->state.target.set_properties(*own_service);
+    }
+}
+
 void gateway_parts::reload(gateway_settings const & new_settings)
 {
     this->state.settings.bounds = new_settings.bounds;
     this->state.settings.accounts = new_settings.accounts;
     this->state.settings.seeds = new_settings.seeds;
     this->state.log.write("reload", {});
+    if (new_settings.service != this->state.settings.service ||
+        new_settings.target_address != this->state.settings.target_address)
+    {
+        this->state.settings.service = new_settings.service;
+        this->state.settings.target_address = new_settings.target_address;
+        this->state.target.reassign();
+        this->apply_target_properties();
+    }
 }
 
 void gateway_parts::stop(std::function<void()> callback)
@@ -135,6 +152,7 @@
     }
     this->on_stopped = std::move(callback);
     this->state.stopping = true;
+    this->state.target.stop_adopting();
     this->stop_started = loop_now();
     this->state.stop = stop_schedule::begin(
         this->stop_started, this->state.settings.bounds.stop_grace);
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -55,6 +55,12 @@
     this->path = health_path;
 }
 
+void health_prober::set_address(endpoint const & target)
+{
+    this->address = target;
+    this->server.set_remote(target);
+}
+
 void health_prober::start(response_handler on_response)
 {
     this->handler = std::move(on_response);
--- a/src/gateway/local_target.cpp
+++ b/src/gateway/local_target.cpp
@@ -197,17 +197,15 @@
 bool local_target::address_to_current_incarnation(
     dispatch_request & request) const
 {
-    auto const & current = this->identity.current();
-    if (!current || current->id == request.target)
-    {
-        return true;
-    }
+    // the entry by which the sender selected this node may be outdated
     if (request.service != this->settings.service)
     {
         return false;
     }
-    // the sender selected this node for its service, and its entry is outdated
-    request.target = current->id;
+    if (auto const & current = this->identity.current())
+    {
+        request.target = current->id;
+    }
     return true;
 }
 
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -25,7 +25,7 @@
 // state of the target
 // ---------------------------------------------------------------------------
 
-bool local_target::report(target_notice const & notice)
+local_target::report_result local_target::report(target_notice const & notice)
 {
     if (!notice.report)
     {
@@ -34,19 +34,27 @@
             this->log.write("target_left", {{"target", notice.id.value()}});
             this->update_admission();
         }
-        return true;
+        return report_result::accepted;
     }
     auto const & status_report = *notice.report;
-    if (status_report.service != this->settings.service ||
-        status_report.address != this->settings.target_address)
+    if (status_report.address != this->settings.target_address)
     {
-        return false;
+        return report_result::other_target;
+    }
+    if (status_report.service != this->settings.service)
+    {
+        this->handle_report_of_other_target(status_report);
+        return report_result::other_target;
     }
     auto const before = this->identity.current();
     auto const change = this->identity.report(status_report);
+    if (change == target_incarnation_tracker::change::declined)
+    {
+        return report_result::declined;
+    }
     if (change == target_incarnation_tracker::change::none)
     {
-        return true;
+        return report_result::accepted;
     }
     if (change == target_incarnation_tracker::change::new_incarnation)
     {
@@ -65,7 +73,43 @@
         this->log_identity("report");
     }
     this->update_admission();
-    return true;
+    return report_result::accepted;
+}
+
+void local_target::handle_report_of_other_target(
+    target_status_report const & received)
+{
+    auto const & current = this->identity.current();
+    if (current && current->id != received.id)
+    {
+        // reports may be late or invalid, so the address itself is asked; if no
+        // probe can be sent, the periodic one follows
+        static_cast<void>(this->prober.probe_now(
+            [this](call_result const & result)
+            {
+                this->handle_probe(result);
+            }));
+    }
+}
+
+void local_target::stop_adopting()
+{
+    this->identity.stop_adopting();
+}
+
+void local_target::reassign()
+{
+    this->log.write("target_reassigned",
+                    {{"service", this->settings.service.value()},
+                     {"target", this->settings.target_address.to_string()}});
+    this->identity.reset();
+    this->server.set_remote(this->settings.target_address);
+    this->prober.set_address(this->settings.target_address);
+    this->properties.reset();
+    this->cold_until = time_point();
+    this->rate_limit_known = false;
+    this->set_rate_limit(std::nullopt, "replacement");
+    this->update_admission();
 }
 
 void local_target::set_properties(service_properties const & configured)
@@ -95,8 +139,11 @@
 
 void local_target::restore(target_entry const & stored)
 {
-    if (stored.state != target_state::ready &&
-        this->identity.restore_leaving(stored.id))
+    if (stored.service != this->settings.service)
+    {
+        return;
+    }
+    if (this->identity.restore(stored.id, stored.state))
     {
         this->log_identity("stored entry");
         this->update_admission();
@@ -310,6 +357,14 @@
     this->set_rate_limit(std::nullopt, "replacement");
 }
 
+void local_target::handle_loss(target_status_report const & lost)
+{
+    this->log.write("target_lost", {{"target", lost.id.value()}});
+    this->handle_replacement(lost.id, lost.state);
+    this->server.close_idle();
+    this->update_admission();
+}
+
 void local_target::log_identity(char const * source)
 {
     auto const & current = this->identity.current();
@@ -457,8 +512,13 @@
         return;
     }
     auto const before = this->identity.current();
-    if (this->identity.record_health_response(*head.id, *head.slots) ==
-        target_incarnation_tracker::change::new_incarnation)
+    auto const change =
+        this->identity.record_health_response(*head.id, *head.slots);
+    if (change == target_incarnation_tracker::change::lost)
+    {
+        this->handle_loss(*before);
+    }
+    if (change == target_incarnation_tracker::change::new_incarnation)
     {
         if (before)
         {
--- a/src/gateway/report_service.cpp
+++ b/src/gateway/report_service.cpp
@@ -65,11 +65,17 @@
                            : http::status::bad_request);
         return;
     }
-    if (!this->state.target.report(*notice))
+    auto const result = this->state.target.report(*notice);
+    if (result != local_target::report_result::accepted)
     {
-        this->state.log.write("report_of_other_target",
+        bool const is_declined =
+            result == local_target::report_result::declined;
+        this->state.log.write(is_declined ? "report_while_stopping"
+                                          : "report_of_other_target",
                               {{"target", notice->id.value()}});
-        send_rejection(*incoming, http::status::bad_request);
+        send_rejection(*incoming,
+                       is_declined ? http::status::service_unavailable
+                                   : http::status::bad_request);
         return;
     }
     bool const is_leaving = !notice->report.has_value() ||
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -44,6 +44,16 @@
     this->remove_closed();
 }
 
+void upstream::set_remote(endpoint const & address)
+{
+    this->close_idle();
+    for (auto const & connection : this->connections)
+    {
+        connection->close_after_response();
+    }
+    this->remote = {boost::asio::ip::make_address(address.host), address.port};
+}
+
 std::uint64_t upstream::opened_count() const
 {
     return this->opened_connections;
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/target_incarnation_tracker.hpp>
 
-#include <algorithm> // any_of
+#include <algorithm> // any_of, find
 
 namespace endivehinge
 {
@@ -9,6 +9,9 @@
 
 // ended incarnations whose late reports are still recognised
 constexpr std::size_t max_ended_incarnations = 16;
+// incarnations that a health response may name; more than a target has within
+// the delay of a report
+constexpr std::size_t max_known_ids = 16;
 // highest report sequence that identifies a new incarnation under a reused id
 // if no start time is known; each incarnation restarts the sequence
 constexpr std::uint64_t last_startup_sequence = 2;
@@ -40,11 +43,16 @@
         {
             return change::none;
         }
+        if (!this->adopts)
+        {
+            return change::declined;
+        }
         if (this->current_report)
         {
             this->record_ended(this->current_report->id,
                                this->current_report->started_ms);
         }
+        this->record_known(received.id);
         this->current_report = received;
         this->start_was_reported = is_startup;
         this->apply_restored_state();
@@ -75,16 +83,16 @@
     {
         return change::refreshed;
     }
-    bool const has_left = std::any_of(this->ended_incarnations.begin(),
-                                      this->ended_incarnations.end(),
-                                      [&id](auto const & entry)
-                                      {
-                                          return entry.id == id;
-                                      });
-    if (has_left || slots == 0)
+    if (this->has_ended(id) || slots == 0 || !this->adopts)
     {
         return change::none;
     }
+    if (!this->is_known(id))
+    {
+        bool const was_known = this->current_report.has_value();
+        this->current_report.reset();
+        return was_known ? change::lost : change::none;
+    }
     if (this->current_report)
     {
         this->record_ended(this->current_report->id,
@@ -110,8 +118,26 @@
     return true;
 }
 
-bool target_incarnation_tracker::restore_leaving(target_id const & id)
+void target_incarnation_tracker::stop_adopting()
+{
+    this->adopts = false;
+}
+
+void target_incarnation_tracker::reset()
+{
+    bool const kept = this->adopts;
+    *this = target_incarnation_tracker();
+    this->adopts = kept;
+}
+
+bool target_incarnation_tracker::restore(target_id const & id,
+                                         target_state state)
 {
+    this->record_known(id);
+    if (state == target_state::ready)
+    {
+        return false;
+    }
     this->restored_leaving_id = id;
     bool const was_ready = this->current_report &&
                            this->current_report->state == target_state::ready;
@@ -171,6 +197,35 @@
         });
 }
 
+bool target_incarnation_tracker::has_ended(target_id const & id) const
+{
+    return std::any_of(this->ended_incarnations.begin(),
+                       this->ended_incarnations.end(),
+                       [&id](auto const & entry)
+                       {
+                           return entry.id == id;
+                       });
+}
+
+bool target_incarnation_tracker::is_known(target_id const & id) const
+{
+    return std::find(this->known_ids.begin(), this->known_ids.end(), id) !=
+           this->known_ids.end();
+}
+
+void target_incarnation_tracker::record_known(target_id const & id)
+{
+    if (this->is_known(id))
+    {
+        return;
+    }
+    this->known_ids.push_back(id);
+    if (this->known_ids.size() > max_known_ids)
+    {
+        this->known_ids.pop_front();
+    }
+}
+
 void target_incarnation_tracker::record_ended(target_id const & id,
                                               std::int64_t started_ms)
 {
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_TESTS_GATEWAY_GATEWAY_FLEET_HPP
 #define ENDIVEHINGE_TESTS_GATEWAY_GATEWAY_FLEET_HPP
 
+#include <cstdint>    // int64_t
 #include <functional> // function
 #include <memory>     // unique_ptr
 #include <optional>   // optional
@@ -29,8 +30,11 @@
     std::unique_ptr<detail::gateway_parts> node;
     // relay between node and store, if use_store_relays is set
     std::unique_ptr<fault_relay> store_link;
-    // what the target states in its reports
+    // what the target states in its reports; an empty service stands for that
+    // of the node
     std::string version = "v1";
+    std::string service;
+    std::int64_t started_ms = 1000;
 };
 
 /// @brief nodes, targets and a store stand-in in one process on one event loop
@@ -58,6 +62,13 @@
     unsigned
     report(fleet_member & member, std::string const & state, int sequence);
 
+    /// @brief sends a status report without waiting for the response
+    std::shared_ptr<detail::client_connection>
+    send_report(fleet_member & member,
+                std::string const & state,
+                int sequence,
+                std::function<void(detail::call_result)> done);
+
     /// @brief configures the service, adds members and waits until each node
     /// has the configuration and the entries of all targets
     void start_members(std::size_t members, std::string const & service);
--- a/tests/src/system-gateway-crashing-request.cpp
+++ b/tests/src/system-gateway-crashing-request.cpp
@@ -126,6 +126,8 @@
             {
                 member.target->restart("i-" +
                                        std::to_string(++this->restarts + 100));
+                static_cast<void>(this->send_report(
+                    member, "ready", 1, [](detail::call_result const &) {}));
             });
     }
 
