Keep a confirmed departure for the next process of the node

A target left, and its node was killed and started again.

Cause: ended incarnations were known to the process only, and the entry of a target that had left was removed from the store. Ruled out: the order of writes; the store held no trace of the departure at any time. The same class: an entry named an id without its start, so that a late first report counted as a new start; departures were confirmed after 0.6 s without an answer of the store; the entry of a silent draining target was removed 1.5 s after a restart; a leave counted for the current incarnation, whatever start it named.

Change: the state of an incarnation (id and start time) only moves on, by one table in target_incarnation_tracker; the entry of a target that left stays as `gone` until a successor is adopted, with the start time, and a stopping node removes it once the target's address refuses connections. Departures are confirmed once they are stored, and refused with 503 until then.

Evidence: four new tests of gateway_leaving_target failed on the code before and pass.

--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -79,6 +79,12 @@
     /// @brief takes over from the stored entry which incarnation of the target
     /// an earlier process of this node knew, and whether it was leaving
     void restore(target_entry const & stored);
+
+    /// @brief calls back if the target has left and its address refuses
+    /// connections, so that no late message can bring it back
+    /// @pre called on the event loop; at most once
+    void when_departed(std::function<void()> callback);
+
     /// @brief sets the gate for versions of the target; null: none
     /// @param participant must outlive this object
     void set_rollout(rollout_participant * participant);
@@ -108,8 +114,8 @@
     [[nodiscard]] target_crash_monitor & crash_monitor();
 
     /// @brief entry of the target that is published to other nodes
-    /// @return no value if no incarnation of the target is known or if it has
-    /// stopped
+    /// @return an entry in the state `removed` if the target has left, no value
+    /// if none of its incarnations is known
     [[nodiscard]] std::optional<target_entry> entry() const;
 
     /// @brief current load of the target
--- a/include/endivehinge/detail/gateway/replica_sync.hpp
+++ b/include/endivehinge/detail/gateway/replica_sync.hpp
@@ -49,6 +49,10 @@
     /// @brief publishes the current entry of this node's target
     void publish();
 
+    /// @brief removes the entry of the target for good, because it has ended
+    /// and this node stops
+    void withdraw();
+
     /// @brief calls back once the store holds the current entry
     void when_published(std::function<void()> callback);
 
@@ -206,6 +210,8 @@
     bool discovery_pending = false;
     // whether this process has known a target beside it
     bool has_had_target = false;
+    // the entry was removed for good
+    bool withdrawn = false;
     bool remote_pull_pending = false;
     bool pulling = false;
     bool selecting_source = false;
--- a/include/endivehinge/detail/gateway/report_adapter.hpp
+++ b/include/endivehinge/detail/gateway/report_adapter.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_REPORT_ADAPTER_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_REPORT_ADAPTER_HPP
 
+#include <cstdint>  // int64_t
 #include <optional> // optional
 
 #include <endivehinge/core/failure.hpp>
@@ -14,6 +15,8 @@
 struct target_notice
 {
     target_id id;
+    // start of the incarnation, milliseconds since the Unix epoch; 0: unknown
+    std::int64_t started_ms = 0;
     // nullopt: the target is leaving
     std::optional<target_status_report> report;
 };
--- a/include/endivehinge/policy/target_entry.hpp
+++ b/include/endivehinge/policy/target_entry.hpp
@@ -1,7 +1,7 @@
 #ifndef ENDIVEHINGE_POLICY_TARGET_ENTRY_HPP
 #define ENDIVEHINGE_POLICY_TARGET_ENTRY_HPP
 
-#include <cstdint> // uint32_t
+#include <cstdint> // int64_t, uint32_t
 #include <vector>  // vector
 
 #include <endivehinge/core/endpoint.hpp>
@@ -27,6 +27,8 @@
     // address at which that node accepts requests from other nodes
     endpoint peer;
     target_id id;
+    // start of this incarnation, milliseconds since the Unix epoch; 0: unknown
+    std::int64_t started_ms = 0;
     service_name service;
     failure_domain domain;
     target_state state = target_state::ready;
@@ -40,9 +42,10 @@
     friend bool operator==(target_entry const & a, target_entry const & b)
     {
         return a.node == b.node && a.peer == b.peer && a.id == b.id &&
-               a.service == b.service && a.domain == b.domain &&
-               a.state == b.state && a.version == b.version &&
-               a.slots == b.slots && a.crashing_requests == b.crashing_requests;
+               a.started_ms == b.started_ms && a.service == b.service &&
+               a.domain == b.domain && a.state == b.state &&
+               a.version == b.version && a.slots == b.slots &&
+               a.crashing_requests == b.crashing_requests;
     }
 };
 
--- a/include/endivehinge/policy/target_incarnation_tracker.hpp
+++ b/include/endivehinge/policy/target_incarnation_tracker.hpp
@@ -1,28 +1,43 @@
 #ifndef ENDIVEHINGE_POLICY_TARGET_INCARNATION_TRACKER_HPP
 #define ENDIVEHINGE_POLICY_TARGET_INCARNATION_TRACKER_HPP
 
+#include <cstdint>  // int64_t, uint32_t
 #include <deque>    // deque
 #include <optional> // optional
 
+#include <endivehinge/policy/known_incarnation.hpp>
 #include <endivehinge/policy/target_status_report.hpp>
 
 namespace endivehinge
 {
 
-/// @brief tracks the current incarnation of a target and its state
+/// @brief tracks the incarnations of a target and their state
 ///
-/// An incarnation is one process lifetime of the target. Reports may be late
-/// or come from an incarnation that has ended, and a new incarnation may reuse
-/// the id of an earlier one. An incarnation that has announced its shutdown
-/// never becomes ready again.
+/// An incarnation is one process lifetime of the target: an id and a start
+/// time. A new incarnation may reuse the id of an earlier one. Messages may be
+/// late or come from an incarnation that has ended, and what an earlier process
+/// of this node confirmed binds this one. The state of an incarnation only ever
+/// moves on:
+///
+/// | message of an incarnation | ready         | draining | removed |
+/// |---------------------------|---------------|----------|---------|
+/// | report "ready"            | ready         | draining | removed |
+/// | report "draining"         | draining      | draining | removed |
+/// | response that it leaves   | draining      | draining | removed |
+/// | leave                     | removed       | removed  | removed |
+/// | entry of earlier process  | state of both that is further on   |
+///
+/// An incarnation that is not known is adopted in the state that it reports,
+/// and ends the one before, unless it started earlier than a known one: then
+/// its report may be late.
 /// @note pure; not thread-safe, the owner serialises all calls
 class target_incarnation_tracker
 {
 public:
-    /// @brief effect of a report
+    /// @brief effect of a message
     enum class change
     {
-        none,            // the report is late or from an ended incarnation
+        none,            // the message is late or from an ended incarnation
         new_incarnation, // the current incarnation was replaced
         state_changed,   // same incarnation, different state
         refreshed,       // same incarnation and state
@@ -42,8 +57,8 @@
     /// @param slots number of slots that the target returned
     change record_health_response(target_id const & id, std::uint32_t slots);
 
-    /// @brief from now on no new incarnation is adopted, because this node
-    /// stops
+    /// @brief from now on no new incarnation is adopted as ready, because this
+    /// node stops
     void stop_adopting();
 
     /// @brief discards the current incarnation and all that is known of earlier
@@ -54,18 +69,20 @@
     /// @return whether it is the current one and was ready
     bool drain(target_id const & id);
 
-    /// @brief records that an earlier process of this node knew an incarnation
-    /// of the target's service
+    /// @brief records the state in which an earlier process of this node knew
+    /// an incarnation of the target's service
     ///
-    /// A departure has no effect on an incarnation that has reported its start
-    /// to this process, since a target may start again under the id that it
-    /// had.
-    /// @return whether it is the current one and no longer ready
-    bool restore(target_id const & id, target_state state);
+    /// Without a start time, a departure has no effect on an incarnation that
+    /// has reported its start to this process, since a target may start again
+    /// under the id that it had.
+    /// @param stored id, start time, state and slots of the incarnation
+    /// @return whether the current incarnation changed
+    bool restore(target_status_report const & stored);
 
     /// @brief records that an incarnation has ended
-    /// @return whether it was the current one
-    bool leave(target_id const & id);
+    /// @param started_ms 0: unknown
+    /// @return whether current() or departed() changed
+    bool leave(target_id const & id, std::int64_t started_ms);
 
     /// @brief discards the current incarnation if it has this id, after the
     /// target responded that it is another incarnation
@@ -74,30 +91,33 @@
     /// @brief last report of the current incarnation; empty if it is unknown
     [[nodiscard]] std::optional<target_status_report> const & current() const;
 
+    /// @brief the incarnation that announced its departure last and is not the
+    /// current one; empty if it has a successor
+    ///
+    /// The departure was confirmed, so that it must be stored for the next
+    /// process of this node.
+    [[nodiscard]] std::optional<target_status_report> const & departed() const;
+
 private:
-    [[nodiscard]] bool has_ended(target_id const & id,
-                                 std::int64_t started_ms,
-                                 bool is_startup) const;
+    [[nodiscard]] known_incarnation * find(target_id const & id,
+                                           std::int64_t started_ms);
+    [[nodiscard]] known_incarnation * find_usable(target_id const & id);
+    [[nodiscard]] bool is_current(known_incarnation const & entry) const;
+    /// @brief whether it started before a known incarnation
+    [[nodiscard]] bool is_earlier(target_status_report const & received) const;
     [[nodiscard]] bool has_ended(target_id const & id) const;
-    [[nodiscard]] bool is_known(target_id const & id) const;
-    void record_known(target_id const & id);
-    void record_ended(target_id const & id, std::int64_t started_ms);
-    void apply_restored_state();
-
-    struct ended_incarnation
-    {
-        target_id id;
-        std::int64_t started_ms = 0;
-    };
-
+    known_incarnation & add(target_status_report const & received);
+    change update(known_incarnation & entry,
+                  target_status_report const & received);
+    change adopt(known_incarnation & entry);
+    /// @brief the current incarnation is no longer at the address
+    void discard_current();
+    /// @brief marks the current incarnation as ended
+    void end_current();
+
+    std::deque<known_incarnation> known;
     std::optional<target_status_report> current_report;
-    // known as leaving to an earlier process of this node
-    std::optional<target_id> restored_leaving_id;
-    // whether the current incarnation was first known by its startup report
-    bool start_was_reported = false;
-    std::deque<ended_incarnation> ended_incarnations;
-    // by a report to this process, or by the entry of an earlier one
-    std::deque<target_id> known_ids;
+    std::optional<target_status_report> departed_report;
     bool adopts = true;
 };
 
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -134,11 +134,14 @@
     }
     this->agent.set_nodes(present);
     auto const own_entry = this->state.target.entry();
-    if (own_entry)
+    bool const is_present =
+        own_entry && own_entry->state != target_state::removed;
+    if (is_present)
     {
         this->last_target = own_entry->id;
     }
-    this->agent.set_own_departure(own_entry ? std::nullopt : this->last_target);
+    this->agent.set_own_departure(is_present ? std::nullopt
+                                             : this->last_target);
 }
 
 // ---------------------------------------------------------------------------
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -41,6 +41,12 @@
 
 void fleet_view::set_target(target_entry const & entry)
 {
+    if (entry.state == target_state::removed)
+    {
+        // kept in the store for the next process of that node only
+        this->remove_target(entry.node);
+        return;
+    }
     this->targets[entry.node] = std::make_unique<target_entry>(entry);
     this->changes += 1;
 }
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -153,6 +153,11 @@
     this->on_stopped = std::move(callback);
     this->state.stopping = true;
     this->state.target.stop_adopting();
+    this->state.target.when_departed(
+        [this]
+        {
+            this->replicas.withdraw();
+        });
     this->stop_started = loop_now();
     this->state.stop = stop_schedule::begin(
         this->stop_started, this->state.settings.bounds.stop_grace);
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -29,7 +29,7 @@
 {
     if (!notice.report)
     {
-        if (this->identity.leave(notice.id))
+        if (this->identity.leave(notice.id, notice.started_ms))
         {
             this->log.write("target_left", {{"target", notice.id.value()}});
             this->update_admission();
@@ -143,9 +143,16 @@
     {
         return;
     }
-    if (this->identity.restore(stored.id, stored.state))
+    target_status_report known;
+    known.id = stored.id;
+    known.started_ms = stored.started_ms;
+    known.state = stored.state;
+    known.slots = stored.slots;
+    if (this->identity.restore(known))
     {
-        this->log_identity("stored entry");
+        this->log.write("target_restored",
+                        {{"target", stored.id.value()},
+                         {"left", this->identity.current() ? "0" : "1"}});
         this->update_admission();
     }
 }
@@ -157,23 +164,26 @@
 
 std::optional<target_entry> local_target::entry() const
 {
-    auto const & current = this->identity.current();
-    if (!current)
+    auto const & known = this->identity.current() ? this->identity.current()
+                                                  : this->identity.departed();
+    if (!known)
     {
         return std::nullopt;
     }
     target_entry entry;
     entry.node = this->settings.node;
     entry.peer = this->settings.peer_listener;
-    entry.id = current->id;
+    entry.id = known->id;
+    entry.started_ms = known->started_ms;
     entry.service = this->settings.service;
     entry.domain = this->settings.domain;
-    entry.state = current->state;
+    entry.state = known->state;
     if (this->settings.rollouts)
     {
         entry.version = this->stated_version().value_or(software_version());
     }
-    entry.slots = current->slots;
+    // a target may leave before any report that states its slots
+    entry.slots = std::max<std::uint32_t>(known->slots, 1);
     entry.crashing_requests = this->crashes.crashing();
     return entry;
 }
@@ -465,6 +475,23 @@
 // health probes
 // ---------------------------------------------------------------------------
 
+void local_target::when_departed(std::function<void()> callback)
+{
+    if (this->identity.current() || !this->identity.departed())
+    {
+        return;
+    }
+    // if no probe can be sent, the entry stays for the next process
+    static_cast<void>(this->prober.probe_new_connection(
+        [this, callback = std::move(callback)](call_result const & result)
+        {
+            if (result.connection_refused && !this->identity.current())
+            {
+                callback();
+            }
+        }));
+}
+
 void local_target::start_probing()
 {
     this->prober.start(
--- a/src/gateway/replica_sync.cpp
+++ b/src/gateway/replica_sync.cpp
@@ -284,6 +284,10 @@
 
 void replica_sync::publish()
 {
+    if (this->withdrawn)
+    {
+        return;
+    }
     // a stopping node keeps its entry for its next process
     auto const entry = this->state.target.entry();
     if (entry)
@@ -323,6 +327,12 @@
         });
 }
 
+void replica_sync::withdraw()
+{
+    this->withdrawn = true;
+    this->publisher.publish(std::nullopt);
+}
+
 void replica_sync::when_published(std::function<void()> callback)
 {
     this->publisher.when_published(std::move(callback));
--- a/src/gateway/report_service.cpp
+++ b/src/gateway/report_service.cpp
@@ -102,7 +102,8 @@
     timer->async_wait(
         [incoming, timer](boost::system::error_code)
         {
-            send_confirmation(*incoming);
+            // a confirmation binds the next process of this node, too
+            send_rejection(*incoming, http::status::service_unavailable);
         });
 }
 
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -1,78 +1,96 @@
 #include <endivehinge/policy/target_incarnation_tracker.hpp>
 
-#include <algorithm> // any_of, find
+#include <algorithm> // any_of, find_if, max
 
 namespace endivehinge
 {
 namespace
 {
 
-// ended incarnations whose late reports are still recognised
-constexpr std::size_t max_ended_incarnations = 16;
-// incarnations that a health response may name; more than a target has within
-// the delay of a report
-constexpr std::size_t max_known_ids = 16;
+// incarnations whose late messages are still recognised
+constexpr std::size_t max_known_incarnations = 32;
 // highest report sequence that identifies a new incarnation under a reused id
 // if no start time is known; each incarnation restarts the sequence
 constexpr std::uint64_t last_startup_sequence = 2;
 
+bool is_startup(target_status_report const & received)
+{
+    return received.sequence <= last_startup_sequence &&
+           received.state == target_state::ready;
+}
+
+bool is_earlier_start(target_status_report const & a,
+                      target_status_report const & b)
+{
+    return a.started_ms != 0 && a.started_ms < b.started_ms;
+}
+
+bool is_start_unknown(target_status_report const & a,
+                      target_status_report const & b)
+{
+    return a.started_ms == 0 || b.started_ms == 0;
+}
+
 } // namespace
 
 target_incarnation_tracker::change
 target_incarnation_tracker::report(target_status_report const & received)
 {
-    bool const is_startup = received.sequence <= last_startup_sequence &&
-                            received.state == target_state::ready;
-    if (is_startup && this->restored_leaving_id == received.id)
+    if (auto * const entry = this->find(received.id, received.started_ms))
     {
-        // a new incarnation under the same id
-        this->restored_leaving_id.reset();
+        bool const has_restarted = is_start_unknown(entry->report, received) &&
+                                   is_startup(received) &&
+                                   entry->report.state != target_state::ready &&
+                                   !this->is_current(*entry);
+        if (!has_restarted)
+        {
+            return this->update(*entry, received);
+        }
     }
-    if (this->has_ended(received.id, received.started_ms, is_startup))
+    else if (this->is_earlier(received))
     {
         return change::none;
     }
-    bool const same_incarnation =
-        this->current_report && this->current_report->id == received.id &&
-        (this->current_report->started_ms == received.started_ms ||
-         this->current_report->started_ms == 0 || received.started_ms == 0);
-    if (!same_incarnation)
+    if (!this->adopts && received.state == target_state::ready)
     {
-        if (this->current_report && received.started_ms != 0 &&
-            received.started_ms < this->current_report->started_ms)
+        return change::declined;
+    }
+    return this->adopt(this->add(received));
+}
+
+target_incarnation_tracker::change
+target_incarnation_tracker::update(known_incarnation & entry,
+                                   target_status_report const & received)
+{
+    auto const before = entry.report;
+    bool const is_late =
+        received.sequence <= before.sequence && before.sequence != 0;
+    if (before.state == target_state::removed || is_late)
+    {
+        return change::none;
+    }
+    auto const state = std::max(before.state, received.state);
+    if (!this->is_current(entry))
+    {
+        if (this->is_earlier(received))
         {
             return change::none;
         }
-        if (!this->adopts)
+        if (!this->adopts && state == target_state::ready)
         {
             return change::declined;
         }
-        if (this->current_report)
-        {
-            this->record_ended(this->current_report->id,
-                               this->current_report->started_ms);
-        }
-        this->record_known(received.id);
-        this->current_report = received;
-        this->start_was_reported = is_startup;
-        this->apply_restored_state();
-        return change::new_incarnation;
-    }
-    if (received.sequence <= this->current_report->sequence &&
-        this->current_report->sequence != 0)
-    {
-        return change::none;
     }
-    bool const was_draining =
-        this->current_report->state != target_state::ready;
-    bool const same_state = this->current_report->state == received.state;
-    this->current_report = received;
-    if (was_draining)
+    bool const was_current = this->is_current(entry);
+    entry.report = received;
+    entry.report.state = state;
+    entry.start_was_reported = entry.start_was_reported || is_startup(received);
+    if (!was_current)
     {
-        this->current_report->state = target_state::draining;
-        return change::refreshed;
+        return this->adopt(entry);
     }
-    return same_state ? change::refreshed : change::state_changed;
+    this->current_report = entry.report;
+    return state == before.state ? change::refreshed : change::state_changed;
 }
 
 target_incarnation_tracker::change
@@ -83,39 +101,20 @@
     {
         return change::refreshed;
     }
-    if (this->has_ended(id) || slots == 0 || !this->adopts)
+    auto * const entry = this->find_usable(id);
+    bool const is_late = entry == nullptr && this->has_ended(id);
+    if (is_late || slots == 0 || !this->adopts)
     {
         return change::none;
     }
-    if (!this->is_known(id))
+    if (entry == nullptr)
     {
         bool const was_known = this->current_report.has_value();
-        this->current_report.reset();
+        this->discard_current();
         return was_known ? change::lost : change::none;
     }
-    if (this->current_report)
-    {
-        this->record_ended(this->current_report->id,
-                           this->current_report->started_ms);
-    }
-    target_status_report inferred;
-    inferred.id = id;
-    inferred.slots = slots;
-    this->current_report = inferred;
-    this->start_was_reported = false;
-    this->apply_restored_state();
-    return change::new_incarnation;
-}
-
-bool target_incarnation_tracker::drain(target_id const & id)
-{
-    if (!this->current_report || this->current_report->id != id ||
-        this->current_report->state != target_state::ready)
-    {
-        return false;
-    }
-    this->current_report->state = target_state::draining;
-    return true;
+    entry->report.slots = slots;
+    return this->adopt(*entry);
 }
 
 void target_incarnation_tracker::stop_adopting()
@@ -130,40 +129,75 @@
     this->adopts = kept;
 }
 
-bool target_incarnation_tracker::restore(target_id const & id,
-                                         target_state state)
+bool target_incarnation_tracker::drain(target_id const & id)
 {
-    this->record_known(id);
-    if (state == target_state::ready)
+    if (!this->current_report || this->current_report->id != id ||
+        this->current_report->state != target_state::ready)
     {
         return false;
     }
-    this->restored_leaving_id = id;
-    bool const was_ready = this->current_report &&
-                           this->current_report->state == target_state::ready;
-    this->apply_restored_state();
-    return was_ready && this->current_report->state != target_state::ready;
+    this->current_report->state = target_state::draining;
+    this->find(id, this->current_report->started_ms)->report.state =
+        target_state::draining;
+    return true;
 }
 
-void target_incarnation_tracker::apply_restored_state()
+bool target_incarnation_tracker::restore(target_status_report const & stored)
 {
-    if (this->current_report && !this->start_was_reported &&
-        this->restored_leaving_id == this->current_report->id &&
-        this->current_report->state == target_state::ready)
+    auto * entry = this->find(stored.id, stored.started_ms);
+    if (entry == nullptr)
+    {
+        this->known.push_front({stored, false});
+        entry = &this->known.front();
+    }
+    else if (is_start_unknown(entry->report, stored) &&
+             entry->start_was_reported)
     {
-        this->current_report->state = target_state::draining;
+        return false;
     }
+    bool const was_current = this->is_current(*entry);
+    bool const is_further = stored.state > entry->report.state;
+    entry->report.state = std::max(entry->report.state, stored.state);
+    if (was_current && entry->report.state != target_state::removed)
+    {
+        this->current_report = entry->report;
+    }
+    else if (stored.state != target_state::ready &&
+             (was_current || !this->current_report))
+    {
+        this->current_report.reset();
+        this->departed_report = entry->report;
+    }
+    return was_current && is_further;
 }
 
-bool target_incarnation_tracker::leave(target_id const & id)
+bool target_incarnation_tracker::leave(target_id const & id,
+                                       std::int64_t started_ms)
 {
-    if (!this->current_report || this->current_report->id != id)
+    auto * entry = this->find(id, started_ms);
+    if (entry == nullptr)
+    {
+        target_status_report unknown;
+        unknown.id = id;
+        unknown.started_ms = started_ms;
+        entry = &this->add(unknown);
+    }
+    else if (entry->report.state == target_state::removed)
     {
-        this->record_ended(id, 0);
         return false;
     }
-    this->record_ended(id, this->current_report->started_ms);
-    this->current_report.reset();
+    bool const was_current = this->is_current(*entry);
+    entry->report.state = target_state::removed;
+    // requests name the id only, so a successor under it would get them
+    bool const succeeds_current =
+        this->current_report && this->current_report->id == id &&
+        is_earlier_start(*this->current_report, entry->report);
+    if (this->current_report && !was_current && !succeeds_current)
+    {
+        return false;
+    }
+    this->end_current();
+    this->departed_report = entry->report;
     return true;
 }
 
@@ -171,7 +205,7 @@
 {
     if (this->current_report && this->current_report->id == id)
     {
-        this->current_report.reset();
+        this->discard_current();
     }
 }
 
@@ -181,59 +215,129 @@
     return this->current_report;
 }
 
-bool target_incarnation_tracker::has_ended(target_id const & id,
-                                           std::int64_t started_ms,
-                                           bool is_startup) const
+std::optional<target_status_report> const &
+target_incarnation_tracker::departed() const
 {
-    return std::any_of(
-        this->ended_incarnations.begin(),
-        this->ended_incarnations.end(),
-        [&id, started_ms, is_startup](auto const & entry)
+    return this->departed_report;
+}
+
+known_incarnation * target_incarnation_tracker::find(target_id const & id,
+                                                     std::int64_t started_ms)
+{
+    known_incarnation * found = nullptr;
+    for (auto & entry : this->known)
+    {
+        auto const & candidate = entry.report;
+        if (candidate.id != id)
+        {
+            continue;
+        }
+        if (candidate.started_ms == started_ms && started_ms != 0)
+        {
+            return &entry;
+        }
+        if (candidate.started_ms == 0 || started_ms == 0)
         {
-            bool const start_unknown = entry.started_ms == 0 || started_ms == 0;
-            return entry.id == id &&
-                   (start_unknown ? !is_startup
-                                  : started_ms <= entry.started_ms);
-        });
+            found = &entry;
+        }
+    }
+    return found;
+}
+
+known_incarnation *
+target_incarnation_tracker::find_usable(target_id const & id)
+{
+    auto const found =
+        std::find_if(this->known.rbegin(),
+                     this->known.rend(),
+                     [&id](auto const & entry)
+                     {
+                         return entry.report.id == id &&
+                                entry.report.state != target_state::removed;
+                     });
+    return found == this->known.rend() ? nullptr : &*found;
+}
+
+bool target_incarnation_tracker::is_current(
+    known_incarnation const & entry) const
+{
+    return this->current_report &&
+           this->current_report->id == entry.report.id &&
+           this->current_report->started_ms == entry.report.started_ms;
+}
+
+bool target_incarnation_tracker::is_earlier(
+    target_status_report const & received) const
+{
+    return std::any_of(this->known.begin(),
+                       this->known.end(),
+                       [&received](auto const & entry)
+                       {
+                           return is_earlier_start(received, entry.report);
+                       });
 }
 
 bool target_incarnation_tracker::has_ended(target_id const & id) const
 {
-    return std::any_of(this->ended_incarnations.begin(),
-                       this->ended_incarnations.end(),
+    return std::any_of(this->known.begin(),
+                       this->known.end(),
                        [&id](auto const & entry)
                        {
-                           return entry.id == id;
+                           return entry.report.id == id &&
+                                  entry.report.state == target_state::removed;
                        });
 }
 
-bool target_incarnation_tracker::is_known(target_id const & id) const
+known_incarnation &
+target_incarnation_tracker::add(target_status_report const & received)
 {
-    return std::find(this->known_ids.begin(), this->known_ids.end(), id) !=
-           this->known_ids.end();
+    if (this->known.size() >= max_known_incarnations)
+    {
+        bool const is_first_current = this->is_current(this->known.front());
+        this->known.erase(this->known.begin() + (is_first_current ? 1 : 0));
+    }
+    this->known.push_back({received, is_startup(received)});
+    return this->known.back();
 }
 
-void target_incarnation_tracker::record_known(target_id const & id)
+target_incarnation_tracker::change
+target_incarnation_tracker::adopt(known_incarnation & entry)
 {
-    if (this->is_known(id))
+    this->end_current();
+    for (auto & other : this->known)
     {
-        return;
+        if (is_earlier_start(other.report, entry.report))
+        {
+            other.report.state = target_state::removed;
+        }
     }
-    this->known_ids.push_back(id);
-    if (this->known_ids.size() > max_known_ids)
+    this->departed_report.reset();
+    this->current_report = entry.report;
+    return change::new_incarnation;
+}
+
+void target_incarnation_tracker::discard_current()
+{
+    if (this->current_report &&
+        this->current_report->state != target_state::ready)
     {
-        this->known_ids.pop_front();
+        this->departed_report = this->current_report;
     }
+    this->current_report.reset();
 }
 
-void target_incarnation_tracker::record_ended(target_id const & id,
-                                              std::int64_t started_ms)
+void target_incarnation_tracker::end_current()
 {
-    this->ended_incarnations.push_back({id, started_ms});
-    if (this->ended_incarnations.size() > max_ended_incarnations)
+    if (!this->current_report)
+    {
+        return;
+    }
+    if (auto * const ended = this->find(this->current_report->id,
+                                        this->current_report->started_ms))
     {
-        this->ended_incarnations.pop_front();
+        ended->report.state = target_state::removed;
     }
+    this->current_report.reset();
 }
 
 } // namespace endivehinge
--- a/tests/src/system-gateway-leaving-target.cpp
+++ b/tests/src/system-gateway-leaving-target.cpp
@@ -155,11 +155,110 @@
         {
             return member.node->state.fleet.configuration() != nullptr;
         }));
+    member.started_ms += 1;
     EXPECT_EQ(fleet.report(member, "ready", 1), 200U);
     EXPECT_EQ(
         fleet.send_and_wait(member, "/safe/a", "id-1").response.result_int(),
         200U);
 }
 
+// The entry of a target that had left was removed, so that the next process of
+// its node took a report that arrived late for one of a target in service.
+TEST(gateway_leaving_target, late_report_after_a_restart_does_not_bring_it_back)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    EXPECT_EQ(fleet.report(member, "leave", 2), 200U);
+    for (int const sequence : {9, 1})
+    {
+        fleet.restart_node(member);
+        EXPECT_TRUE(fleet.run_until(
+            [&member]
+            {
+                return member.node->state.fleet.configuration() != nullptr;
+            }));
+        EXPECT_EQ(fleet.report(member, "ready", sequence), 200U);
+        auto const id = "id-" + std::to_string(sequence);
+        EXPECT_EQ(
+            fleet.send_and_wait(member, "/safe/a", id).response.result_int(),
+            503U);
+        EXPECT_EQ(fleet.execution_count(id), 0U);
+    }
+    EXPECT_EQ(fleet.store.spec("targets", "node-0").value("state", ""), "gone");
+}
+
+// A confirmation that only the process knew was gone with it.
+TEST(gateway_leaving_target, departure_is_confirmed_once_it_is_stored)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet]
+        {
+            return !fleet.store.spec("targets", "node-0").is_null();
+        }));
+    fleet.store.unresponsive = true;
+    EXPECT_EQ(fleet.report(member, "draining", 2), 503U);
+    EXPECT_EQ(fleet.report(member, "leave", 3), 503U);
+    // it holds at once all the same
+    EXPECT_EQ(
+        fleet.send_and_wait(member, "/safe/a", "id-1").response.result_int(),
+        503U);
+    EXPECT_EQ(fleet.execution_count("id-1"), 0U);
+    fleet.store.unresponsive = false;
+    EXPECT_TRUE(fleet.run_until(
+        [&fleet, &member]
+        {
+            return fleet.report(member, "leave", 3) == 200U;
+        }));
+    EXPECT_EQ(fleet.store.spec("targets", "node-0").value("state", ""), "gone");
+}
+
+TEST(gateway_leaving_target, leave_of_an_earlier_incarnation_does_not_end_it)
+{
+    gateway_fleet fleet;
+    fleet.start_members(1, "web");
+    auto & member = *fleet.members[0];
+    member.started_ms += 1;
+    EXPECT_EQ(fleet.report(member, "ready", 1), 200U);
+    member.started_ms -= 1;
+    EXPECT_EQ(fleet.report(member, "leave", 9), 200U);
+    EXPECT_EQ(
+        fleet.send_and_wait(member, "/safe/a", "id-1").response.result_int(),
+        200U);
+}
+
+// Entries of targets that are gone would stay in the store for good.
+TEST(gateway_leaving_target, entry_goes_with_the_node_of_an_ended_target)
+{
+    gateway_fleet fleet;
+    fleet.start_members(2, "web");
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        auto & member = *fleet.members[i];
+        EXPECT_EQ(fleet.report(member, "leave", 2), 200U);
+        if (i == 0)
+        {
+            member.target->crash();
+        }
+        bool stopped = false;
+        member.node->stop(
+            [&stopped]
+            {
+                stopped = true;
+            });
+        EXPECT_TRUE(fleet.run_until(
+            [&stopped]
+            {
+                return stopped;
+            }));
+    }
+    EXPECT_TRUE(fleet.store.spec("targets", "node-0").is_null());
+    EXPECT_EQ(fleet.store.spec("targets", "node-1").value("state", ""), "gone")
+        << "the target still runs, and a late report may arrive";
+}
+
 } // namespace
 } // namespace endivehinge::tests
