Ask a target under load whether it has become cold

A target in service became cold just after a report.

Cause: a response with the load replaces a health probe, but only probes and reports state the cold, so that none came while requests were answered.

Change: what is known of the cold covers the requests that a cold target may receive in a second. After three quarters of them a probe is sent; without an answer the target's rate is that of a cold one. A statement counts from the time at which the probe was sent. Late reports confirm nothing. Targets below that rate cost no probe. All requests for a target pass its node, so the bound is that of all nodes together.

--- a/include/endivehinge/detail/gateway/call_result.hpp
+++ b/include/endivehinge/detail/gateway/call_result.hpp
@@ -30,6 +30,8 @@
     // whether the server's system refused the connection, which no process
     // accepts then
     bool connection_refused = false;
+    // when the request was sent; the server's state is not older
+    time_point sent;
     // of the complete response, and the time from its first byte to its end
     time_point received;
     duration transfer{0};
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -105,6 +105,7 @@
     bool send_started = false;
     bool send_completed = false;
     bool response_started = false;
+    time_point request_sent;
     time_point response_start;
     bool connection_refused = false;
     bool is_last_call = false;
--- a/include/endivehinge/detail/gateway/health_prober.hpp
+++ b/include/endivehinge/detail/gateway/health_prober.hpp
@@ -44,6 +44,12 @@
     /// @return whether a probe was sent; otherwise done is not called
     [[nodiscard]] bool probe_now(response_handler done);
 
+    /// @brief sends a probe immediately, for whose result requests can wait
+    /// longer; it fails after 250 ms without a response
+    /// @param done called once
+    /// @return whether a probe was sent; otherwise done is not called
+    [[nodiscard]] bool probe_patiently(response_handler done);
+
     /// @brief sends a probe on a new connection, which shows whether the target
     /// accepts connections
     /// @param done called once
--- a/include/endivehinge/detail/gateway/local_target.hpp
+++ b/include/endivehinge/detail/gateway/local_target.hpp
@@ -203,6 +203,8 @@
     void arm_lost_result_timer();
     void finish_lost_requests(bool crashed);
     void probe_slowdown();
+    /// @brief asks the target whether it is cold, if admission needs to know
+    void check_cold();
     void handle_probe(call_result const & result);
 
     boost::asio::io_context & io;
@@ -235,6 +237,9 @@
     rollout_participant * rollout = nullptr;
     bool evacuated = false;
     time_point cold_until;
+    bool cold_check_pending = false;
+    // after a check without an answer
+    time_point next_cold_check;
     std::function<void()> entry_change_action;
     absl::flat_hash_map<admission_ticket, state_pointer> requests;
     boost::asio::steady_timer queue_timer;
--- a/include/endivehinge/policy/cold_rate_limiter.hpp
+++ b/include/endivehinge/policy/cold_rate_limiter.hpp
@@ -19,7 +19,10 @@
 /// over the second, so that none has to wait for its end; a window of one
 /// second bounds them, so that the bucket may refill at the whole rate.
 /// Requests count while the target is considered warm, too: a report that it is
-/// cold may arrive just after they started.
+/// cold may arrive just after they started. A target may become cold at any
+/// moment, so that what is known of it covers no more requests than a cold
+/// target may receive: beyond these, the target must state again that it is
+/// warm, or its rate is that of a cold one.
 /// @note pure; not thread-safe, the owner serialises all calls
 class cold_rate_limiter
 {
@@ -37,6 +40,13 @@
     /// @brief whether the rate limit applies at the given time
     [[nodiscard]] bool is_cold(time_point now) const;
 
+    /// @brief records that the target stated not to be cold
+    /// @param known_at not after the time at which the target stated it
+    void confirm_warm(time_point known_at);
+
+    /// @brief whether the target should state again soon whether it is cold
+    [[nodiscard]] bool needs_confirmation(time_point now) const;
+
     /// @brief refills the bucket and returns whether a request may start
     [[nodiscard]] bool can_start(time_point now);
 
@@ -63,6 +73,8 @@
     double rate = 0;
     start_rate_bucket bucket;
     start_window window;
+    // when the target was last known not to be cold
+    time_point warm_at;
     // when can_start() was last called
     time_point checked_at;
 };
--- a/include/endivehinge/policy/start_window.hpp
+++ b/include/endivehinge/policy/start_window.hpp
@@ -25,6 +25,11 @@
     /// @pre now is not before the last recorded start
     void record_start(time_point now);
 
+    /// @brief number of starts after a time, within the window before now; at
+    /// most the capacity
+    [[nodiscard]] std::size_t count_after(time_point since,
+                                          time_point now) const;
+
     /// @brief time until a number of further requests may have started
     /// @return 0 if they may start immediately
     [[nodiscard]] duration time_until(std::size_t starts, time_point now) const;
--- a/include/endivehinge/policy/target_admission_policy.hpp
+++ b/include/endivehinge/policy/target_admission_policy.hpp
@@ -64,6 +64,14 @@
     /// @param bound limit on the requests of any second during the period
     void set_cold(time_point until, double rate, cold_rate_bound const & bound);
 
+    /// @brief records that the target stated not to be cold
+    /// @param known_at not after the time at which the target stated it
+    void confirm_warm(time_point known_at);
+
+    /// @brief whether the target should be asked now whether it is cold,
+    /// because its last statement covers few further requests
+    [[nodiscard]] bool needs_cold_check(time_point now) const;
+
     /// @brief sets the request rate that the target states to take from all
     /// nodes together, in requests per second; no value: none is stated
     void set_stated_rate(std::optional<double> rate, time_point now);
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -178,6 +178,7 @@
 void client_connection::write()
 {
     this->send_started = true;
+    this->request_sent = loop_now();
     this->start_parser();
     http::async_write(this->socket,
                       this->request,
@@ -378,6 +379,7 @@
     result.status = call_status::answered;
     result.response_started = true;
     result.response = std::move(message);
+    result.sent = this->request_sent;
     result.received = loop_now();
     result.transfer = result.received - this->response_start;
     // the connection cannot be reused if the request is not completely sent or
--- a/src/gateway/health_prober.cpp
+++ b/src/gateway/health_prober.cpp
@@ -19,6 +19,9 @@
 // short, since a target responds to probes immediately under any load, and a
 // request waits for the result
 constexpr duration on_demand_timeout = std::chrono::milliseconds(30);
+// a target that does not state its load answers probes like other requests,
+// once a slot is free
+constexpr duration patient_timeout = std::chrono::milliseconds(250);
 // the content is not used
 constexpr std::uint64_t max_probe_response_bytes = 65536;
 // a target that does not respond has four periodic probes pending at a time,
@@ -72,6 +75,11 @@
     return this->send(on_demand_timeout, false, std::move(done));
 }
 
+bool health_prober::probe_patiently(response_handler done)
+{
+    return this->send(patient_timeout, false, std::move(done));
+}
+
 bool health_prober::probe_new_connection(response_handler done)
 {
     return this->send(probe_timeout, true, std::move(done));
--- a/src/gateway/local_target_queue.cpp
+++ b/src/gateway/local_target_queue.cpp
@@ -70,6 +70,7 @@
     {
         this->probe_slowdown();
     }
+    this->check_cold();
     this->arm_queue_timer();
 }
 
--- a/src/gateway/local_target_state.cpp
+++ b/src/gateway/local_target_state.cpp
@@ -18,6 +18,9 @@
 // a lost request is retried after this at the latest, although it is not known
 // yet whether the target crashed; a refused connection shows it within 1 ms
 constexpr duration max_lost_result_delay = std::chrono::milliseconds(20);
+// until a target that did not answer is asked again whether it is cold; its
+// rate is that of a cold one meanwhile
+constexpr duration failed_cold_check_delay = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -520,6 +523,31 @@
     }
 }
 
+void local_target::check_cold()
+{
+    auto const now = loop_now();
+    if (this->cold_check_pending || now < this->next_cold_check ||
+        !this->admission.needs_cold_check(now))
+    {
+        return;
+    }
+    this->cold_check_pending = this->prober.probe_patiently(
+        [this](call_result const & result)
+        {
+            this->cold_check_pending = false;
+            if (result.status != call_status::answered)
+            {
+                this->next_cold_check = loop_now() + failed_cold_check_delay;
+            }
+            this->handle_probe(result);
+            this->process_queue();
+        });
+    if (!this->cold_check_pending)
+    {
+        this->next_cold_check = now + failed_cold_check_delay;
+    }
+}
+
 void local_target::handle_probe(call_result const & result)
 {
     if (result.status != call_status::answered)
@@ -529,6 +557,12 @@
     auto const head = this->adapter.read_response(result.response.result_int(),
                                                   result.response);
     this->apply_response_head(head);
+    auto const & probed = this->identity.current();
+    bool const is_own = probed && (!head.id || *head.id == probed->id);
+    if (is_own && head.cold_remaining.value_or(duration(0)) == duration(0))
+    {
+        this->admission.confirm_warm(result.sent);
+    }
     if (head.leaving && head.id)
     {
         this->drain(*head.id);
--- a/src/policy/cold_rate_limiter.cpp
+++ b/src/policy/cold_rate_limiter.cpp
@@ -14,6 +14,9 @@
 constexpr double unused_requests = 2;
 // requests per second; lets a target that allows less than a burst warm up
 constexpr double min_rate = 1;
+// share of the requests that a cold target may receive after which the next
+// statement of the target is requested; the rest may start meanwhile
+constexpr double confirmation_share = 0.75;
 // span to which the bound of a cold target applies
 constexpr duration bound_window = std::chrono::seconds(1);
 
@@ -50,9 +53,29 @@
 {
     this->bucket.refill(now);
     this->checked_at = now;
-    return !this->is_cold(now) ||
-           (this->bucket.has_token() &&
-            this->window.time_until(1, now) == duration(0));
+    if (this->rate <= 0)
+    {
+        return true;
+    }
+    if (!this->is_cold(now))
+    {
+        return static_cast<double>(
+                   this->window.count_after(this->warm_at, now)) < this->rate;
+    }
+    return this->bucket.has_token() &&
+           this->window.time_until(1, now) == duration(0);
+}
+
+void cold_rate_limiter::confirm_warm(time_point known_at)
+{
+    this->warm_at = std::max(this->warm_at, known_at);
+}
+
+bool cold_rate_limiter::needs_confirmation(time_point now) const
+{
+    return this->rate > 0 && !this->is_cold(now) &&
+           static_cast<double>(this->window.count_after(this->warm_at, now)) >=
+               this->rate * confirmation_share;
 }
 
 void cold_rate_limiter::record_start(time_point now)
--- a/src/policy/start_window.cpp
+++ b/src/policy/start_window.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/start_window.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // count_if, max
 #include <cstdint>   // int64_t
 
 namespace endivehinge
@@ -29,6 +29,17 @@
     }
 }
 
+std::size_t start_window::count_after(time_point since, time_point now) const
+{
+    auto const first = std::max(since, now - this->window_length);
+    return static_cast<std::size_t>(std::count_if(this->recent.begin(),
+                                                  this->recent.end(),
+                                                  [first](time_point start)
+                                                  {
+                                                      return start > first;
+                                                  }));
+}
+
 duration start_window::time_until(std::size_t starts, time_point now) const
 {
     std::size_t const unused = this->capacity - this->recent.size();
--- a/src/policy/target_admission_policy.cpp
+++ b/src/policy/target_admission_policy.cpp
@@ -61,6 +61,16 @@
     this->cold_limiter.set(until, rate, bound);
 }
 
+void target_admission_policy::confirm_warm(time_point known_at)
+{
+    this->cold_limiter.confirm_warm(known_at);
+}
+
+bool target_admission_policy::needs_cold_check(time_point now) const
+{
+    return this->cold_limiter.needs_confirmation(now);
+}
+
 void target_admission_policy::set_stated_rate(std::optional<double> rate,
                                               time_point now)
 {
--- a/tests/src/gateway/target_stand_in.cpp
+++ b/tests/src/gateway/target_stand_in.cpp
@@ -47,8 +47,16 @@
     if (incoming->request.target() == "/health")
     {
         this->probe_count += 1;
+        if (!this->answers_probes)
+        {
+            return;
+        }
         detail::response_message message{http::status::ok, 11};
         this->add_fields(message);
+        for (auto const & [name, value] : this->health_fields)
+        {
+            message.set(name, value);
+        }
         message.keep_alive(true);
         message.prepare_payload();
         incoming->respond(std::move(message));
--- a/tests/src/gateway/target_stand_in.hpp
+++ b/tests/src/gateway/target_stand_in.hpp
@@ -51,6 +51,9 @@
     int slowdown = 100;
     // further fields of all responses
     std::map<std::string, std::string> extra_fields;
+    // further fields of the responses to health probes
+    std::map<std::string, std::string> health_fields;
+    bool answers_probes = true;
     // ends the body of all its responses to requests
     std::string extra_body;
     // IDs of the executed requests, in order
