Read responses strictly, and none as complete after a reset

Clients got a status of 000 as a response, and a part of a body as a whole one, when a target answered a long upload at once with a 200 without a length and reset the connection.

Cause: the HTTP parser reads any three digits as a status, and takes a body under an unknown coding for one that extends to the end of the connection. The end itself was judged by the read alone: the system states a reset once, the pending write of the upload took note of it and dropped it, and the read then saw an end of the stream.

Change: message_parser, which reads all messages of `serve` (targets, other nodes, the store, probes, calls), checks each response head by message_grammar: the status, 101 without a request for it, codings other than one `chunked`, a length beside them, and versions before 1.1 with them. Such a response is a failure of the target. A response that extends to the end of the connection is complete only if no write failed and the system does not state a reset (TCP_INFO).

--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -85,6 +85,9 @@
     /// @return whether the deadline is later than before
     [[nodiscard]] bool extend_deadline();
     [[nodiscard]] bool has_unread_bytes();
+    /// @brief whether the server has ended the connection in order; a reset may
+    /// have cut off a response without a length
+    [[nodiscard]] bool is_ended_in_order();
     void fail(call_status status, std::string detail);
     void finish(call_result result);
     void close();
@@ -104,6 +107,7 @@
     bool read_pending = false;
     bool send_started = false;
     bool send_completed = false;
+    bool send_failed = false;
     bool response_started = false;
     time_point request_sent;
     time_point response_start;
--- a/include/endivehinge/detail/gateway/message_parser.hpp
+++ b/include/endivehinge/detail/gateway/message_parser.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>      // parser
 #include <boost/beast/http/string_body.hpp> // string_body
 
+#include <endivehinge/detail/gateway/message_grammar.hpp>
 #include <endivehinge/detail/gateway/received_body.hpp>
 
 namespace endivehinge::detail
@@ -26,8 +27,8 @@
     std::uint64_t body_bytes = 67108864;
 };
 
-/// @brief parses one received HTTP message; each of its bytes counts against a
-/// limit
+/// @brief parses one received HTTP message, strictly by RFC 9112; each of its
+/// bytes counts against a limit
 /// @note thread safety: none
 template <bool is_request>
 class message_parser
@@ -67,8 +68,13 @@
     {
         bool const had_header = this->parser.is_header_done();
         this->put_part(buffer, error);
-        bool const begins_body =
+        bool const has_new_header =
             !had_header && this->parser.is_header_done() && !error;
+        if (has_new_header)
+        {
+            error = this->check_header();
+        }
+        bool const begins_body = has_new_header && !error;
         if (begins_body && !this->parser.is_done() && buffer.size() > 0)
         {
             this->put_part(buffer, error);
@@ -137,6 +143,18 @@
     // digits
     static constexpr std::uint64_t framing_share = 16;
 
+    [[nodiscard]] boost::beast::error_code check_header() const
+    {
+        if constexpr (is_request)
+        {
+            return {};
+        }
+        else
+        {
+            return check_response_head(this->parser.get().base());
+        }
+    }
+
     void put_part(boost::beast::flat_buffer & buffer,
                   boost::beast::error_code & error)
     {
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -1,7 +1,7 @@
 #include <endivehinge/detail/gateway/client_connection.hpp>
 
-#include <netinet/tcp.h> // TCP_USER_TIMEOUT, TCP_KEEPIDLE
-#include <sys/socket.h>  // setsockopt
+#include <netinet/tcp.h> // TCP_INFO, TCP_KEEPIDLE, TCP_USER_TIMEOUT
+#include <sys/socket.h>  // getsockopt, setsockopt
 
 #include <algorithm> // min
 #include <exception> // exception
@@ -185,13 +185,10 @@
                       [self = this->shared_from_this()](
                           boost::system::error_code error, std::size_t)
                       {
-                          if (error)
-                          {
-                              // a response may still arrive; the pending read
-                              // reports the connection failure
-                              return;
-                          }
-                          self->send_completed = true;
+                          // a response may still arrive; the pending read
+                          // reports the connection failure
+                          self->send_failed = static_cast<bool>(error);
+                          self->send_completed = !error;
                       });
 }
 
@@ -243,7 +240,7 @@
     }
     if (error == asio::error::eof && this->request_active &&
         this->response_started && this->parser->is_header_done() &&
-        this->parser->needs_eof())
+        this->parser->needs_eof() && this->is_ended_in_order())
     {
         // a response without a length extends to the end of the connection
         boost::system::error_code parse_error;
@@ -451,6 +448,20 @@
     return this->socket.available(ignored) > 0;
 }
 
+bool client_connection::is_ended_in_order()
+{
+    // the system reports a reset once only, to a write as well as to a read
+    tcp_info state{};
+    socklen_t size = sizeof state;
+    bool const is_known = ::getsockopt(this->socket.native_handle(),
+                                       IPPROTO_TCP,
+                                       TCP_INFO,
+                                       &state,
+                                       &size) == 0;
+    bool const is_reset = is_known && state.tcpi_state == TCP_CLOSE;
+    return !this->send_failed && !is_reset;
+}
+
 void client_connection::handle_timeout()
 {
     // the handler of a wait that expired before the timer was armed again can
--- a/tests/src/gateway/gateway_fleet.cpp
+++ b/tests/src/gateway/gateway_fleet.cpp
@@ -232,7 +232,7 @@
     }
     if (message.method() == http::verb::post)
     {
-        message.body() = "booking";
+        message.body() = this->upload;
     }
     message.prepare_payload();
     auto const & address = member.node->state.settings.client_listener;
--- a/tests/src/gateway/gateway_fleet.hpp
+++ b/tests/src/gateway/gateway_fleet.hpp
@@ -113,6 +113,8 @@
     std::vector<endpoint> seeds;
     // written by configure(); no client accounts if null
     nlohmann::json tenants;
+    // body of each request that is sent with POST
+    std::string upload = "booking";
     // further fields of each request that is sent
     std::vector<std::pair<std::string, std::string>> request_fields;
     // in the settings of each new node
