Refuse requests whose body has no known end

A request with `Transfer-Encoding: bogus` (also `identity`, `chunked, gzip` and others) ran without its body and was answered with 200; a body that began like a request ran as a request of its own.

Cause: the HTTP parser takes a coding that it does not know for none, so that the body stays in the stream of the connection. Two Host fields were accepted, and the first one selected the route.

Change: message_grammar checks the head of each request, at all ports of `serve`: 400 and the end of the connection unless the codings are one `chunked` in a message of version 1.1 without a length, 501 for codings that are allowed but unknown here, 400 for two Host fields (RFC 9112, sections 3.2, 6.1 and 6.3).

Evidence: of 11 shapes in gateway_request_grammar, at the ports for clients and for other nodes, 10 failed on the code before (chunked in a message of version 1.0 was refused); all pass now and no request ran.

--- a/include/endivehinge/detail/gateway/message_grammar.hpp
+++ b/include/endivehinge/detail/gateway/message_grammar.hpp
@@ -16,6 +16,14 @@
 [[nodiscard]] boost::beast::error_code
 check_response_head(boost::beast::http::response_header<> const & head);
 
+/// @brief checks what the parser accepts in the head of a request although RFC
+/// 9112 forbids it
+/// @return the error, or none; unsupported_coding() if the request has a coding
+/// that is allowed, but unknown here
+/// @note thread safety: any thread
+[[nodiscard]] boost::beast::error_code
+check_request_head(boost::beast::http::request_header<> const & head);
+
 /// @brief the error of a request with a transfer coding that is not implemented
 /// @note thread safety: any thread
 [[nodiscard]] boost::beast::error_code unsupported_coding();
--- a/include/endivehinge/detail/gateway/message_parser.hpp
+++ b/include/endivehinge/detail/gateway/message_parser.hpp
@@ -147,7 +147,7 @@
     {
         if constexpr (is_request)
         {
-            return {};
+            return check_request_head(this->parser.get().base());
         }
         else
         {
--- a/src/gateway/message_grammar.cpp
+++ b/src/gateway/message_grammar.cpp
@@ -1,6 +1,7 @@
 #include <endivehinge/detail/gateway/message_grammar.hpp>
 
 #include <algorithm> // count_if
+#include <iterator>  // distance
 #include <string>    // string
 #include <vector>    // vector
 
@@ -89,6 +90,16 @@
     return check_codings(head, head.version());
 }
 
+error_code check_request_head(http::request_header<> const & head)
+{
+    auto const [first, last] = head.equal_range(http::field::host);
+    if (std::distance(first, last) > 1)
+    {
+        return http::error::bad_field;
+    }
+    return check_codings(head, head.version());
+}
+
 error_code unsupported_coding()
 {
     return make_error_code(boost::system::errc::operation_not_supported);
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -455,6 +455,10 @@
     {
         status = http::status::request_timeout;
     }
+    else if (error == unsupported_coding())
+    {
+        status = http::status::not_implemented;
+    }
     this->accepts_requests = false;
     auto const rejected = std::make_shared<exchange>(
         this->weak_from_this(), request_message{}, loop_now());
--- a/tests/src/system-gateway-message-grammar.cpp
+++ b/tests/src/system-gateway-message-grammar.cpp
@@ -188,5 +188,93 @@
               4U);
 }
 
+/// @brief a client that sends given bytes to a node
+class gateway_request_grammar : public ::testing::TestWithParam<message_text>
+{
+protected:
+    gateway_request_grammar()
+    {
+        this->fleet.start_members(1, "web");
+    }
+
+    /// @brief sends bytes and reads until the node closes the connection
+    std::string exchange_with(endpoint const & address,
+                              std::string const & bytes)
+    {
+        tcp::socket socket(this->fleet.io);
+        socket.connect({asio::ip::make_address(address.host), address.port});
+        asio::write(socket, asio::buffer(bytes));
+        asio::streambuf received;
+        bool ended = false;
+        asio::async_read(socket,
+                         received,
+                         [&ended](boost::system::error_code, std::size_t)
+                         {
+                             ended = true;
+                         });
+        EXPECT_TRUE(this->fleet.run_until(
+            [&ended]
+            {
+                return ended;
+            }));
+        auto const data = received.data();
+        return {asio::buffers_begin(data), asio::buffers_end(data)};
+    }
+
+    gateway_fleet fleet;
+};
+
+// The request ran without its body, and the body as a request of its own.
+TEST_P(gateway_request_grammar, request_with_an_invalid_coding_does_not_run)
+{
+    std::string const hidden =
+        "POST /unsafe/b HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-2\r\n"
+        "Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+    auto const & settings = this->fleet.members[0]->node->state.settings;
+    for (auto const & address :
+         {settings.client_listener, settings.peer_listener})
+    {
+        auto const answer = this->exchange_with(
+            address,
+            absl::StrCat("POST /unsafe/a ",
+                         GetParam().text,
+                         "\r\nHost: h.example\r\nRequest-Id: id-1\r\n"
+                         "Deadline-Ms: 3000\r\n\r\n",
+                         hidden));
+        std::string const name = GetParam().name;
+        auto const expected = name == "coding_that_is_not_supported"
+                                  ? "HTTP/1.1 501 "
+                                  : "HTTP/1.1 400 ";
+        EXPECT_EQ(answer.rfind(expected, 0), 0U) << answer;
+        EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+        EXPECT_TRUE(this->fleet.members[0]->target->executed_ids.empty());
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    shapes,
+    gateway_request_grammar,
+    ::testing::Values(
+        message_text{"unknown_coding", "HTTP/1.1\r\nTransfer-Encoding: bogus"},
+        message_text{"identity_coding",
+                     "HTTP/1.1\r\nTransfer-Encoding: identity"},
+        message_text{"longer_name", "HTTP/1.1\r\nTransfer-Encoding: xchunked"},
+        message_text{"chunked_not_last",
+                     "HTTP/1.1\r\nTransfer-Encoding: chunked, gzip"},
+        message_text{"chunked_twice",
+                     "HTTP/1.1\r\nTransfer-Encoding: chunked, chunked"},
+        message_text{"empty_coding", "HTTP/1.1\r\nTransfer-Encoding: "},
+        message_text{"unknown_coding_beside_a_length",
+                     "HTTP/1.1\r\nTransfer-Encoding: bogus\r\n"
+                     "Content-Length: 5"},
+        message_text{"chunked_in_an_earlier_version",
+                     "HTTP/1.0\r\nTransfer-Encoding: chunked"},
+        message_text{"unknown_coding_in_an_earlier_version",
+                     "HTTP/1.0\r\nTransfer-Encoding: bogus"},
+        message_text{"coding_that_is_not_supported",
+                     "HTTP/1.1\r\nTransfer-Encoding: gzip, chunked"},
+        message_text{"two_hosts", "HTTP/1.1\r\nHost: other.example"}),
+    name_of);
+
 } // namespace
 } // namespace endivehinge::tests
