Count the departure of a target whose clock jumped back

A target started while its clock stood ahead, crashed and started again under its id once the clock was right.

Cause: reports whose start is before that of the current incarnation were all taken for late ones, and confirmed without effect. Ruled out: the order of sequences, which is judged for each incarnation.

Change: an incarnation whose start contradicts the order of arrival is doubtful. It is kept; its draining or leave closes the id that it shares, until the other incarnation reports again. Three reports in a row prove it against a ready one under its id, and a health response as well against one that has left. Under another id a health response that names it suffices. An entry of an earlier process does not contradict a report.

Orders tried: a report, a draining and a leave of an earlier start are further steps of confirmed_departure_holds_in_all_orders (seven steps out of eight kinds).

--- a/include/endivehinge/policy/known_incarnation.hpp
+++ b/include/endivehinge/policy/known_incarnation.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEHINGE_POLICY_KNOWN_INCARNATION_HPP
 #define ENDIVEHINGE_POLICY_KNOWN_INCARNATION_HPP
 
+#include <cstdint> // uint32_t
+
 #include <endivehinge/policy/target_status_report.hpp>
 
 namespace endivehinge
@@ -15,6 +17,11 @@
     target_status_report report;
     // whether it reported its start to this process
     bool start_was_reported = false;
+    // its start time contradicts the order in which reports arrived: they are
+    // late, or the clock by which targets state their start has jumped
+    bool is_doubtful = false;
+    // since the last report of another incarnation under its id
+    std::uint32_t uninterrupted_reports = 0;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/target_incarnation_tracker.hpp
+++ b/include/endivehinge/policy/target_incarnation_tracker.hpp
@@ -28,8 +28,18 @@
 /// | entry of earlier process  | state of both that is further on   |
 ///
 /// An incarnation that is not known is adopted in the state that it reports,
-/// and ends the one before, unless it started earlier than a known one: then
-/// its report may be late.
+/// and ends the one before, unless it started earlier than one that has
+/// reported to this process or is leaving. Then its report may be late, or the
+/// clock has jumped back, and it is doubtful:
+///
+/// | of a doubtful incarnation | effect                                       |
+/// |---------------------------|----------------------------------------------|
+/// | health response, other id | adopted: it is at the address                |
+/// | "draining", same id       | the id gets no request until its other       |
+/// |                           | incarnation reports again                    |
+/// | some reports in a row     | adopted in place of a ready one under its id |
+/// | the same, and a health    | adopted in place of one under its id that is |
+/// | response                  | leaving                                      |
 /// @note pure; not thread-safe, the owner serialises all calls
 class target_incarnation_tracker
 {
@@ -103,8 +113,18 @@
                                            std::int64_t started_ms);
     [[nodiscard]] known_incarnation * find_usable(target_id const & id);
     [[nodiscard]] bool is_current(known_incarnation const & entry) const;
-    /// @brief whether it started before a known incarnation
-    [[nodiscard]] bool is_earlier(target_status_report const & received) const;
+    /// @brief whether it started before an incarnation that has reported to
+    /// this process or is leaving
+    [[nodiscard]] bool
+    is_contradicted(target_status_report const & received) const;
+    /// @brief a doubtful incarnation that has reported often enough to be
+    /// adopted under an id that is in use; null: none
+    [[nodiscard]] known_incarnation * find_proven(target_id const & id);
+    [[nodiscard]] bool is_leaving(target_id const & id) const;
+    void count_report(known_incarnation & entry);
+    change update_doubtful(known_incarnation & entry);
+    /// @brief puts a doubtful incarnation in the place of the current one
+    void replace_current(known_incarnation & entry);
     [[nodiscard]] bool has_ended(target_id const & id) const;
     known_incarnation & add(target_status_report const & received);
     change update(known_incarnation & entry,
@@ -112,6 +132,8 @@
     change adopt(known_incarnation & entry);
     /// @brief the current incarnation is no longer at the address
     void discard_current();
+    /// @brief keeps the later one of this and the departed incarnation
+    void set_departed(target_status_report const & departed);
     /// @brief marks the current incarnation as ended
     void end_current();
 
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -12,6 +12,9 @@
 // highest report sequence that identifies a new incarnation under a reused id
 // if no start time is known; each incarnation restarts the sequence
 constexpr std::uint64_t last_startup_sequence = 2;
+// reports in a row after which a doubtful incarnation is taken for the running
+// one; a late message or two do not reach it
+constexpr std::uint32_t proving_reports = 3;
 
 bool is_startup(target_status_report const & received)
 {
@@ -47,9 +50,17 @@
             return this->update(*entry, received);
         }
     }
-    else if (this->is_earlier(received))
+    else if (this->is_contradicted(received))
     {
-        return change::none;
+        auto & doubtful = this->add(received);
+        doubtful.is_doubtful = true;
+        this->count_report(doubtful);
+        bool const shares_id =
+            this->current_report && this->current_report->id == received.id;
+        // it may be the one that runs, and cold
+        return shares_id && this->current_report->state == target_state::ready
+                   ? change::refreshed
+                   : change::none;
     }
     if (!this->adopts && received.state == target_state::ready)
     {
@@ -70,9 +81,16 @@
         return change::none;
     }
     auto const state = std::max(before.state, received.state);
+    this->count_report(entry);
+    if (entry.is_doubtful)
+    {
+        entry.report = received;
+        entry.report.state = state;
+        return this->update_doubtful(entry);
+    }
     if (!this->is_current(entry))
     {
-        if (this->is_earlier(received))
+        if (this->is_contradicted(received))
         {
             return change::none;
         }
@@ -93,15 +111,59 @@
     return state == before.state ? change::refreshed : change::state_changed;
 }
 
+target_incarnation_tracker::change
+target_incarnation_tracker::update_doubtful(known_incarnation & entry)
+{
+    if (!this->current_report || this->current_report->id != entry.report.id)
+    {
+        // until a health response names it
+        return change::none;
+    }
+    if (this->current_report->state != target_state::ready)
+    {
+        // the id gets no request already
+        return change::none;
+    }
+    bool const is_proven = entry.uninterrupted_reports >= proving_reports;
+    bool const is_leaving = entry.report.state != target_state::ready;
+    if (is_proven)
+    {
+        this->replace_current(entry);
+    }
+    if (is_leaving)
+    {
+        // requests name the id only, so that the other one under it gets none
+        // either until it reports again
+        this->current_report = entry.report;
+    }
+    return is_leaving ? change::state_changed : change::refreshed;
+}
+
+void target_incarnation_tracker::replace_current(known_incarnation & entry)
+{
+    if (auto * const other = this->find(this->current_report->id,
+                                        this->current_report->started_ms))
+    {
+        other->is_doubtful = true;
+        other->uninterrupted_reports = 0;
+    }
+    entry.is_doubtful = false;
+    this->current_report = entry.report;
+}
+
 target_incarnation_tracker::change
 target_incarnation_tracker::record_health_response(target_id const & id,
                                                    std::uint32_t slots)
 {
+    auto * const proven = this->find_proven(id);
     if (this->current_report && this->current_report->id == id)
     {
-        return change::refreshed;
+        bool const is_successor =
+            this->current_report->state != target_state::ready &&
+            proven != nullptr && this->adopts;
+        return is_successor ? this->adopt(*proven) : change::refreshed;
     }
-    auto * const entry = this->find_usable(id);
+    auto * const entry = this->is_leaving(id) ? proven : this->find_usable(id);
     bool const is_late = entry == nullptr && this->has_ended(id);
     if (is_late || slots == 0 || !this->adopts)
     {
@@ -166,7 +228,7 @@
              (was_current || !this->current_report))
     {
         this->current_report.reset();
-        this->departed_report = entry->report;
+        this->set_departed(entry->report);
     }
     return was_current && is_further;
 }
@@ -188,16 +250,26 @@
     }
     bool const was_current = this->is_current(*entry);
     entry->report.state = target_state::removed;
-    // requests name the id only, so a successor under it would get them
-    bool const succeeds_current =
+    // requests name the id only, so that one that may run under it gets none
+    bool const shares_id =
         this->current_report && this->current_report->id == id &&
-        is_earlier_start(*this->current_report, entry->report);
-    if (this->current_report && !was_current && !succeeds_current)
+        (entry->is_doubtful ||
+         is_earlier_start(*this->current_report, entry->report));
+    if (this->current_report && !was_current && !shares_id)
     {
         return false;
     }
-    this->end_current();
-    this->departed_report = entry->report;
+    bool const may_return = !was_current && entry->is_doubtful &&
+                            entry->uninterrupted_reports < proving_reports;
+    if (may_return)
+    {
+        this->discard_current();
+    }
+    else
+    {
+        this->end_current();
+    }
+    this->set_departed(entry->report);
     return true;
 }
 
@@ -266,15 +338,50 @@
            this->current_report->started_ms == entry.report.started_ms;
 }
 
-bool target_incarnation_tracker::is_earlier(
+bool target_incarnation_tracker::is_contradicted(
     target_status_report const & received) const
 {
-    return std::any_of(this->known.begin(),
-                       this->known.end(),
-                       [&received](auto const & entry)
-                       {
-                           return is_earlier_start(received, entry.report);
-                       });
+    return std::any_of(
+        this->known.begin(),
+        this->known.end(),
+        [&received](auto const & entry)
+        {
+            bool const is_restored = entry.report.sequence == 0 &&
+                                     entry.report.state == target_state::ready;
+            return !is_restored && is_earlier_start(received, entry.report);
+        });
+}
+
+known_incarnation *
+target_incarnation_tracker::find_proven(target_id const & id)
+{
+    auto const found =
+        std::find_if(this->known.begin(),
+                     this->known.end(),
+                     [&id](auto const & entry)
+                     {
+                         return entry.report.id == id && entry.is_doubtful &&
+                                entry.report.state == target_state::ready &&
+                                entry.uninterrupted_reports >= proving_reports;
+                     });
+    return found == this->known.end() ? nullptr : &*found;
+}
+
+bool target_incarnation_tracker::is_leaving(target_id const & id) const
+{
+    return this->departed_report && this->departed_report->id == id;
+}
+
+void target_incarnation_tracker::count_report(known_incarnation & entry)
+{
+    for (auto & other : this->known)
+    {
+        if (&other != &entry && other.report.id == entry.report.id)
+        {
+            other.uninterrupted_reports = 0;
+        }
+    }
+    entry.uninterrupted_reports += 1;
 }
 
 bool target_incarnation_tracker::has_ended(target_id const & id) const
@@ -304,6 +411,7 @@
 target_incarnation_tracker::adopt(known_incarnation & entry)
 {
     this->end_current();
+    entry.is_doubtful = false;
     for (auto & other : this->known)
     {
         if (is_earlier_start(other.report, entry.report))
@@ -321,11 +429,21 @@
     if (this->current_report &&
         this->current_report->state != target_state::ready)
     {
-        this->departed_report = this->current_report;
+        this->set_departed(*this->current_report);
     }
     this->current_report.reset();
 }
 
+void target_incarnation_tracker::set_departed(
+    target_status_report const & departed)
+{
+    if (!this->departed_report ||
+        !is_earlier_start(departed, *this->departed_report))
+    {
+        this->departed_report = departed;
+    }
+}
+
 void target_incarnation_tracker::end_current()
 {
     if (!this->current_report)
--- a/tests/src/unit-target-incarnation-tracker.cpp
+++ b/tests/src/unit-target-incarnation-tracker.cpp
@@ -145,6 +145,68 @@
     EXPECT_FALSE(tracker.current().has_value());
 }
 
+// The clock by which targets state their start jumps back between two starts
+// under one id: all reports of the second one were dropped, and its draining
+// was confirmed without effect.
+TEST(target_incarnation_tracker, departure_counts_after_the_clock_jumped_back)
+{
+    target_incarnation_tracker tracker;
+    tracker.report(make_report("a", 2400, 1));
+    for (std::uint64_t sequence = 1; sequence <= 4; ++sequence)
+    {
+        EXPECT_EQ(tracker.report(make_report("a", 1000, sequence)),
+                  change::refreshed);
+    }
+    EXPECT_EQ(tracker.report(make_report("a", 1000, 5, target_state::draining)),
+              change::state_changed);
+    EXPECT_EQ(tracker.report(make_report("a", 2400, 2)), change::none);
+    EXPECT_EQ(tracker.current()->state, target_state::draining);
+    EXPECT_TRUE(tracker.leave(target_id("a"), 1000));
+    EXPECT_FALSE(tracker.current().has_value());
+}
+
+TEST(target_incarnation_tracker, late_departure_of_an_earlier_start_passes)
+{
+    target_incarnation_tracker tracker;
+    tracker.report(make_report("a", 20, 1));
+    tracker.report(make_report("a", 10, 4));
+    tracker.report(make_report("a", 10, 5, target_state::draining));
+    EXPECT_EQ(tracker.current()->state, target_state::draining);
+    EXPECT_EQ(tracker.report(make_report("a", 20, 2)), change::new_incarnation);
+    EXPECT_EQ(tracker.current()->state, target_state::ready);
+    tracker.report(make_report("a", 5, 4));
+    EXPECT_TRUE(tracker.leave(target_id("a"), 5));
+    EXPECT_EQ(tracker.report(make_report("a", 20, 3)), change::new_incarnation);
+}
+
+TEST(target_incarnation_tracker, earlier_start_succeeds_once_it_is_proven)
+{
+    target_incarnation_tracker tracker;
+    tracker.report(make_report("a", 20, 1));
+    tracker.leave(target_id("a"), 20);
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
+    {
+        EXPECT_EQ(tracker.record_health_response(target_id("a"), 8),
+                  change::none);
+        EXPECT_EQ(tracker.report(make_report("a", 10, sequence)), change::none);
+    }
+    EXPECT_FALSE(tracker.current().has_value());
+    EXPECT_EQ(tracker.record_health_response(target_id("a"), 8),
+              change::new_incarnation);
+    EXPECT_EQ(tracker.current()->started_ms, 10);
+}
+
+TEST(target_incarnation_tracker, earlier_start_is_used_if_its_address_names_it)
+{
+    target_incarnation_tracker tracker;
+    tracker.report(make_report("a", 20, 1));
+    EXPECT_EQ(tracker.report(make_report("b", 10, 1)), change::none);
+    EXPECT_EQ(tracker.current()->id, target_id("a"));
+    EXPECT_EQ(tracker.record_health_response(target_id("b"), 8),
+              change::new_incarnation);
+    EXPECT_EQ(tracker.report(make_report("b", 10, 2)), change::refreshed);
+}
+
 /// @brief a node and its successors, which know only the stored entry
 class stored_tracker
 {
@@ -198,6 +260,16 @@
         {
             node.kill();
         },
+        // of an incarnation under its id that started before it, or after it
+        // by a clock that had jumped
+        [](stored_tracker & node, bool &)
+        {
+            node.tracker.report(make_report("a", 4, 3, target_state::draining));
+        },
+        [](stored_tracker & node, bool &)
+        {
+            node.tracker.leave(target_id("a"), 4);
+        },
     };
     constexpr std::size_t length = 7;
     std::size_t orders = 1;
@@ -210,8 +282,14 @@
         stored_tracker node;
         bool has_left = false;
         auto rest = order;
+        // one late report of the earlier one may come at any time, too
+        auto const late = order % length;
         for (std::size_t i = 0; i < length; ++i, rest /= steps.size())
         {
+            if (i == late)
+            {
+                node.tracker.report(make_report("a", 4, 2));
+            }
             steps[rest % steps.size()](node, has_left);
             auto const & current = node.tracker.current();
             ASSERT_FALSE(has_left && current &&
