Split the handling of doubtful incarnations and bound what is known of them

Read as a newcomer would: report() decided three things at once, two conditions of update_doubtful had one outcome, and the incarnations taken over from stored entries were not bounded by max_known_incarnations. A leave of an unknown incarnation counted it as one that had reported its start, since the report made for it was `ready`.

No other behaviour changes.

Evidence: the 16 tests of target_incarnation_tracker pass.

--- a/include/endivehinge/policy/target_incarnation_tracker.hpp
+++ b/include/endivehinge/policy/target_incarnation_tracker.hpp
@@ -109,6 +109,8 @@
     [[nodiscard]] std::optional<target_status_report> const & departed() const;
 
 private:
+    /// @brief the incarnation with this id and start; if one of the two starts
+    /// is unknown, the latest one with this id
     [[nodiscard]] known_incarnation * find(target_id const & id,
                                            std::int64_t started_ms);
     [[nodiscard]] known_incarnation * find_usable(target_id const & id);
@@ -121,12 +123,16 @@
     /// adopted under an id that is in use; null: none
     [[nodiscard]] known_incarnation * find_proven(target_id const & id);
     [[nodiscard]] bool is_leaving(target_id const & id) const;
+    /// @brief counts the reports in a row under an id
     void count_report(known_incarnation & entry);
+    change add_doubtful(target_status_report const & received);
     change update_doubtful(known_incarnation & entry);
     /// @brief puts a doubtful incarnation in the place of the current one
     void replace_current(known_incarnation & entry);
     [[nodiscard]] bool has_ended(target_id const & id) const;
     known_incarnation & add(target_status_report const & received);
+    /// @brief forgets the oldest incarnation if there are too many
+    void make_room();
     change update(known_incarnation & entry,
                   target_status_report const & received);
     change adopt(known_incarnation & entry);
--- a/src/policy/target_incarnation_tracker.cpp
+++ b/src/policy/target_incarnation_tracker.cpp
@@ -52,15 +52,7 @@
     }
     else if (this->is_contradicted(received))
     {
-        auto & doubtful = this->add(received);
-        doubtful.is_doubtful = true;
-        this->count_report(doubtful);
-        bool const shares_id =
-            this->current_report && this->current_report->id == received.id;
-        // it may be the one that runs, and cold
-        return shares_id && this->current_report->state == target_state::ready
-                   ? change::refreshed
-                   : change::none;
+        return this->add_doubtful(received);
     }
     if (!this->adopts && received.state == target_state::ready)
     {
@@ -111,17 +103,27 @@
     return state == before.state ? change::refreshed : change::state_changed;
 }
 
+target_incarnation_tracker::change
+target_incarnation_tracker::add_doubtful(target_status_report const & received)
+{
+    auto & entry = this->add(received);
+    entry.is_doubtful = true;
+    this->count_report(entry);
+    bool const shares_id = this->current_report &&
+                           this->current_report->id == received.id &&
+                           this->current_report->state == target_state::ready;
+    // it may be the one that runs, and cold
+    return shares_id ? change::refreshed : change::none;
+}
+
 target_incarnation_tracker::change
 target_incarnation_tracker::update_doubtful(known_incarnation & entry)
 {
-    if (!this->current_report || this->current_report->id != entry.report.id)
-    {
-        // until a health response names it
-        return change::none;
-    }
-    if (this->current_report->state != target_state::ready)
+    bool const shares_id =
+        this->current_report && this->current_report->id == entry.report.id;
+    if (!shares_id || this->current_report->state != target_state::ready)
     {
-        // the id gets no request already
+        // waits for a health response that names it
         return change::none;
     }
     bool const is_proven = entry.uninterrupted_reports >= proving_reports;
@@ -209,6 +211,7 @@
     auto * entry = this->find(stored.id, stored.started_ms);
     if (entry == nullptr)
     {
+        this->make_room();
         this->known.push_front({stored, false});
         entry = &this->known.front();
     }
@@ -242,10 +245,12 @@
         target_status_report unknown;
         unknown.id = id;
         unknown.started_ms = started_ms;
+        unknown.state = target_state::removed;
         entry = &this->add(unknown);
     }
     else if (entry->report.state == target_state::removed)
     {
+        // a copy of an earlier message
         return false;
     }
     bool const was_current = this->is_current(*entry);
@@ -397,14 +402,19 @@
 
 known_incarnation &
 target_incarnation_tracker::add(target_status_report const & received)
+{
+    this->make_room();
+    this->known.push_back({received, is_startup(received)});
+    return this->known.back();
+}
+
+void target_incarnation_tracker::make_room()
 {
     if (this->known.size() >= max_known_incarnations)
     {
         bool const is_first_current = this->is_current(this->known.front());
         this->known.erase(this->known.begin() + (is_first_current ? 1 : 0));
     }
-    this->known.push_back({received, is_startup(received)});
-    return this->known.back();
 }
 
 target_incarnation_tracker::change
