--- a/tests/src/system-gateway-message-grammar.cpp
+++ b/tests/src/system-gateway-message-grammar.cpp
@@ -1,7 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <string> // string, to_string
-#include <vector> // vector
+#include <ostream> // ostream
+#include <string>  // string, to_string
+#include <vector>  // vector
 
 #include <absl/strings/str_cat.h>          // StrCat
 #include <boost/asio/buffers_iterator.hpp> // buffers_begin
@@ -28,9 +29,9 @@
     std::string text;
 };
 
-void PrintTo(message_text const & message, std::ostream * out)
+std::ostream & operator<<(std::ostream & out, message_text const & message)
 {
-    *out << message.name;
+    return out << message.name;
 }
 
 std::string name_of(::testing::TestParamInfo<message_text> const & info)
--- a/tests/src/unit-target-incarnation-tracker.cpp
+++ b/tests/src/unit-target-incarnation-tracker.cpp
@@ -321,9 +321,10 @@
             node.kill();
         },
     };
+    constexpr std::size_t orders = 1024; // of five steps out of four
     for (auto const * const id : {"a", "b"})
     {
-        for (std::size_t order = 0; order < 4 * 4 * 4 * 4 * 4; ++order)
+        for (std::size_t order = 0; order < orders; ++order)
         {
             stored_tracker node;
             std::size_t successor_reports = 0;
