--- a/include/endivehinge/detail/gateway/message_grammar.hpp
+++ b/include/endivehinge/detail/gateway/message_grammar.hpp
@@ -24,7 +24,7 @@
 [[nodiscard]] boost::beast::error_code
 check_request_head(boost::beast::http::request_header<> const & head);
 
-/// @brief the error of a request with a transfer coding that is not implemented
+/// @brief the error of a request with a transfer coding that is not supported
 /// @note thread safety: any thread
 [[nodiscard]] boost::beast::error_code unsupported_coding();
 
