Hold the body of a request once

What callers saw: a request of 64 MiB, which the limits allow, takes a node of 160 MB beyond its memory; the process is killed, and with it all its requests.

Cause: a body grew by doubling and was copied for each attempt and again for the connection to the target or another node. A connection that was closed kept its request until the next use of its pool.

Change: body_buffer holds a body in segments that copies share; shared_body reads and writes it. stable_hash of parts gives the same fingerprint as of the whole. A connection frees its request once it is written and ended.

--- a/include/endivehinge/core/stable_hash.hpp
+++ b/include/endivehinge/core/stable_hash.hpp
@@ -1,8 +1,10 @@
 #ifndef ENDIVEHINGE_CORE_STABLE_HASH_HPP
 #define ENDIVEHINGE_CORE_STABLE_HASH_HPP
 
-#include <cstdint> // uint64_t
-#include <string>  // string
+#include <cstdint>     // uint64_t
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
 
 namespace endivehinge
 {
@@ -15,6 +17,12 @@
 [[nodiscard]] std::uint64_t stable_hash(std::string const & text,
                                         std::uint64_t seed = 0);
 
+/// @brief hashes the text that consists of these parts
+/// @return the same as for the whole text, whatever its parts
+/// @note pure; thread safety: any thread
+[[nodiscard]] std::uint64_t
+stable_hash(std::vector<std::string_view> const & parts, std::uint64_t seed);
+
 /// @brief hashes a number in the same way
 /// @note pure; thread safety: any thread
 [[nodiscard]] std::uint64_t stable_hash(std::uint64_t number,
--- a/include/endivehinge/detail/gateway/client_connection.hpp
+++ b/include/endivehinge/detail/gateway/client_connection.hpp
@@ -29,6 +29,7 @@
 public:
     using result_handler = std::function<void(call_result)>;
 
+    /// @pre the counter of the options, if any, has counted this connection
     client_connection(boost::asio::io_context & loop,
                       boost::asio::ip::tcp::endpoint remote,
                       upstream_options const & options);
@@ -91,6 +92,10 @@
     void fail(call_status status, std::string detail);
     void finish(call_result result);
     void close();
+    /// @brief gives the place of this connection among all free
+    void leave_counter();
+    /// @brief frees the memory of the request, unless it is still being written
+    void release_request();
 
     boost::asio::ip::tcp::endpoint server_endpoint;
     upstream_options connection_options;
@@ -108,6 +113,8 @@
     bool send_started = false;
     bool send_completed = false;
     bool send_failed = false;
+    bool write_pending = false;
+    bool is_counted = false;
     bool response_started = false;
     time_point request_sent;
     time_point response_start;
--- a/include/endivehinge/detail/gateway/http_types.hpp
+++ b/include/endivehinge/detail/gateway/http_types.hpp
@@ -9,12 +9,14 @@
 #include <boost/beast/http/string_body.hpp> // string_body
 #include <boost/beast/http/verb.hpp>        // verb
 
+#include <endivehinge/detail/gateway/shared_body.hpp>
+
 namespace endivehinge::detail
 {
 
 using header_fields = boost::beast::http::fields;
-using request_message =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using request_message = boost::beast::http::request<shared_body>;
+using request_head = boost::beast::http::request_header<>;
 using response_message =
     boost::beast::http::response<boost::beast::http::string_body>;
 
--- a/include/endivehinge/detail/gateway/message_parser.hpp
+++ b/include/endivehinge/detail/gateway/message_parser.hpp
@@ -1,9 +1,10 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_MESSAGE_PARSER_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_MESSAGE_PARSER_HPP
 
-#include <cstddef> // size_t
-#include <cstdint> // uint32_t, uint64_t
-#include <utility> // move
+#include <cstddef>     // size_t
+#include <cstdint>     // uint32_t, uint64_t
+#include <type_traits> // conditional_t
+#include <utility>     // move
 
 #include <boost/beast/core/error.hpp>       // error_code
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
@@ -14,6 +15,7 @@
 
 #include <endivehinge/detail/gateway/message_grammar.hpp>
 #include <endivehinge/detail/gateway/received_body.hpp>
+#include <endivehinge/detail/gateway/shared_body.hpp>
 
 namespace endivehinge::detail
 {
@@ -34,9 +36,11 @@
 class message_parser
 {
 public:
-    using message_type =
-        boost::beast::http::message<is_request,
-                                    boost::beast::http::string_body>;
+    using message_type = boost::beast::http::message<
+        is_request,
+        std::conditional_t<is_request,
+                           shared_body,
+                           boost::beast::http::string_body>>;
 
     explicit message_parser(message_limits const & message_bounds)
         : limits(message_bounds)
@@ -121,6 +125,20 @@
         return this->parser.get().base();
     }
 
+    /// @brief the length of the body that the head states; 0 if it states none
+    /// @pre is_header_done()
+    [[nodiscard]] std::uint64_t stated_body_bytes() const
+    {
+        auto const length = this->parser.content_length();
+        return length ? *length : 0;
+    }
+
+    /// @brief bytes of the body that have arrived
+    [[nodiscard]] std::uint64_t body_bytes() const
+    {
+        return this->parser.get().body().size();
+    }
+
     /// @brief memory that the body occupies, in bytes
     [[nodiscard]] std::size_t body_memory() const
     {
@@ -183,7 +201,11 @@
     }
 
     message_limits limits;
-    boost::beast::http::parser<is_request, received_body> parser;
+    // both take memory only for what has arrived
+    using parsed_body =
+        std::conditional_t<is_request, shared_body, received_body>;
+
+    boost::beast::http::parser<is_request, parsed_body> parser;
     std::uint64_t framing_bytes = 0;
 };
 
--- a/include/endivehinge/detail/gateway/upstream_options.hpp
+++ b/include/endivehinge/detail/gateway/upstream_options.hpp
@@ -5,6 +5,7 @@
 #include <cstdint> // uint32_t, uint64_t
 
 #include <endivehinge/core/clock.hpp>
+#include <endivehinge/detail/gateway/connection_counter.hpp>
 #include <endivehinge/detail/gateway/response_registry.hpp>
 
 namespace endivehinge::detail
@@ -27,6 +28,9 @@
     // limits the memory of responses in progress on all connections of the
     // process; null: not limited. Must outlive the connections
     response_registry * responses = nullptr;
+    // limits the connections to several servers together; null: not limited.
+    // Must outlive the connections
+    connection_counter * counter = nullptr;
 };
 
 } // namespace endivehinge::detail
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -287,7 +287,7 @@
         {
             throw invalid_value();
         }
-        auto const document = json::parse(request.body());
+        auto const document = json::parse(request.body().text());
         allotment_message message;
         message.from = read_process(document);
         for (auto const & value : read_list(document, "ended"))
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -63,6 +63,7 @@
     , idle_timeout(options.idle_timeout)
     , idle_since(loop_now())
 {
+    this->is_counted = options.counter != nullptr;
 }
 
 void client_connection::send(request_message message,
@@ -93,6 +94,7 @@
     this->completion_handler = nullptr;
     this->request_active = false;
     this->close();
+    this->release_request();
 }
 
 void client_connection::close_after_response()
@@ -180,6 +182,7 @@
     this->send_started = true;
     this->request_sent = loop_now();
     this->start_parser();
+    this->write_pending = true;
     http::async_write(this->socket,
                       this->request,
                       [self = this->shared_from_this()](
@@ -189,6 +192,11 @@
                           // reports the connection failure
                           self->send_failed = static_cast<bool>(error);
                           self->send_completed = !error;
+                          self->write_pending = false;
+                          if (!self->request_active)
+                          {
+                              self->release_request();
+                          }
                       });
 }
 
@@ -506,19 +514,35 @@
     if (!this->closed)
     {
         this->timer.cancel();
-        // open connections have sent their request; moving it out frees the
-        // memory of its body, which assigning an empty message does not
-        request_message const sent = std::move(this->request);
     }
+    this->release_request();
     if (auto const done = std::exchange(this->completion_handler, nullptr))
     {
         done(std::move(result));
     }
 }
 
+void client_connection::release_request()
+{
+    if (!this->write_pending)
+    {
+        // assigning an empty message would keep the memory
+        request_message const sent = std::move(this->request);
+    }
+}
+
+void client_connection::leave_counter()
+{
+    if (std::exchange(this->is_counted, false))
+    {
+        this->connection_options.counter->remove();
+    }
+}
+
 void client_connection::close()
 {
     this->closed = true;
+    this->leave_counter();
     this->release_memory();
     boost::system::error_code ignored; // the socket may be closed already
     this->socket.close(ignored);
--- a/src/gateway/crash_report_exchange.cpp
+++ b/src/gateway/crash_report_exchange.cpp
@@ -74,7 +74,7 @@
     try
     {
         std::vector<crash_report> reports;
-        for (auto const & value : json::parse(message.body()))
+        for (auto const & value : json::parse(message.body().text()))
         {
             if (reports.size() < max_reports)
             {
--- a/src/gateway/rollout_exchange.cpp
+++ b/src/gateway/rollout_exchange.cpp
@@ -96,7 +96,7 @@
 {
     try
     {
-        auto const parsed = json::parse(message.body());
+        auto const parsed = json::parse(message.body().text());
         rollout_instruction instruction;
         instruction.service =
             service_name(parsed.at("service").get<std::string>());
--- a/src/gateway/target_crash_monitor.cpp
+++ b/src/gateway/target_crash_monitor.cpp
@@ -63,7 +63,12 @@
     auto digest = stable_hash(request.service.value());
     digest = stable_hash(std::string(message.method_string()), digest);
     digest = stable_hash(std::string(message.target()), digest);
-    return request_fingerprint(stable_hash(message.body(), digest));
+    std::vector<std::string_view> segments;
+    for (std::size_t i = 0; i < message.body().segment_count(); ++i)
+    {
+        segments.push_back(message.body().segment(i));
+    }
+    return request_fingerprint(stable_hash(segments, digest));
 }
 
 target_crash_monitor::target_crash_monitor(
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -93,6 +93,14 @@
     {
         return nullptr;
     }
+    auto * const counter = this->connection_options.counter;
+    if (counter != nullptr && !counter->try_add())
+    {
+        if (!this->close_one_idle() || !counter->try_add())
+        {
+            return nullptr;
+        }
+    }
     this->opened_connections += 1;
     this->connections.push_back(std::make_shared<client_connection>(
         this->io, this->remote, this->connection_options));
--- a/tests/soak/soak_process.cpp
+++ b/tests/soak/soak_process.cpp
@@ -61,4 +61,9 @@
     return !this->ended;
 }
 
+pid_t soak_process::process() const
+{
+    return this->id;
+}
+
 } // namespace endivehinge::tests
--- a/tests/soak/soak_process.hpp
+++ b/tests/soak/soak_process.hpp
@@ -28,6 +28,9 @@
     /// @brief whether it has not ended yet
     [[nodiscard]] bool runs();
 
+    /// @brief its process id
+    [[nodiscard]] pid_t process() const;
+
 private:
     pid_t id = -1;
     bool ended = false;
--- a/tests/src/gateway/store_stand_in.cpp
+++ b/tests/src/gateway/store_stand_in.cpp
@@ -423,7 +423,7 @@
     std::string const & name)
 {
     auto & client = *incoming;
-    auto const body = json::parse(client.request.body());
+    auto const body = json::parse(client.request.body().text());
     auto const object_name =
         name.empty() ? body.at("metadata").at("name").get<std::string>() : name;
     auto & objects = this->kinds[kind];
@@ -452,7 +452,7 @@
     std::string const & kind,
     std::string const & name)
 {
-    auto const body = json::parse(incoming->request.body());
+    auto const body = json::parse(incoming->request.body().text());
     if (!this->ignored_status.empty() &&
         body.at("status").value("state", "") == this->ignored_status)
     {
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -721,8 +721,11 @@
         store_adapter_under_test.replace_request(entry, object_version(4));
     EXPECT_EQ(request.method(), http::verb::put);
     failure reason;
-    auto const object = store_adapter_under_test.read_object(
-        detail::object_kind::targets, request.body(), store_era(2), reason);
+    auto const object =
+        store_adapter_under_test.read_object(detail::object_kind::targets,
+                                             request.body().text(),
+                                             store_era(2),
+                                             reason);
     ASSERT_TRUE(object.has_value()) << reason.describe();
     EXPECT_EQ(object->version, object_version(store_era(2), 4));
     auto const restored = store_adapter_under_test.read_target(*object, reason);
