Bound what all clients together make a node hold

What callers saw: clients that each stay inside the limits end a process, which runs out of memory, or lock all others out by staying open.

Cause: each limit held for one connection. Nothing counted what all of them held (heads, bodies, requests in progress, responses not read, unread bytes), how long a request takes as a whole, or the connections of all listeners; at a limit the newcomer was refused, whoever it was. A refused client was read for as long as it sent.

Change: connection_budget counts the connections of all listeners, and what they hold, next to response_memory; memory is acquired before bytes are read. Without it reading stops, and the connection that makes no progress or holds most gives way, never a request in progress. Bodies beyond 64 KiB have a part of their own, in which one grows at a time once half is in use. A whole request has 40 times the time of its head; a response needs progress; after a refusal 4 MiB and 5 s are read. Connections to other nodes are counted together.

--- a/include/endivehinge/detail/gateway/client_service.hpp
+++ b/include/endivehinge/detail/gateway/client_service.hpp
@@ -16,6 +16,8 @@
 
     void handle(std::shared_ptr<exchange> incoming) override;
 
+    [[nodiscard]] response_message overload_response() override;
+
 private:
     gateway_state & state;
 };
--- a/include/endivehinge/detail/gateway/exchange.hpp
+++ b/include/endivehinge/detail/gateway/exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef ENDIVEHINGE_DETAIL_GATEWAY_EXCHANGE_HPP
 #define ENDIVEHINGE_DETAIL_GATEWAY_EXCHANGE_HPP
 
+#include <cstddef>    // size_t
 #include <functional> // function
 #include <memory>     // weak_ptr
 #include <optional>   // optional
@@ -57,6 +58,9 @@
     friend class server_connection;
 
     std::weak_ptr<server_connection> connection;
+    // memory of the request as it was received
+    std::size_t request_head_bytes = 0;
+    std::size_t request_body_bytes = 0;
     std::function<void()> cancel_action;
     std::function<void()> stop_review_action;
     std::function<void()> response_lost_action;
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -44,11 +44,15 @@
         , readiness(state)
         , reports(state, *adapters.reports, replicas)
         , metrics(state, rollouts)
-        , client_listener(io, clients)
-        , peer_listener(io, peers)
-        , readiness_listener(io, readiness)
-        , report_listener(io, reports)
-        , metrics_listener(io, metrics)
+        , client_listener(
+              io, clients, state.connections, listener_kind::clients)
+        , peer_listener(io, peers, state.connections, listener_kind::nodes)
+        , readiness_listener(
+              io, readiness, state.connections, listener_kind::readiness)
+        , report_listener(
+              io, reports, state.connections, listener_kind::reports)
+        , metrics_listener(
+              io, metrics, state.connections, listener_kind::metrics)
         , stop_timer(io)
     {
         state.allotments = &allotments;
--- a/include/endivehinge/detail/gateway/gateway_settings.hpp
+++ b/include/endivehinge/detail/gateway/gateway_settings.hpp
@@ -88,6 +88,8 @@
     // memory that the process may use, in bytes; beyond it the platform kills
     // the process
     std::size_t memory_limit = std::size_t{256} * 1024 * 1024;
+    // file descriptors that the process may open
+    std::size_t descriptor_limit = 4096;
 };
 
 } // namespace endivehinge::detail
--- a/include/endivehinge/detail/gateway/gateway_state.hpp
+++ b/include/endivehinge/detail/gateway/gateway_state.hpp
@@ -10,6 +10,8 @@
 #include <absl/container/flat_hash_map.h> // flat_hash_map
 #include <boost/asio/io_context.hpp>      // io_context
 
+#include <endivehinge/detail/gateway/connection_counter.hpp>
+#include <endivehinge/detail/gateway/connection_registry.hpp>
 #include <endivehinge/detail/gateway/event_log.hpp>
 #include <endivehinge/detail/gateway/fleet_view.hpp>
 #include <endivehinge/detail/gateway/gateway_metrics.hpp>
@@ -73,6 +75,9 @@
     /// this node, or null
     [[nodiscard]] char const * start_refusal(dispatch_request const & request);
 
+    /// @brief records that a client's connection met a limit
+    void record_client_limit(client_limit limit, listener_kind listener);
+
     /// @brief a uniformly distributed random number in [0, 1)
     [[nodiscard]] double random();
 
@@ -93,6 +98,8 @@
     // roll-outs are not in force
     std::unique_ptr<rollout_participant> own_rollout;
     response_registry responses;
+    connection_registry connections;
+    connection_counter peer_connections;
     local_target target;
     // called when another node sends the versions of its store copies
     peer_node::versions_handler on_peer_versions;
--- a/include/endivehinge/detail/gateway/http_listener.hpp
+++ b/include/endivehinge/detail/gateway/http_listener.hpp
@@ -25,6 +25,13 @@
     http_listener(boost::asio::io_context & loop,
                   request_handler & incoming_handler);
 
+    /// @brief a listener whose connections are bounded together with others
+    /// @param shared_registry must outlive the listener and its connections
+    http_listener(boost::asio::io_context & loop,
+                  request_handler & incoming_handler,
+                  connection_registry & shared_registry,
+                  listener_kind own_kind);
+
     /// @brief binds the address and starts accepting connections
     /// @param reason set to connect_failed with the address on error
     /// @return whether the address was bound
@@ -68,6 +75,7 @@
 
 private:
     void accept();
+    void add_connection(boost::asio::ip::tcp::socket socket);
     /// @brief calls a function with each connection; it may close connections
     template <typename Function>
     void for_each_connection(Function call) const;
@@ -75,6 +83,9 @@
 
     boost::asio::io_context & io;
     request_handler & handler;
+    // null if its connections have limits of their own only
+    connection_registry * registry = nullptr;
+    listener_kind kind = listener_kind::clients;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer check_timer;
     server_limits connection_limits;
--- a/include/endivehinge/detail/gateway/peer_node.hpp
+++ b/include/endivehinge/detail/gateway/peer_node.hpp
@@ -41,7 +41,8 @@
               hop_sender const & self,
               versions_handler on_versions,
               event_log & log,
-              response_registry & responses);
+              response_registry & responses,
+              connection_counter & all_peer_connections);
 
     [[nodiscard]] control run(dispatch_request request,
                               result_handler done,
--- a/include/endivehinge/detail/gateway/server_limits.hpp
+++ b/include/endivehinge/detail/gateway/server_limits.hpp
@@ -21,8 +21,8 @@
     std::size_t max_pipelined_requests = 16;
     // whether a client that ends its sending side still gets its responses
     bool accepts_half_close = false;
-    // limits the file descriptors of one listener; further connections are
-    // closed
+    // limits the file descriptors of a listener without connection_registry;
+    // further connections are closed
     std::size_t max_connections = 2000;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,6 +23,8 @@
         return;
     }
     this->response = std::move(message);
+    // frees the memory while the client receives the response
+    this->request.body() = {};
     this->cancel_action = nullptr;
     this->stop_review_action = nullptr;
     if (auto const owner = this->connection.lock())
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -26,6 +26,41 @@
 // by it; bounds memory
 constexpr std::size_t max_configuration_callbacks = 1024;
 
+// for the log, the store and the health probes
+constexpr std::size_t reserved_descriptors = 200;
+// Parts of the memory limit that server connections may use. The larger part
+// holds one body of 64 MiB on a machine with 160 MB; the rest of the limit is
+// for responses in progress, and for the process itself.
+constexpr std::size_t ordinary_memory_divisor = 8;
+constexpr double large_memory_share = 7.0 / 16;
+// to the target, and to the store and its watches
+constexpr std::size_t other_connections = 224;
+
+/// @brief half of the descriptors; the other half is for connections to the
+/// target and to other nodes
+std::size_t half_of_descriptors(gateway_settings const & settings)
+{
+    return (std::max(settings.descriptor_limit, 2 * reserved_descriptors) -
+            reserved_descriptors) /
+           2;
+}
+
+connection_budget_limits connection_limits_of(gateway_settings const & settings)
+{
+    connection_budget_limits limits;
+    limits.connections = half_of_descriptors(settings);
+    limits.ordinary_bytes = settings.memory_limit / ordinary_memory_divisor;
+    limits.large_bytes = static_cast<std::size_t>(
+        static_cast<double>(settings.memory_limit) * large_memory_share);
+    return limits;
+}
+
+std::size_t peer_connection_limit(gateway_settings const & settings)
+{
+    auto const half = half_of_descriptors(settings);
+    return std::max(half / 4, half - std::min(half, other_connections));
+}
+
 hedge_options hedge_options_of(gateway_settings const & settings)
 {
     hedge_options options;
@@ -49,6 +84,13 @@
     , log(this->settings.node.value(), STDOUT_FILENO)
     , hedges(hedge_options_of(this->settings))
     , responses(this->settings.memory_limit / response_memory_divisor)
+    , connections(loop,
+                  connection_limits_of(this->settings),
+                  [this](client_limit limit, listener_kind listener)
+                  {
+                      this->record_client_limit(limit, listener);
+                  })
+    , peer_connections(peer_connection_limit(this->settings))
     , target(loop, this->settings, codec, this->log, this->responses)
     , generator(std::random_device{}())
 {
@@ -82,7 +124,8 @@
                 }
             },
             this->log,
-            this->responses);
+            this->responses,
+            this->peer_connections);
     }
     return *entry;
 }
@@ -181,6 +224,15 @@
     return cause;
 }
 
+void gateway_state::record_client_limit(client_limit limit,
+                                        listener_kind listener)
+{
+    this->metrics.increment(absl::StrCat("client_limit_", to_string(limit)));
+    this->log.write(
+        "client_limit",
+        {{"limit", to_string(limit)}, {"listener", to_string(listener)}});
+}
+
 double gateway_state::random()
 {
     return std::uniform_real_distribution<double>(0, 1)(this->generator);
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -32,6 +32,16 @@
 {
 }
 
+http_listener::http_listener(asio::io_context & loop,
+                             request_handler & incoming_handler,
+                             connection_registry & shared_registry,
+                             listener_kind own_kind)
+    : http_listener(loop, incoming_handler)
+{
+    this->registry = &shared_registry;
+    this->kind = own_kind;
+}
+
 bool http_listener::open(endpoint const & address, failure & reason)
 {
     boost::system::error_code error;
@@ -44,6 +54,15 @@
         {
             this->acceptor.set_option(tcp::acceptor::reuse_address(true),
                                       error);
+            if (this->registry != nullptr)
+            {
+                // accepted sockets inherit it; without it the system decides
+                boost::system::error_code ignored;
+                this->acceptor.set_option(
+                    asio::socket_base::receive_buffer_size(
+                        server_connection::receive_buffer_bytes),
+                    ignored);
+            }
             this->acceptor.bind(local, error);
         }
         if (!error)
@@ -184,20 +203,31 @@
             }
             // first, so that an exception does not end the listener
             this->accept();
-            if (this->connections.size() <
-                this->connection_limits.max_connections)
-            {
-                auto const connection =
-                    std::make_shared<server_connection>(std::move(socket),
-                                                        this->handler,
-                                                        this->connection_limits,
-                                                        this->draining);
-                this->connections.push_back(connection);
-                connection->start();
-            }
+            this->add_connection(std::move(socket));
         });
 }
 
+void http_listener::add_connection(tcp::socket socket)
+{
+    if (this->registry == nullptr &&
+        this->connections.size() >= this->connection_limits.max_connections)
+    {
+        return;
+    }
+    auto const connection =
+        std::make_shared<server_connection>(std::move(socket),
+                                            this->handler,
+                                            this->connection_limits,
+                                            this->draining);
+    if (this->registry != nullptr &&
+        !connection->join(*this->registry, this->kind))
+    {
+        return;
+    }
+    this->connections.push_back(connection);
+    connection->start();
+}
+
 void http_listener::check_connections()
 {
     this->check_timer.expires_after(timeout_check_interval);
@@ -218,6 +248,10 @@
                 connection.check_timeouts(now);
             }
         });
+    if (this->registry != nullptr)
+    {
+        this->registry->review();
+    }
     auto const closed = std::remove_if(this->connections.begin(),
                                        this->connections.end(),
                                        [](auto const & connection)
--- a/src/gateway/metrics_service.cpp
+++ b/src/gateway/metrics_service.cpp
@@ -73,6 +73,13 @@
     }
     metrics.set_gauge("response_bytes",
                       static_cast<double>(this->state.responses.total()));
+    auto const & connections = this->state.connections.budget();
+    metrics.set_gauge("client_connections",
+                      static_cast<double>(connections.count()));
+    metrics.set_gauge("client_bytes",
+                      static_cast<double>(connections.ordinary_total()));
+    metrics.set_gauge("client_large_body_bytes",
+                      static_cast<double>(connections.large_total()));
     metrics.set_gauge("log_lines_left_out",
                       static_cast<double>(this->state.log.dropped_count()));
     if (this->state.allotments != nullptr)
--- a/src/gateway/peer_node.cpp
+++ b/src/gateway/peer_node.cpp
@@ -49,9 +49,11 @@
 // weight of the latest outcome in the moving average of failures
 constexpr double failure_share_weight = 0.1;
 
-upstream_options peer_options(response_registry & responses)
+upstream_options peer_options(response_registry & responses,
+                              connection_counter & all_peer_connections)
 {
     upstream_options options;
+    options.counter = &all_peer_connections;
     options.max_header_bytes = max_peer_header_bytes;
     options.responses = &responses;
     options.idle_timeout = idle_timeout;
@@ -73,11 +75,12 @@
                      hop_sender const & self,
                      versions_handler on_versions,
                      event_log & log,
-                     response_registry & responses)
+                     response_registry & responses,
+                     connection_counter & all_peer_connections)
     : io(loop)
     , peer(address)
     , sender(self)
-    , connections(loop, address, peer_options(responses))
+    , connections(loop, address, peer_options(responses, all_peer_connections))
     , versions_callback(std::move(on_versions))
     , events(log)
     , check_timer(loop)
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -1,7 +1,8 @@
 #include <endivehinge/detail/gateway/server_connection.hpp>
 
+#include <algorithm> // max, min
 #include <exception> // exception
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <linux/sockios.h> // SIOCOUTQ
 #include <poll.h>          // poll
@@ -15,6 +16,7 @@
 
 #include <endivehinge/detail/gateway/deferred_exception.hpp>
 #include <endivehinge/detail/gateway/loop_time.hpp>
+#include <endivehinge/detail/gateway/message_memory.hpp>
 #include <endivehinge/detail/gateway/read_buffer.hpp>
 
 namespace endivehinge::detail
@@ -26,15 +28,6 @@
 namespace
 {
 
-// fits most requests in one read
-constexpr std::size_t read_buffer_bytes = 4096;
-// time for the client to close its side of a half-closed connection, since the
-// last response was delivered or bytes arrived. Closing while unread bytes
-// remain sends a reset, which can destroy the last response
-constexpr duration linger_timeout = std::chrono::seconds(1);
-// time without progress after which a client no longer receives its response;
-// several retransmissions fit into it
-constexpr duration delivery_timeout = std::chrono::seconds(5);
 // A client that has sent a request or opened a connection within this time may
 // be about to send one. It spans many round trips, so that after it everything
 // has arrived that a client sent before it saw the end of its connection.
@@ -64,6 +57,7 @@
     , connection_limits(limits)
     , draining(draining_flag)
     , last_activity(loop_now())
+    , last_progress(last_activity)
 {
 }
 
@@ -79,6 +73,12 @@
 void server_connection::close()
 {
     this->accepts_requests = false;
+    if (auto const closed = std::exchange(this->id, std::nullopt))
+    {
+        this->registry->remove(*closed);
+    }
+    // the listener keeps the object for a while
+    this->release_received();
     boost::system::error_code ignored; // the socket may be closed already
     this->socket.close(ignored);
     auto const cancelled = std::exchange(this->pending_exchanges, {});
@@ -88,39 +88,6 @@
     }
 }
 
-void server_connection::check_timeouts(time_point now)
-{
-    if (this->lingering)
-    {
-        this->check_lingering(now);
-        return;
-    }
-    if (!this->pending_exchanges.empty())
-    {
-        return;
-    }
-    if (this->request_started && !this->parser->is_header_done() &&
-        now - this->request_start > this->connection_limits.header_timeout)
-    {
-        this->reject(http::error::partial_message);
-        return;
-    }
-    if (now - this->last_activity > this->connection_limits.idle_timeout)
-    {
-        this->shut_down_send();
-    }
-}
-
-void server_connection::check_lingering(time_point now)
-{
-    this->update_delivery(now);
-    if (now - this->last_activity >
-        (this->last_undelivered == 0 ? linger_timeout : delivery_timeout))
-    {
-        this->close();
-    }
-}
-
 void server_connection::update_delivery(time_point now)
 {
     auto const undelivered = this->undelivered_bytes();
@@ -204,12 +171,22 @@
     return is_known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+void server_connection::release_received()
+{
+    this->start_parser();
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+}
+
 void server_connection::start_parser()
 {
     this->parser.emplace(message_limits{this->connection_limits.header_bytes,
                                         this->connection_limits.body_bytes});
     this->request_started = false;
     this->continue_sent = false;
+    this->head_checked = false;
+    this->head_bytes = 0;
+    this->max_body_bytes = this->connection_limits.body_bytes;
 }
 
 void server_connection::read()
@@ -231,6 +208,10 @@
 void server_connection::handle_readable(boost::system::error_code error)
 {
     std::size_t size = 0;
+    if (!error && !this->acquire_memory())
+    {
+        return;
+    }
     if (!error)
     {
         size = this->socket.read_some(this->buffer.prepare(read_buffer_bytes),
@@ -264,11 +245,11 @@
     this->last_activity = loop_now();
     if (!this->accepts_requests)
     {
-        // discards bytes after the last request of this connection
-        this->read();
+        this->discard(size);
         return;
     }
     this->buffer.commit(size);
+    this->record_progress(size);
     this->parse_received();
 }
 
@@ -283,6 +264,7 @@
         rethrow_from_loop(this->socket.get_executor());
         this->close();
     }
+    this->report_use();
 }
 
 bool server_connection::skip_empty_lines()
@@ -358,8 +340,11 @@
 {
     while (this->accepts_requests && this->buffer.size() > 0)
     {
+        bool const is_memory_short =
+            this->registry != nullptr && this->registry->is_short();
         if (this->pending_exchanges.size() >=
-            this->connection_limits.max_pipelined_requests)
+            (is_memory_short ? 1
+                             : this->connection_limits.max_pipelined_requests))
         {
             return;
         }
@@ -377,6 +362,10 @@
         this->parser->put(this->buffer, error);
         if (error == http::error::need_more)
         {
+            if (this->refuse_by_head())
+            {
+                return;
+            }
             break;
         }
         if (error)
@@ -390,14 +379,48 @@
     this->read();
 }
 
+bool server_connection::refuse_by_head()
+{
+    if (!this->parser->is_header_done())
+    {
+        return false;
+    }
+    if (!this->head_checked)
+    {
+        this->head_checked = true;
+        auto const & head = this->parser->header();
+        this->head_bytes = memory_of(head);
+        auto const verdict = this->handler.check_head(head);
+        if (verdict.refusal)
+        {
+            this->refuse(empty_response(*verdict.refusal));
+            return true;
+        }
+        this->max_body_bytes =
+            std::min(this->max_body_bytes, verdict.max_body_bytes);
+    }
+    if (std::max(this->parser->stated_body_bytes(),
+                 this->parser->body_bytes()) > this->max_body_bytes)
+    {
+        this->reject(http::error::body_limit);
+        return true;
+    }
+    return false;
+}
+
 void server_connection::handle_request()
 {
     bool const keep_alive = this->parser->keep_alive();
+    auto const head_memory = memory_of(this->parser->header());
+    auto const body_memory = this->parser->body_memory();
     auto message = this->parser->release();
     convert_to_origin_form(message);
     auto const incoming = std::make_shared<exchange>(
         this->weak_from_this(), std::move(message), loop_now());
     incoming->keep_alive = keep_alive;
+    incoming->request_head_bytes = head_memory;
+    incoming->request_body_bytes = body_memory;
+    this->has_served = true;
     this->accepts_requests = keep_alive;
     this->start_parser();
     this->pending_exchanges.push_back(incoming);
@@ -459,23 +482,36 @@
     {
         status = http::status::not_implemented;
     }
+    this->refuse(empty_response(status));
+}
+
+void server_connection::refuse(response_message response)
+{
     this->accepts_requests = false;
+    this->release_received();
+    response.keep_alive(false);
+    response.prepare_payload();
     auto const rejected = std::make_shared<exchange>(
         this->weak_from_this(), request_message{}, loop_now());
     rejected->keep_alive = false;
     this->pending_exchanges.push_back(rejected);
-    rejected->respond(empty_response(status));
+    rejected->respond(std::move(response));
+    this->end_pause();
     this->read();
+    this->report_use();
 }
 
 void server_connection::write()
 {
+    this->report_use();
     if (this->write_pending || this->pending_exchanges.empty() ||
         !this->pending_exchanges.front()->response || !this->socket.is_open())
     {
         return;
     }
     this->write_pending = true;
+    this->progress_bytes = 0;
+    this->last_progress = loop_now();
     auto const front = this->pending_exchanges.front();
     // requests behind this one may be running already
     bool const is_last = (this->draining || this->half_closed) &&
@@ -489,13 +525,27 @@
     }
     front->response->version(11);
     front->response->keep_alive(keep_alive);
-    http::async_write(this->socket,
-                      *front->response,
-                      [self = this->shared_from_this(),
-                       front](boost::system::error_code error, std::size_t)
-                      {
-                          self->handle_write(error);
-                      });
+    this->response_writer.emplace(*front->response);
+    this->write_some(front);
+}
+
+void server_connection::write_some(std::shared_ptr<exchange> const & front)
+{
+    // the response is part of the exchange
+    http::async_write_some(
+        this->socket,
+        *this->response_writer,
+        [self = this->shared_from_this(),
+         front](boost::system::error_code error, std::size_t size)
+        {
+            self->record_progress(size);
+            if (!error && !self->response_writer->is_done())
+            {
+                self->write_some(front);
+                return;
+            }
+            self->handle_write(error);
+        });
 }
 
 void server_connection::handle_write(boost::system::error_code error)
@@ -519,6 +569,7 @@
     {
         this->write_continue();
     }
+    this->report_use();
     if (!this->read_pending)
     {
         this->parse_received();
@@ -536,6 +587,9 @@
     }
     this->accepts_requests = false;
     this->lingering = true;
+    this->linger_start = loop_now();
+    this->start_parser();
+    this->end_pause();
     boost::system::error_code error;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     if (error)
@@ -543,6 +597,7 @@
         this->close();
         return;
     }
+    this->report_use();
     this->read();
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,6 +9,7 @@
 #include "soak_checker.hpp"
 #include "soak_clients.hpp"
 #include "soak_crashes.hpp"
+#include "soak_crowds.hpp"
 #include "soak_faults.hpp"
 #include "soak_restores.hpp"
 #include "soak_target.hpp"
@@ -26,6 +27,7 @@
 constexpr milliseconds fault_interval(350);
 constexpr milliseconds restore_interval(2000);
 constexpr milliseconds crash_interval(200);
+constexpr milliseconds crowd_interval(500);
 constexpr milliseconds probe_limit(2000);
 constexpr milliseconds probe_interval(50);
 // for a start; far above what it takes
@@ -144,6 +146,7 @@
     soak_faults faults(fleet, plan.seed + 1);
     soak_restores restores(fleet, plan.seed + 2);
     soak_crashes crashes(fleet, clients, plan.seed + 3);
+    soak_crowds crowds(fleet, plan.seed + 4);
     if (!serves(fleet, clients, start_patience))
     {
         return 1;
@@ -158,6 +161,10 @@
     {
         crashes.start(crash_interval);
     }
+    if (options.number("crowds", 0) != 0)
+    {
+        crowds.start(crowd_interval);
+    }
     if (plan.restores)
     {
         restores.start(restore_interval);
@@ -170,6 +177,7 @@
                     });
     faults.stop();
     crashes.stop();
+    crowds.stop();
     restores.stop();
     bool const recovered =
         recover(fleet, clients, options.number("timed", 0) != 0);
@@ -190,12 +198,20 @@
     {
         std::cout << "violation " << one << "\n";
     }
+    for (auto const & one : crowds.violations())
+    {
+        std::cout << "violation " << one << "\n";
+    }
     std::cout << "soak seed=" << plan.seed << " members=" << plan.members
               << " faults=" << faults.count()
               << " restores=" << restores.count()
+              << " crowds=" << crowds.count()
               << " requests=" << clients.requests.size() - calm << " "
               << checker.summary() << "\n";
-    return recovered && done && stopped && checker.violations().empty() ? 0 : 1;
+    return recovered && done && stopped && checker.violations().empty() &&
+                   crowds.violations().empty()
+               ? 0
+               : 1;
 }
 
 } // namespace
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -88,6 +88,11 @@
                 });
 }
 
+std::vector<std::uint16_t> soak_fleet::listener_ports()
+{
+    return {client_port, peer_port, readiness_port, report_port};
+}
+
 duration soak_fleet::now() const
 {
     return detail::loop_now() - this->began;
@@ -235,7 +240,8 @@
          << "inbound = " << address(peer_port)
          << "ready = " << address(readiness_port)
          << "control = " << address(report_port) << "[platform]\naddress = \""
-         << member.store_link->address().to_string() << "\"\n";
+         << member.store_link->address().to_string()
+         << "\"\n[limits]\nmemoryMb = " << (node_memory_bytes >> 20U) << "\n";
 }
 
 void soak_fleet::start_node(std::size_t index)
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -64,6 +64,12 @@
 public:
     explicit soak_fleet(soak_plan chosen);
 
+    // in the settings of each node
+    static constexpr std::uint64_t node_memory_bytes = std::uint64_t{64} << 20;
+
+    /// @brief the ports of a node's listeners, apart from that for metrics
+    [[nodiscard]] static std::vector<std::uint16_t> listener_ports();
+
     /// @brief since the start
     [[nodiscard]] duration now() const;
 
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -796,6 +796,7 @@
 control = "10.0.0.1:8306"
 [limits]
 memoryMb = 160
+maxFds = 4100
 [platform]
 address = "10.0.0.9:8309"
 )";
@@ -811,6 +812,7 @@
     EXPECT_EQ(settings->bounds.stop_grace, std::chrono::seconds(4));
     EXPECT_DOUBLE_EQ(settings->bounds.retry_share, 0.25);
     EXPECT_EQ(settings->memory_limit, std::size_t{160} * 1024 * 1024);
+    EXPECT_EQ(settings->descriptor_limit, 4100U);
 }
 
 TEST(platform_settings, reports_the_missing_field)
