Limit bodies at the listeners where no large message arrives

What callers saw: 20 clients with bodies of 8 MiB that stop one byte short, at the listeners for readiness probes, reports or metrics, take a node beyond its memory. At the listener for other nodes a body was read to its end before 400.

Cause: the default of 64 MiB held at every listener but that of callers.

Change: 64 KiB at the three small listeners. The listener for nodes takes the configured limit of clients for their requests, 1 MiB for queries, and refuses what is neither by its head. A request that it has no memory for is answered as refused, so that the sending node knows that it did not run.

--- a/include/endivehinge/detail/gateway/hop_fields.hpp
+++ b/include/endivehinge/detail/gateway/hop_fields.hpp
@@ -36,6 +36,11 @@
 [[nodiscard]] std::optional<hop_sender>
 read_hop_sender(request_message & message);
 
+/// @brief whether a head has the fields of a client's request that another node
+/// passes on
+/// @note thread safety: any thread
+[[nodiscard]] bool has_hop_fields(header_fields const & fields);
+
 /// @brief reads and removes the fields that write_hop_request adds
 /// @return no value if the fields are missing or invalid
 [[nodiscard]] std::optional<dispatch_request>
--- a/include/endivehinge/detail/gateway/peer_service.hpp
+++ b/include/endivehinge/detail/gateway/peer_service.hpp
@@ -23,6 +23,13 @@
 
     void handle(std::shared_ptr<exchange> incoming) override;
 
+    /// @brief refuses what is neither a client's request from another node nor
+    /// a query; bodies of queries are small
+    [[nodiscard]] head_verdict
+    check_head(request_head const & head) const override;
+
+    [[nodiscard]] response_message overload_response() override;
+
 private:
     void run(std::shared_ptr<exchange> const & incoming,
              dispatch_request request);
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -15,6 +15,8 @@
 // longer than other nodes keep an idle connection, so that this side does not
 // close one that they are about to use
 constexpr duration peer_idle_timeout = std::chrono::seconds(30);
+// status reports and probes have a few hundred bytes
+constexpr std::uint64_t small_message_bytes = 65536;
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 // before the end of the process, for the last responses to be delivered to slow
 // clients
@@ -43,15 +45,25 @@
     return limits;
 }
 
-/// @brief limits for connections from other nodes
-server_limits peer_server_limits()
+/// @brief limits for connections from other nodes, which pass on requests of
+/// clients
+server_limits peer_server_limits(server_limits const & of_clients)
 {
     server_limits limits;
     limits.header_bytes = peer_header_bytes;
+    limits.body_bytes = of_clients.body_bytes;
     limits.idle_timeout = peer_idle_timeout;
     return limits;
 }
 
+/// @brief limits for connections that carry reports, probes and metrics
+server_limits small_message_limits()
+{
+    server_limits limits;
+    limits.body_bytes = small_message_bytes;
+    return limits;
+}
+
 } // namespace
 
 bool gateway_parts::open(failure & reason)
@@ -70,7 +82,10 @@
         this->state.log.write("metrics_not_served",
                               {{"reason", reason.describe()}});
     }
-    this->peer_listener.set_limits(peer_server_limits());
+    this->peer_listener.set_limits(peer_server_limits(server_limits()));
+    this->readiness_listener.set_limits(small_message_limits());
+    this->report_listener.set_limits(small_message_limits());
+    this->metrics_listener.set_limits(small_message_limits());
     this->state.log.write("start",
                           {{"service", settings.service.value()},
                            {"domain", settings.domain.value()},
@@ -104,7 +119,9 @@
 void gateway_parts::apply_configuration()
 {
     auto const & configuration = *this->state.fleet.configuration();
-    this->client_listener.set_limits(client_limits_of(configuration.limits));
+    auto const limits = client_limits_of(configuration.limits);
+    this->client_listener.set_limits(limits);
+    this->peer_listener.set_limits(peer_server_limits(limits));
     this->state.splits.retain(configuration.routes);
     this->state.target.set_accounts(configuration.accounts);
     this->apply_target_properties();
--- a/src/gateway/hop_fields.cpp
+++ b/src/gateway/hop_fields.cpp
@@ -312,6 +312,12 @@
     return hop_sender{*peer, read_versions(numbers, 0, position), {}};
 }
 
+bool has_hop_fields(header_fields const & fields)
+{
+    return fields.find(urgency_field) != fields.end() &&
+           fields.find(target_field) != fields.end();
+}
+
 std::optional<dispatch_request> read_hop_request(request_message message,
                                                  time_point now)
 {
--- a/src/gateway/peer_service.cpp
+++ b/src/gateway/peer_service.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h> // StrCat
 
+#include <endivehinge/detail/gateway/allotment_exchange.hpp>
 #include <endivehinge/detail/gateway/crash_report_exchange.hpp>
 #include <endivehinge/detail/gateway/hop_fields.hpp>
 #include <endivehinge/detail/gateway/in_flight_query.hpp>
@@ -15,6 +16,14 @@
 
 namespace http = boost::beast::http;
 
+namespace
+{
+
+// allotments, crash reports and orders of roll-outs take some kilobytes
+constexpr std::uint64_t max_query_bytes = std::uint64_t{1} << 20;
+
+} // namespace
+
 peer_service::peer_service(gateway_state & shared_state,
                            replica_sync & sync,
                            allotment_service & allotment_messages,
@@ -75,6 +84,38 @@
     this->run(incoming, std::move(*request));
 }
 
+head_verdict peer_service::check_head(request_head const & head) const
+{
+    head_verdict verdict;
+    if (has_hop_fields(head))
+    {
+        return verdict;
+    }
+    verdict.max_body_bytes = max_query_bytes;
+    request_message const message(head);
+    bool const is_query = version_notice::is_request(message) ||
+                          replica_exchange::is_request(message) ||
+                          crash_report_exchange::is_request(message) ||
+                          allotment_exchange::is_request(message) ||
+                          rollout_exchange::is_request(message) ||
+                          in_flight_query::is_request(message);
+    if (!is_query)
+    {
+        verdict.refusal = http::status::bad_request;
+    }
+    return verdict;
+}
+
+response_message peer_service::overload_response()
+{
+    dispatch_result result;
+    result.outcome = dispatch_outcome::refused;
+    result.refusal = admission_refusal::busy;
+    result.reason = "memory";
+    result.load = this->state.target.load();
+    return write_hop_result(std::move(result), this->state.own_sender.versions);
+}
+
 bool peer_service::handle_query(exchange & incoming)
 {
     if (version_notice::is_request(incoming.request))
