Keep connections with requests in progress when memory is short

Found by reading the change before; callers have not seen it. A connection that waited 5 s for memory to read further bytes was closed although requests of it were in progress, and one whose first response was being sent counted as finished although later ones ran: both would have been broken off, at worst with a request that ran and got no response.

Change: the wait ends a connection only without requests in progress, and one counts as responding only once all of them have a response. Pipelining is reduced at three quarters of the memory instead of half, since idle connections from other nodes are part of the sum.

No test of its own. connection_budget_test.a_request_in_progress_never_gives_way covers the choice, not what the connection reports.

--- a/include/endivehinge/detail/gateway/connection_budget.hpp
+++ b/include/endivehinge/detail/gateway/connection_budget.hpp
@@ -72,8 +72,8 @@
     /// many may be received at a time
     [[nodiscard]] bool has_half_large_room() const;
 
-    /// @brief whether more than half of the memory is in use; a connection then
-    /// has one request in progress at a time
+    /// @brief whether three quarters of the memory are in use; a connection
+    /// then has one request in progress at a time
     [[nodiscard]] bool is_short() const;
 
     /// @brief whether a connection may receive this many further bytes of a
--- a/src/gateway/connection_budget.cpp
+++ b/src/gateway/connection_budget.cpp
@@ -106,7 +106,8 @@
 
 bool connection_budget::is_short() const
 {
-    return this->ordinary_sum > this->limits.ordinary_bytes / 2;
+    return this->ordinary_sum >
+           this->limits.ordinary_bytes - this->limits.ordinary_bytes / 4;
 }
 
 bool connection_budget::may_receive_large(connection_id connection,
--- a/src/gateway/server_connection_limits.cpp
+++ b/src/gateway/server_connection_limits.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/detail/gateway/server_connection.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // any_of, min
 
 #include <boost/beast/http/error.hpp> // error
 
@@ -114,7 +114,9 @@
     }
     if (this->paused)
     {
-        if (now - this->paused_since <= max_memory_wait)
+        // requests in progress are answered first
+        if (!this->pending_exchanges.empty() ||
+            now - this->paused_since <= max_memory_wait)
         {
             return false;
         }
@@ -266,9 +268,14 @@
 {
     if (!this->pending_exchanges.empty())
     {
-        return this->pending_exchanges.front()->response
-                   ? connection_activity::responding
-                   : connection_activity::running;
+        bool const is_running = std::any_of(this->pending_exchanges.begin(),
+                                            this->pending_exchanges.end(),
+                                            [](auto const & one)
+                                            {
+                                                return !one->response;
+                                            });
+        return is_running ? connection_activity::running
+                          : connection_activity::responding;
     }
     if (this->lingering)
     {
