--- a/tests/src/system-gateway-http.cpp
+++ b/tests/src/system-gateway-http.cpp
@@ -164,11 +164,12 @@
     {
     }
 
-    call_result send_request(std::string const & id, std::string body = "")
+    call_result send_request(std::string const & id,
+                             std::string const & body = "")
     {
         request_message message{http::verb::post, "/", 11};
         message.set(http::field::host, "h");
-        message.body() = std::move(body);
+        message.body() = body;
         message.prepare_payload();
         call_options options;
         options.deadline = now() + std::chrono::seconds(2);
