--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -690,6 +691,8 @@
         this->pid = ::fork();
         if (this->pid == 0)
         {
+            // ends with the script
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int const out = ::open(
                 (base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
