Review: a crash-looping target has a sound page refused everywhere

One target of three goes down and up by turns. Its node takes the request that was in flight for the cause and quarantines it for ten minutes. The others take the quarantine over from the node's entry in the store, although they complete the same request all the time, and publish it themselves, so that it outlasts the end of all processes: no request is served after the final fault.

--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -348,17 +348,18 @@
         }
         this->own_port = port_of(this->fd);
         std::thread(
-            [fd = this->fd, on_connection = std::move(on_connection)]
+            [this, listening = this->fd, on_connection]
             {
                 for (;;)
                 {
                     int const accepted =
-                        ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+                        ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
                     if (accepted < 0)
                     {
                         return;
                     }
                     auto const one = std::make_shared<connection>(accepted);
+                    this->remember(one);
                     std::thread(
                         [one, on_connection]
                         {
@@ -371,12 +372,36 @@
         return true;
     }
 
+    // as if the process had ended
+    void close()
+    {
+        ::shutdown(this->fd, SHUT_RDWR);
+        ::close(this->fd);
+        std::lock_guard<std::mutex> const lock(this->mutex);
+        for (auto const & known : this->connections)
+        {
+            if (auto const one = known.lock(); one && one->descriptor() >= 0)
+            {
+                ::shutdown(one->descriptor(), SHUT_RDWR);
+            }
+        }
+        this->connections.clear();
+    }
+
     int port() const
     {
         return this->own_port;
     }
 
 private:
+    void remember(std::shared_ptr<connection> const & one)
+    {
+        std::lock_guard<std::mutex> const lock(this->mutex);
+        this->connections.emplace_back(one);
+    }
+
+    std::mutex mutex;
+    std::vector<std::weak_ptr<connection>> connections;
     int fd = -1;
     int own_port = 0;
 };
@@ -821,6 +846,32 @@
                                    });
     }
 
+    // ends, as a process that crashes
+    void go_down()
+    {
+        record.write("target " + this->id + " goes down");
+        this->is_down = true;
+        this->listener.close();
+    }
+
+    // starts again at the same address, as another incarnation
+    bool come_back(std::string const & instance, int control)
+    {
+        auto const port = this->listener.port();
+        this->id = instance;
+        this->born = unix_ms();
+        this->sequence = 0;
+        record.write("target " + this->id + " starts");
+        bool const opened =
+            this->listener.open(port,
+                                [this](std::shared_ptr<connection> one)
+                                {
+                                    this->serve(*one);
+                                });
+        this->is_down = false;
+        return opened && this->report(control, this->state);
+    }
+
     int port() const
     {
         return this->listener.port();
@@ -835,7 +886,7 @@
             {
                 while (!this->silent)
                 {
-                    if (!this->leaving)
+                    if (!this->leaving && !this->is_down)
                     {
                         static_cast<void>(this->report(control, this->state));
                     }
@@ -897,6 +948,7 @@
     std::atomic<int> running{0};
     std::atomic<bool> leaving{false};
     std::atomic<bool> silent{false};
+    std::atomic<bool> is_down{false};
     std::atomic<long> sequence{0};
 
 private:
