--- a/review/13/play.cpp
+++ b/review/13/play.cpp
@@ -1,4 +1,4 @@
-// Two nodes with a target each; the first is told to stop while its clients
+// Three nodes with a target each; the first is told to stop while its clients
 // keep searching. Its zone has no other node, so that they stay with it.
 #include "../rig-3/rig.hpp"
 
@@ -8,6 +8,7 @@
 using rig::record;
 
 constexpr char const * host = "archive.example";
+constexpr int node_count = 3;
 constexpr int client_count = 14;
 // archive-search of the site file: mean, time limit and route's timeout
 constexpr int usual_run_ms = 970;
@@ -138,7 +139,7 @@
               "\"coldStartS\":3.0,\"coldPerS\":34.0}},\"limits\":{"
               "\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
               "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}");
-    for (int i = 0; i < 2; ++i)
+    for (int i = 0; i < node_count; ++i)
     {
         targets.push_back(std::make_unique<rig::target>());
         auto & target = *targets.back();
@@ -172,7 +173,12 @@
     {
         return 2;
     }
-    for (int i = 0; i < 2; ++i)
+    for (auto const & node : nodes)
+    {
+        node->options.seeds = {
+            nodes[0]->control, nodes[1]->control, nodes[2]->control};
+    }
+    for (int i = 0; i < node_count; ++i)
     {
         nodes[i]->start();
         targets[i]->report_to(*nodes[i]);
@@ -180,7 +186,8 @@
     bool const is_up = rig::wait_until(
         [&]
         {
-            return nodes[0]->is_ready() && nodes[1]->is_ready();
+            return nodes[0]->is_ready() && nodes[1]->is_ready() &&
+                   nodes[2]->is_ready();
         },
         8000);
     rig::sleep_ms(3000);
@@ -220,6 +227,7 @@
         client.join();
     }
     nodes[1]->end();
+    nodes[2]->end();
 
     int served = 0;
     int broken_off = 0;
--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -685,6 +685,8 @@
     std::string service;
     int target_port = 0;
     int store_port = 0;
+    // ports of the control addresses of at most three nodes
+    std::vector<int> seeds;
     bool first_start = true;
     std::string bounds =
         "[\"seedLagS=3\",\"reuseAfterS=2\",\"contactS=3\",\"ackS=4\","
@@ -784,6 +786,17 @@
     pid_t pid = -1;
 
 private:
+    std::string seeds() const
+    {
+        std::string text;
+        for (int const port : this->options.seeds)
+        {
+            text += text.empty() ? "" : ",";
+            text += "\"127.0.0.1:" + std::to_string(port) + "\"";
+        }
+        return text;
+    }
+
     std::string settings() const
     {
         auto const at = [](int port)
@@ -796,7 +809,7 @@
              << "serves = [\"sidecar\",\"control\"]\nip = \"127.0.0.1\"\n"
              << "zone = \"" << this->options.zone
              << "\"\nregion = \"region-a\"\ninternalPortRange = [7620,7635]\n"
-             << "seeds = []\nfirstStart = "
+             << "seeds = [" << this->seeds() << "]\nfirstStart = "
              << (this->options.first_start ? "true" : "false")
              << "\ninTolerance = false\ndiscovery = \"static\"\n"
              << "entry = \"static\"\nheartbeatIntervalS = 1.5\n"
@@ -861,6 +874,7 @@
         this->id = instance;
         this->born = unix_ms();
         this->sequence = 0;
+        this->cold_until_ms = this->born + cold_start_ms;
         record.write("target " + this->id + " starts");
         bool const opened =
             this->listener.open(port,
@@ -908,7 +922,8 @@
                 "\",\"version\":\"v1\",\"zone\":\"" + this->zone +
                 "\",\"slots\":" + std::to_string(this->slots) +
                 "},\"status\":{\"state\":\"" + stated + "\",\"sequence\":" +
-                std::to_string(number) + ",\"coldRemainingS\":0}}");
+                std::to_string(number) + ",\"coldRemainingS\":" +
+                std::to_string(this->cold_left_ms() / 1000.0) + "}}");
     }
 
     bool call(int control, std::string const & verb, std::string const & body)
@@ -933,6 +948,18 @@
                request.get("Request-Id") + "\r\n" + this->load();
     }
 
+    // after a start during traffic
+    std::int64_t cold_left_ms() const
+    {
+        return std::max<std::int64_t>(0, this->cold_until_ms - unix_ms());
+    }
+
+    // a cold target takes twice as long
+    int work_ms(int usual_ms) const
+    {
+        return this->cold_left_ms() > 0 ? 2 * usual_ms : usual_ms;
+    }
+
     std::string load() const
     {
         return "Server-Load: " + std::to_string(this->running.load()) + ",0," +
@@ -949,6 +976,9 @@
     std::atomic<bool> leaving{false};
     std::atomic<bool> silent{false};
     std::atomic<bool> is_down{false};
+    std::atomic<std::int64_t> cold_until_ms{0};
+    // coldStartS of the configurations
+    static constexpr std::int64_t cold_start_ms = 3000;
     std::atomic<long> sequence{0};
 
 private:
@@ -960,7 +990,12 @@
             {
                 if (!one.send(response(
                         this->leaving ? "503 Service Unavailable" : "200 OK",
-                        "Instance-Id: " + this->id + "\r\n" + this->load(),
+                        "Instance-Id: " + this->id + "\r\n" + this->load() +
+                            (this->cold_left_ms() > 0
+                                 ? "Cold-Ms: " +
+                                       std::to_string(this->cold_left_ms()) +
+                                       "\r\n"
+                                 : ""),
                         "")))
                 {
                     return;
@@ -979,6 +1014,19 @@
                 }
                 continue;
             }
+            if (this->running >= this->slots)
+            {
+                record.write("full at " + this->id + " for " +
+                             request->get("Request-Id"));
+                if (!one.send(response("503 Service Unavailable",
+                                       "Not-Executed: 1\r\nRequest-Id: " +
+                                           request->get("Request-Id") + "\r\n",
+                                       "")))
+                {
+                    return;
+                }
+                continue;
+            }
             this->running += 1;
             this->run(one, *request);
             this->running -= 1;
