Count the notice of a stop from the signal, not from the end of the process

Callers: with a grace time of 10 s a request that was sent 5.7 to 6.4 s after the SIGTERM was accepted, passed on, and broken off with 502 at 9.3 s while its target was at work.

Cause: stop_schedule placed the end of the notice 2.9 s before the end of the process, so that it moved with the grace time. Until then a request was accepted if twice the mean run time of its route fitted. A mean is no bound. A grace time below 4.2 s had the reverse fault: the margins before the end were longer than the last sixth of the grace time, in which alone a request may be broken off, and the notice ended before it began.

Change: the notice ends 2.8 s after the signal, whatever the grace time. Later a request is accepted only if the time limit or its route's timeout, whichever comes first, and the wait for the response that follows it, end before the conclusion. That is all that is refused: what fits is accepted until the end. The time that counts is that of the decision, not of the arrival. The margins take a sixth of the grace time at most.

Other orders tried, over serve's parts: grace times of 6 to 13 s, route timeouts of 1 to 5 s, a configuration that lengthens or shortens the timeout 1.5 s after the signal, work that ends 100 ms before its time limit. An upload counts from its last byte, since the exchange begins with the complete request.

Left as it is: a request of another node is accepted in the first 2 s if its target time fits and it may be repeated; what it costs is a second start of one that runs for longer than the rest of the grace time.

--- a/include/endivehinge/policy/stop_schedule.hpp
+++ b/include/endivehinge/policy/stop_schedule.hpp
@@ -14,7 +14,9 @@
 /// node that refuses requests as soon as it is told to stop takes its target
 /// away for the seconds in which clients learn that it stops. A request that is
 /// accepted and outlives the process loses its response, and those of the
-/// requests behind it on its connection.
+/// requests behind it on its connection. Clients learn of the stop in a time
+/// that does not depend on the grace time; what they send later is accepted
+/// only if it ends in time in the worst case.
 /// @note pure; thread safety: const, any thread
 struct stop_schedule
 {
@@ -39,9 +41,11 @@
                                time_point now) const;
 
     /// @brief whether a request of a client may be accepted
-    /// @param request_deadline when its client stops waiting
-    /// @param mean_run_time of requests of its route
-    [[nodiscard]] bool accepts_from_client(time_point request_deadline,
+    /// @param latest_end when the node stops waiting for its response, whatever
+    /// its run time
+    /// @param mean_run_time of requests of its route; counts only until clients
+    /// have learned of the stop
+    [[nodiscard]] bool accepts_from_client(time_point latest_end,
                                            duration mean_run_time,
                                            time_point now) const;
 
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -244,9 +244,9 @@
         return false;
     }
     return !this->state.stop.accepts_from_client(
-        this->urgency.deadline,
+        this->urgency.deadline + deadline_grace,
         this->state.mean_service_time(*this->route),
-        this->client->arrival);
+        loop_now());
 }
 
 void request_dispatch::prepare_message()
--- a/src/policy/stop_schedule.cpp
+++ b/src/policy/stop_schedule.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/stop_schedule.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 
 namespace endivehinge
 {
@@ -12,14 +12,18 @@
 constexpr duration readiness_propagation_time = std::chrono::milliseconds(2300);
 // before clients have left, for the requests of other nodes to end
 constexpr duration peer_drain_time = std::chrono::milliseconds(300);
+// from the signal until clients have learned that the node stops. The rules of
+// the platform excuse what is sent within 3 s of the signal; the rest is for
+// signals that are handled late
+constexpr duration notice_time = std::chrono::milliseconds(2800);
 // time before the platform kills the process, for sending the last responses
 constexpr duration kill_safety_margin = std::chrono::milliseconds(300);
-// time before the end of the process in which clients have been notified to
-// leave
-constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
 // time before the end of the process, for the last responses to be written and
 // delivered
 constexpr duration conclusion_margin = std::chrono::milliseconds(400);
+// both margins together take this part of the grace time at most: the rules of
+// the platform excuse what is broken off in its last sixth
+constexpr int min_grace_margins = 6;
 // a request that waits is refused this long before the conclusion, so that none
 // starts in place of one that is concluded; spans two reviews
 constexpr duration min_start_lead = std::chrono::milliseconds(100);
@@ -30,11 +34,17 @@
 
 stop_schedule stop_schedule::begin(time_point now, duration grace)
 {
+    constexpr auto margins = kill_safety_margin + conclusion_margin;
+    auto const margin = std::min(margins, grace / min_grace_margins);
     stop_schedule schedule;
     schedule.drain_start = now + readiness_propagation_time - peer_drain_time;
-    schedule.deadline = now + grace - kill_safety_margin;
-    schedule.notice_end = schedule.deadline - shutdown_margin;
-    schedule.conclusion = schedule.deadline - conclusion_margin;
+    schedule.notice_end = now + notice_time;
+    schedule.conclusion = now + grace - margin;
+    schedule.deadline =
+        schedule.conclusion +
+        std::chrono::duration_cast<duration>(
+            margin * (std::chrono::duration<double>(conclusion_margin) /
+                      std::chrono::duration<double>(margins)));
     return schedule;
 }
 
@@ -47,11 +57,11 @@
     return now < this->drain_start && expected_end <= this->conclusion;
 }
 
-bool stop_schedule::accepts_from_client(time_point request_deadline,
+bool stop_schedule::accepts_from_client(time_point latest_end,
                                         duration mean_run_time,
                                         time_point now) const
 {
-    if (request_deadline <= this->conclusion)
+    if (latest_end <= this->conclusion)
     {
         return true;
     }
--- a/tests/src/system-gateway-stop-delivery.cpp
+++ b/tests/src/system-gateway-stop-delivery.cpp
@@ -1,12 +1,15 @@
 #include <gtest/gtest.h>
 
-#include <algorithm> // count
+#include <algorithm> // count, max
 #include <array>     // array
+#include <memory>    // make_shared
 #include <string>    // string
+#include <vector>    // vector
 
-#include <boost/asio/ip/address.hpp> // make_address
-#include <boost/asio/ip/tcp.hpp>     // tcp
-#include <boost/asio/write.hpp>      // write
+#include <boost/asio/ip/address.hpp>   // make_address
+#include <boost/asio/ip/tcp.hpp>       // tcp
+#include <boost/asio/steady_timer.hpp> // steady_timer
+#include <boost/asio/write.hpp>        // write
 
 #include "gateway/gateway_fleet.hpp"
 
@@ -177,5 +180,150 @@
     EXPECT_EQ(this->fleet.execution_count("id-1"), 0U);
 }
 
+struct stop_case
+{
+    double grace_s;
+    double timeout_s;
+    // of a configuration that takes effect during the stop
+    double next_timeout_s;
+};
+
+/// @brief a client sends requests to a stopping node all the time, and their
+/// work takes as long as their route allows
+class gateway_stop_acceptance : public ::testing::TestWithParam<stop_case>
+{
+protected:
+    struct sent_request
+    {
+        std::string id;
+        duration sent{0};
+        std::shared_ptr<gateway_fleet::client_call> call;
+    };
+
+    // the platform excuses what is sent sooner after the signal
+    static constexpr milliseconds excused{3000};
+    // the work of a request ends this long before the timeout of its route
+    static constexpr milliseconds spare{100};
+
+    gateway_stop_acceptance()
+    {
+        this->fleet.route_timeout_s = GetParam().timeout_s;
+        this->fleet.start_members(1, "web");
+        // makes the mean run time short
+        for (int i = 0; i < 10; ++i)
+        {
+            static_cast<void>(
+                this->fleet.send_and_wait(*this->fleet.members[0],
+                                          "/safe/a",
+                                          "short-" + std::to_string(i)));
+        }
+        this->fleet.members[0]->target->request_hook =
+            [this](std::shared_ptr<detail::exchange> const & incoming)
+        {
+            auto const left =
+                std::stoi(std::string(incoming->request.at("Deadline-Ms")));
+            this->run(incoming, milliseconds(left) - spare);
+        };
+    }
+
+    void stop()
+    {
+        auto & node = *this->fleet.members[0]->node;
+        node.state.settings.bounds.stop_grace =
+            std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(GetParam().grace_s));
+        node.stop(
+            [this, &node]
+            {
+                this->stopped = true;
+                node.client_listener.abort();
+            });
+    }
+
+    /// @brief between requests, of which the target runs ten at a time
+    static milliseconds send_interval()
+    {
+        double const longest =
+            std::max(GetParam().timeout_s, GetParam().next_timeout_s);
+        return milliseconds(static_cast<int>(1000 * longest / 6));
+    }
+
+    void run(std::shared_ptr<detail::exchange> const & incoming,
+             duration length)
+    {
+        auto const timer =
+            std::make_shared<asio::steady_timer>(this->fleet.io, length);
+        timer->async_wait(
+            [this, incoming, timer](boost::system::error_code)
+            {
+                this->fleet.members[0]->target->respond(*incoming, 200);
+            });
+    }
+
+    void send_until_stopped()
+    {
+        auto const began = std::chrono::steady_clock::now();
+        bool is_changed = false;
+        while (!this->stopped)
+        {
+            auto const sent = std::chrono::steady_clock::now() - began;
+            if (!is_changed && sent > milliseconds(1500))
+            {
+                is_changed = true;
+                this->fleet.route_timeout_s = GetParam().next_timeout_s;
+                this->fleet.configure(2, "web");
+            }
+            auto const id = "late-" + std::to_string(this->requests.size());
+            this->requests.push_back(
+                {id,
+                 sent,
+                 this->fleet.send(
+                     *this->fleet.members[0], "/safe/a", id, 60000)});
+            this->fleet.run_for(send_interval());
+        }
+        this->fleet.run_for(milliseconds(200));
+    }
+
+    gateway_fleet fleet;
+    bool stopped = false;
+    std::vector<sent_request> requests;
+};
+
+// Requests that came later than clients are excused for were accepted since
+// their mean run time was short, and broken off before the process ended.
+TEST_P(gateway_stop_acceptance, what_is_accepted_later_is_completed)
+{
+    this->stop();
+    this->send_until_stopped();
+    double const longest =
+        std::max(GetParam().timeout_s, GetParam().next_timeout_s);
+    std::size_t completed = 0;
+    for (auto const & [id, sent, call] : this->requests)
+    {
+        auto const status =
+            call->result ? call->result->response.result_int() : 0U;
+        completed += status == 200 ? 1 : 0;
+        auto const sent_s = std::chrono::duration<double>(sent).count();
+        if (sent > excused && this->fleet.execution_count(id) > 0)
+        {
+            EXPECT_EQ(status, 200U) << id << " sent after " << sent_s;
+        }
+        // accepted as long as it ends in time in the worst case
+        if (sent_s + longest + 1.0 < GetParam().grace_s)
+        {
+            EXPECT_EQ(status, 200U) << id << " sent after " << sent_s;
+        }
+    }
+    EXPECT_GT(completed, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         gateway_stop_acceptance,
+                         ::testing::Values(stop_case{6, 2, 2},
+                                           stop_case{7, 1, 3},
+                                           stop_case{8, 3, 3},
+                                           stop_case{10, 4, 2},
+                                           stop_case{13, 5, 5}));
+
 } // namespace
 } // namespace endivehinge::tests
--- a/tests/src/unit-stop-schedule.cpp
+++ b/tests/src/unit-stop-schedule.cpp
@@ -1,3 +1,5 @@
+#include <algorithm> // min
+
 #include <gtest/gtest.h>
 
 #include <endivehinge/policy/stop_schedule.hpp>
@@ -7,6 +9,7 @@
 namespace
 {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 time_point const start_time{seconds(1000)};
@@ -65,5 +68,68 @@
     EXPECT_GE(begun.conclusion, start_time + seconds(5));
 }
 
+/// @brief grace times that a platform may set
+class grace_times : public ::testing::TestWithParam<int>
+{
+protected:
+    [[nodiscard]] static duration grace()
+    {
+        return milliseconds(GetParam());
+    }
+
+    stop_schedule const begun = stop_schedule::begin(start_time, grace());
+};
+
+// A longer grace time moved the end of the notice, so that requests were
+// accepted by their mean run time when clients had long learned of the stop.
+TEST_P(grace_times, what_comes_after_the_notice_ends_in_time_in_the_worst_case)
+{
+    for (auto sent = milliseconds(3000); sent < grace();
+         sent += milliseconds(70))
+    {
+        for (auto limit = milliseconds(100); limit < seconds(40);
+             limit += milliseconds(130))
+        {
+            for (auto const mean : {milliseconds(1), milliseconds(900)})
+            {
+                auto const now = start_time + sent;
+                bool const ends_in_time = now + limit <= this->begun.conclusion;
+                EXPECT_EQ(
+                    this->begun.accepts_from_client(now + limit, mean, now),
+                    ends_in_time)
+                    << sent.count() << " " << limit.count();
+            }
+        }
+    }
+}
+
+// A node that refuses from the signal on takes its target away.
+TEST_P(grace_times, clients_are_accepted_until_they_have_learned_of_the_stop)
+{
+    for (auto sent = milliseconds(0);
+         sent < std::min<duration>(milliseconds(2800), grace() / 2);
+         sent += milliseconds(70))
+    {
+        auto const now = start_time + sent;
+        EXPECT_TRUE(this->begun.accepts_from_client(
+            now + seconds(60), milliseconds(10), now));
+    }
+}
+
+// What is broken off at the conclusion is excused only in the last sixth of the
+// grace time.
+TEST_P(grace_times, requests_are_broken_off_in_the_last_sixth_only)
+{
+    EXPECT_GE(this->begun.conclusion, start_time + grace() * 5 / 6);
+    EXPECT_LT(this->begun.conclusion, this->begun.deadline);
+    EXPECT_LT(this->begun.deadline, start_time + grace());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    milliseconds,
+    grace_times,
+    ::testing::Values(
+        300, 1000, 2000, 3000, 4000, 6000, 8000, 10000, 15000, 30000, 60000));
+
 } // namespace
 } // namespace endivehinge
