--- a/include/endivehinge/detail/gateway/allotment_client.hpp
+++ b/include/endivehinge/detail/gateway/allotment_client.hpp
@@ -33,12 +33,14 @@
 
     /// @brief asks for a token
     /// @param account with a limit; part of the active configuration
+    /// @param patience how long the request may wait for an owner
     /// @param done called later, once, unless cancel() is called or the verdict
     /// is returned
     /// @param number identifies the request in cancel()
     /// @return the verdict, if it is known at once
     [[nodiscard]] std::optional<allotment_verdict>
     begin(client_account const & account,
+          duration patience,
           verdict_handler const & done,
           std::uint64_t & number);
 
@@ -49,6 +51,10 @@
     void put_back(account_name const & account,
                   allotment_verdict const & verdict);
 
+    /// @brief leaves the accounts that this node owns to others, before its
+    /// process ends; the messages are sent on the next turn of the event loop
+    void retire();
+
     /// @brief answers a message of another node
     [[nodiscard]] allotment_response answer(allotment_message const & message);
 
--- a/include/endivehinge/detail/gateway/gateway_parts.hpp
+++ b/include/endivehinge/detail/gateway/gateway_parts.hpp
@@ -94,6 +94,8 @@
     // set during a stop when no more connections are accepted; the process ends
     // once all responses are delivered
     bool ending = false;
+    // set during a stop once the accounts of this node are left to others
+    bool retired = false;
     // set during a stop once requests in progress are answered by the node
     bool concluded = false;
     std::function<void()> on_stopped;
--- a/include/endivehinge/policy/allotment_agent.hpp
+++ b/include/endivehinge/policy/allotment_agent.hpp
@@ -123,14 +123,23 @@
     /// @brief sets the target that has left this node, if it has none any more
     void set_own_departure(std::optional<target_id> const & target);
 
+    /// @brief gives up all accounts that this node owns, and owns none any
+    /// more, since its process is about to end
+    ///
+    /// The next poll() returns the votes, so that other nodes need not wait
+    /// until they run out. This node still votes.
+    void retire(time_point now);
+
     /// @brief decides on a request
     /// @param request a number that is not in use
+    /// @param patience how long the request may wait for an owner
     /// @return no value if a later poll() returns the decision; call poll()
     /// soon
     [[nodiscard]] std::optional<allotment_verdict>
     begin(account_name const & account,
           allotment_limits const & limits,
           request_number request,
+          duration patience,
           time_point now,
           double random);
 
@@ -163,8 +172,7 @@
                          time_point now);
 
     /// @brief records that a message got no answer
-    /// @param refused whether the node's system refused the connection, which
-    /// proves that the node's process has ended
+    /// @param refused whether its connection was refused
     void record_failure(outgoing const & sent,
                         bool refused,
                         time_point sent_at,
@@ -188,7 +196,8 @@
     struct waiting_request
     {
         request_number request = 0;
-        time_point since;
+        // it is decided by then
+        time_point last;
     };
 
     struct account_entry
@@ -241,13 +250,21 @@
            time_point now,
            double random,
            bool is_new,
-           bool may_wait);
+           time_point last);
+    /// @brief whether more requests wait here than the account gets tokens in
+    /// the time of another one
+    [[nodiscard]] static bool exceeds_tokens(account_entry const & entry,
+                                             duration wait);
+    /// @brief how long a request may wait for a token
+    [[nodiscard]] static duration longest_wait(account_entry const & entry,
+                                               duration patience,
+                                               time_point now);
     [[nodiscard]] std::optional<allotment_verdict>
     decide_as_owner(account_name const & account,
                     account_entry & entry,
                     time_point now,
                     double random,
-                    bool may_wait);
+                    time_point last);
     void count(account_name const & account,
                account_entry & entry,
                allotment_verdict const & verdict,
@@ -259,7 +276,7 @@
                         actions & todo);
     void add_asks(time_point now, actions & todo);
     void add_ballots(time_point now, actions & todo);
-    void add_probes(time_point now, actions & todo);
+    void add_probes(actions & todo);
     void discard_idle(time_point now);
     void report_unserved(account_name const & account,
                          account_entry & entry,
@@ -287,7 +304,7 @@
                            std::vector<allotment_departure> const & departures,
                            time_point now);
     void note_contact(node_name const & node, bool reached);
-    [[nodiscard]] allotment_message new_message(time_point now) const;
+    [[nodiscard]] allotment_message new_message() const;
 
     allotment_process self;
     allotment_options options;
--- a/include/endivehinge/policy/allotment_directory.hpp
+++ b/include/endivehinge/policy/allotment_directory.hpp
@@ -1,6 +1,8 @@
 #ifndef ENDIVEHINGE_POLICY_ALLOTMENT_DIRECTORY_HPP
 #define ENDIVEHINGE_POLICY_ALLOTMENT_DIRECTORY_HPP
 
+#include <cstdint>  // uint64_t
+#include <deque>    // deque
 #include <optional> // optional
 #include <vector>   // vector
 
@@ -9,6 +11,7 @@
 #include <endivehinge/core/clock.hpp>
 #include <endivehinge/core/endpoint.hpp>
 #include <endivehinge/core/ids.hpp>
+#include <endivehinge/policy/allotment_ask.hpp>
 #include <endivehinge/policy/allotment_departure.hpp>
 #include <endivehinge/policy/allotment_member.hpp>
 
@@ -18,11 +21,12 @@
 /// @brief the nodes that may own accounts and vote for owners, and which of
 /// them can be reached
 ///
-/// Each account has a group of a few nodes, one of which owns it. Answers the
-/// load after the death of an owner: a refused connection proves that its
-/// process has ended, and with it its ownership and the votes that it gave.
-/// Answers the load after a target has left while its node cannot remove its
-/// entry: the node states that it has departed, and all nodes pass this on.
+/// Each account has a group of a few nodes, one of which owns it. A refused
+/// connection is no proof that a process has ended, since a cut may look the
+/// same on both sides: it counts as no answer. What a process holds ends when
+/// its time is over, or when the next process of its node is heard. Answers the
+/// load after a target has left while its node cannot remove its entry: the
+/// node states that it has departed, and all nodes pass this on.
 /// @note pure: time is an argument; not thread-safe, the owner serialises all
 /// calls
 class allotment_directory
@@ -30,32 +34,26 @@
 public:
     using node_list = std::vector<allotment_member>;
 
-    /// @brief a node whose process has ended, and how long to assume so
-    struct ended_node
-    {
-        node_name node;
-        duration remaining{0};
-    };
-
     explicit allotment_directory(node_name own_node);
 
     /// @brief replaces the nodes by those of the fleet view
     void set_nodes(node_list const & present);
 
-    /// @brief records that a node's system refused a connection of this node
-    void record_refused(node_name const & node, time_point now);
-
-    /// @brief records that a node's system refused a connection of another node
-    /// @param remaining limited to the validity of such a proof
-    /// @return whether the node was not taken to have ended before
-    bool
-    record_ended(node_name const & node, duration remaining, time_point now);
+    /// @brief records a message or an answer of a process
+    ///
+    /// The process before it on the same node has ended with it. One that was
+    /// heard earlier stays ended, also if a message of it arrives late.
+    void record_process(allotment_process const & process);
 
-    /// @brief records a message of a node
-    void record_alive(node_name const & node, time_point now);
+    /// @brief whether a later process of the same node has been heard
+    [[nodiscard]] bool is_replaced(allotment_process const & process) const;
 
     /// @brief records that a node answered a message of this one
-    void record_answer(node_name const & node, time_point now);
+    void record_answer(node_name const & node);
+
+    /// @brief records that a connection to a node was refused: it has ended, or
+    /// a cut refuses connections to it
+    void record_refused(node_name const & node, time_point now);
 
     /// @brief records that a node did not answer a message of this one
     void
@@ -93,21 +91,16 @@
     [[nodiscard]] std::vector<node_name> const &
     group(account_name const & account);
 
-    /// @brief the first node of the group that has not ended or departed
+    /// @brief the first node of the group that has not departed
     /// @return no value if there is none
-    [[nodiscard]] std::optional<node_name> owner(account_name const & account,
-                                                 time_point now);
-
-    /// @brief whether a node owns nothing and gives no votes: its process has
-    /// ended, or its target has left
-    [[nodiscard]] bool has_ended(node_name const & node, time_point now) const;
+    [[nodiscard]] std::optional<node_name> owner(account_name const & account);
 
-    /// @brief the same, as far as this node has seen itself
-    [[nodiscard]] bool is_seen_ended(node_name const & node,
-                                     time_point now) const;
+    /// @brief whether a node owns nothing and gives no votes, since its target
+    /// has left
+    [[nodiscard]] bool has_departed(node_name const & node) const;
 
-    /// @brief whether it has been seen for so long that no vote of the node is
-    /// valid any more
+    /// @brief whether it has departed for so long that no vote of it is valid
+    /// any more
     [[nodiscard]] bool is_without_votes(node_name const & node,
                                         time_point now) const;
 
@@ -119,12 +112,6 @@
     /// long that other nodes must not depend on it
     [[nodiscard]] bool is_lost(node_name const & node) const;
 
-    /// @brief nodes that have ended as this node itself has seen
-    ///
-    /// Proofs of others are not passed on: each transmission makes one valid
-    /// for longer, so that among many nodes it would never expire.
-    [[nodiscard]] std::vector<ended_node> ended_nodes(time_point now) const;
-
     [[nodiscard]] std::optional<endpoint> address(node_name const & node) const;
 
 private:
@@ -133,15 +120,14 @@
         endpoint address;
         target_id target;
         failure_domain domain;
-        // of the proof that its process has ended, if there is one
-        time_point ended_until;
-        // the same, for connections that were refused to this node itself
-        time_point refused_until;
-        time_point refused_since;
-        time_point last_alive;
+        // the last process that was heard, and the ones before it
+        std::uint64_t process = 0;
+        std::deque<std::uint64_t> replaced;
         // the first of the messages that it has left unanswered, and the last
         std::optional<time_point> unanswered_since;
         time_point last_unanswered;
+        // that one was refused at once, so that the next attempt costs no time
+        bool is_refusing = false;
         // since when its target is known to have left
         std::optional<time_point> departed_since;
     };
--- a/include/endivehinge/policy/allotment_election.hpp
+++ b/include/endivehinge/policy/allotment_election.hpp
@@ -20,11 +20,13 @@
 /// A node owns an account while a majority of the account's group has given it
 /// their vote. A voter gives its vote to one node at a time, for 1.2 s; in the
 /// first 1.2 s of its process, when it may have forgotten an earlier one,
-/// its vote counts only if all voters that have not ended vote alike. So an
-/// account has one owner at most, whichever nodes are cut off, paused or
-/// restarted, as long as the nodes agree on its group; while their views
-/// differ, a node becomes no owner if any voter that it reaches has given its
-/// vote to another one. Answers the load after any loss of owners: the next
+/// its vote counts only if the whole group votes alike. The group does not
+/// shrink by what one node sees of the others: a node that is not reached may
+/// have an owner on its side of a cut. So an account has one owner at most,
+/// whichever nodes are cut off, paused or restarted, and whether a cut is
+/// silent or refuses, as long as the nodes agree on its group; while their
+/// views differ, a node becomes no owner if any voter that it reaches has given
+/// its vote to another one. Answers the load after any loss of owners: the next
 /// owner needs no answer of a node that is gone, as long as a majority of the
 /// group answers.
 /// @note pure: time is an argument; not thread-safe, the owner serialises all
@@ -108,6 +110,12 @@
     /// @brief ends the ownership of all accounts
     void resign();
 
+    /// @brief ends the ownership of all accounts for good, and returns the
+    /// votes that this node has; it still votes for others
+    void retire(time_point now);
+
+    [[nodiscard]] bool is_retired() const;
+
     /// @brief owners that another node wants to replace, so that this one has
     /// to find out whether it reaches them; each is returned once
     [[nodiscard]] std::vector<node_name> take_doubted();
@@ -172,8 +180,7 @@
         // full votes, and how many are a majority
         std::size_t received = 0;
         std::size_t required = 0;
-        // voters that have not ended, and those of them without a vote for it
-        std::size_t voters = 0;
+        // members of the group without a vote for it
         std::size_t missing = 0;
         bool is_member = false;
         bool rejected = false;
@@ -218,6 +225,9 @@
                candidacy & own,
                node_name const & rival,
                time_point now);
+    /// @brief gives up what has been received for an account
+    void
+    return_votes(account_name const & account, candidacy & own, time_point now);
     [[nodiscard]] bool take_own_vote(account_name const & account,
                                      candidacy & own,
                                      allotment_directory const & directory,
@@ -235,6 +245,7 @@
 
     allotment_process self;
     time_point votes_from;
+    bool retired = false;
     absl::btree_map<account_name, given_vote> given;
     absl::btree_map<account_name, candidacy> candidacies;
     std::uint64_t last_number = 0;
--- a/include/endivehinge/policy/allotment_grant.hpp
+++ b/include/endivehinge/policy/allotment_grant.hpp
@@ -28,6 +28,9 @@
     duration next_token{0};
     // not from the owner: the owner, as far as the node knows
     std::optional<node_name> owner;
+    // fewer tokens than needed, because the owner is new and does not know what
+    // the last one granted: the account may be within its allotment
+    bool is_filling = false;
 };
 
 } // namespace endivehinge
--- a/include/endivehinge/policy/allotment_holder.hpp
+++ b/include/endivehinge/policy/allotment_holder.hpp
@@ -31,15 +31,16 @@
 
     /// @brief decides on a new request and counts it as demand
     /// @param random in [0, 1), spreads the retry times
+    /// @param last until when the request may wait
     /// @return no value if the request has to wait for a token
-    [[nodiscard]] std::optional<allotment_verdict> begin(time_point now,
-                                                         double random);
+    [[nodiscard]] std::optional<allotment_verdict>
+    begin(time_point now, double random, time_point last);
 
     /// @brief decides on a request that waits
-    /// @param may_wait whether it may wait longer
+    /// @param last until when it may wait
     /// @return no value if it waits longer
     [[nodiscard]] std::optional<allotment_verdict>
-    decide(time_point now, double random, bool may_wait);
+    decide(time_point now, double random, time_point last);
 
     /// @brief whether to ask now
     /// @param waiting requests that wait for a token
@@ -82,6 +83,9 @@
     /// @brief whether the account is known to be exhausted
     [[nodiscard]] bool is_exhausted(time_point now) const;
 
+    /// @brief whether the owner is new and has too few tokens yet
+    [[nodiscard]] bool is_filling() const;
+
 private:
     struct batch
     {
@@ -107,6 +111,9 @@
     // the account is taken to be exhausted, or without an owner, until then
     time_point refused_until;
     bool has_no_owner = false;
+    bool filling = false;
+    // there is none before
+    time_point owner_expected;
     allotment_retry retry;
     // the node that was asked is not the owner
     time_point ask_again_at;
--- a/include/endivehinge/policy/allotment_ledger.hpp
+++ b/include/endivehinge/policy/allotment_ledger.hpp
@@ -40,6 +40,10 @@
     /// used
     void put_back(std::uint32_t tokens, time_point now);
 
+    /// @brief whether the bucket has not been full since its owner is new, so
+    /// that an account within its allotment may find it empty
+    [[nodiscard]] bool is_filling(time_point now);
+
     /// @brief time until there is a token
     [[nodiscard]] duration next_token(time_point now);
 
@@ -56,6 +60,8 @@
     allotment_limits bounds;
     double level = 0;
     time_point updated;
+    time_point opened;
+    bool was_full = false;
     // in each of the last slots
     std::array<double, room_slots> smallest_room{};
     std::int64_t current_slot = 0;
--- a/include/endivehinge/policy/allotment_message.hpp
+++ b/include/endivehinge/policy/allotment_message.hpp
@@ -7,7 +7,6 @@
 #include <endivehinge/core/ids.hpp>
 #include <endivehinge/policy/allotment_ask.hpp>
 #include <endivehinge/policy/allotment_departure.hpp>
-#include <endivehinge/policy/allotment_directory.hpp>
 #include <endivehinge/policy/allotment_vote.hpp>
 
 namespace endivehinge
@@ -17,9 +16,6 @@
 struct allotment_message
 {
     allotment_process from;
-    // nodes whose processes have ended, so that their votes and ownership have
-    // ended too
-    std::vector<allotment_directory::ended_node> ended;
     // nodes whose targets have left although their entries remain
     std::vector<allotment_departure> departures;
     std::vector<std::pair<account_name, allotment_ask>> asks;
--- a/src/gateway/allotment_client.cpp
+++ b/src/gateway/allotment_client.cpp
@@ -73,6 +73,7 @@
 
 std::optional<allotment_verdict>
 allotment_client::begin(client_account const & account,
+                        duration patience,
                         verdict_handler const & done,
                         std::uint64_t & number)
 {
@@ -81,6 +82,7 @@
     auto const verdict = this->agent.begin(account.name,
                                            allotment_limits::of(account),
                                            number,
+                                           patience,
                                            now_with_suspension(),
                                            this->state.random());
     if (!verdict)
@@ -106,6 +108,12 @@
     this->agent.put_back(account, verdict, now_with_suspension());
 }
 
+void allotment_client::retire()
+{
+    this->agent.retire(now_with_suspension());
+    this->poll_soon(duration(0));
+}
+
 allotment_response allotment_client::answer(allotment_message const & message)
 {
     this->update_nodes();
@@ -208,8 +216,8 @@
         this->agent.record_failure(message, false, now, now);
         return;
     }
-    // also to a node that is suspended from placement: a refused connection is
-    // the proof that lets the next owner take over
+    // also to a node that is suspended from placement: it may have been
+    // restarted, and its answer ends what its last process held
     auto & peer = this->state.peer(*address);
     auto request = allotment_exchange::write_request(message.message);
     auto const timeout =
--- a/src/gateway/allotment_exchange.cpp
+++ b/src/gateway/allotment_exchange.cpp
@@ -176,6 +176,10 @@
     {
         written["from_owner"] = true;
     }
+    if (grant.is_filling)
+    {
+        written["filling"] = true;
+    }
     if (grant.remaining > duration(0))
     {
         written["remaining_us"] = grant.remaining / microseconds(1);
@@ -192,6 +196,7 @@
     allotment_grant grant;
     grant.sequence = value.at("sequence").get<std::uint64_t>();
     grant.from_owner = value.value("from_owner", false);
+    grant.is_filling = value.value("filling", false);
     grant.tokens = read_count(value, "tokens");
     grant.remaining = read_time(value, "remaining_us");
     grant.next_token = read_time(value, "next_us");
@@ -249,16 +254,6 @@
 allotment_exchange::write_request(allotment_message const & message)
 {
     json document = write_process(message.from);
-    for (auto const & ended : message.ended)
-    {
-        document["ended"].push_back(
-            {{"node", ended.node.value()},
-             {"remaining_us", ended.remaining / microseconds(1)}});
-        if (document["ended"].size() == max_entries)
-        {
-            break;
-        }
-    }
     write_departures(document, message.departures);
     for (auto const & [account, ask] : message.asks)
     {
@@ -290,12 +285,6 @@
         auto const document = json::parse(request.body().text());
         allotment_message message;
         message.from = read_process(document);
-        for (auto const & value : read_list(document, "ended"))
-        {
-            message.ended.push_back(
-                {node_name(value.at("node").get<std::string>()),
-                 read_time(value, "remaining_us")});
-        }
         message.departures = read_departures(document);
         for (auto const & value : read_list(document, "asks"))
         {
--- a/src/gateway/gateway_parts.cpp
+++ b/src/gateway/gateway_parts.cpp
@@ -228,15 +228,22 @@
     }
     this->ending =
         this->ending || now + connection_end_time >= this->state.stop.deadline;
+    bool const was_ending = this->retired;
     if (this->ending)
     {
         this->client_listener.finish();
         this->peer_listener.finish();
+        if (!this->retired)
+        {
+            this->retired = true;
+            this->allotments.retire();
+        }
     }
     this->review_requests(now);
     auto const unfinished = this->client_listener.unfinished_count() +
                             this->peer_listener.unfinished_count();
-    if ((this->ending && unfinished == 0) || now >= this->state.stop.deadline)
+    // one more turn, in which the votes of this node's accounts are returned
+    if ((was_ending && unfinished == 0) || now >= this->state.stop.deadline)
     {
         this->state.log.write("stop",
                               {{"requests", std::to_string(pending)},
--- a/src/gateway/request_dispatch.cpp
+++ b/src/gateway/request_dispatch.cpp
@@ -23,6 +23,9 @@
 constexpr duration max_configuration_wait = std::chrono::milliseconds(150);
 // share of the client's time, which the request itself needs as well
 constexpr double max_configuration_wait_share = 0.25;
+// share of a request's time in which it may wait for the owner of its account;
+// the rest is for its run and for another attempt
+constexpr double max_owner_wait_share = 0.5;
 // extends the request deadline, so that the target's own response at the
 // deadline arrives first
 constexpr duration deadline_grace = std::chrono::milliseconds(80);
@@ -345,8 +348,11 @@
     }
     this->token_account = this->account->name;
     std::uint64_t number = 0;
+    auto const patience = std::chrono::duration_cast<duration>(
+        (this->urgency.deadline - loop_now()) * max_owner_wait_share);
     auto const verdict = this->state.allotments->begin(
         *this->account,
+        patience,
         [self = this->shared_from_this()](allotment_verdict const & decided)
         {
             self->token_number.reset();
--- a/src/policy/allotment_agent.cpp
+++ b/src/policy/allotment_agent.cpp
@@ -1,8 +1,10 @@
 #include <endivehinge/policy/allotment_agent.hpp>
 
-#include <algorithm> // any_of, find_if, max
+#include <algorithm> // any_of, find_if, max, min
 #include <utility>   // exchange, move
 
+#include <endivehinge/policy/allotment_timing.hpp>
+
 namespace endivehinge
 {
 namespace
@@ -15,6 +17,10 @@
 // a request waits no longer for a token; covers two nodes that are gone without
 // a word, the election of an owner and a few asks
 constexpr duration max_wait = milliseconds(400);
+// the same while the votes that an owner had run out, if the request has the
+// time; covers the election of the next one
+constexpr duration max_owner_wait =
+    allotment_timing::vote_validity + milliseconds(200);
 // before the next ask if a node is not the owner; covers the election of one by
 // nodes that all answer
 constexpr duration no_owner_pause = milliseconds(25);
@@ -35,8 +41,6 @@
 constexpr duration unserved_memory = std::chrono::seconds(1);
 // an account without a request for this time is forgotten
 constexpr duration account_memory = std::chrono::seconds(10);
-// a request is refused at once if it would wait longer for an owner
-constexpr duration max_owner_wait = milliseconds(250);
 // on the first start of a fleet nothing was granted before
 constexpr duration first_start_time = std::chrono::seconds(2);
 // share of the slack that a new owner has at the start. Its predecessor may
@@ -89,6 +93,12 @@
     }
 }
 
+void allotment_agent::retire(time_point now)
+{
+    this->election.retire(now);
+    this->owned.clear();
+}
+
 std::optional<endpoint> allotment_agent::address(node_name const & node) const
 {
     return this->directory.address(node);
@@ -126,7 +136,7 @@
     for (auto const & owner : {stated, entry.known_owner})
     {
         if (!owner || *owner == this->self.node ||
-            this->directory.has_ended(*owner, now))
+            this->directory.has_departed(*owner))
         {
             continue;
         }
@@ -142,8 +152,9 @@
     {
         auto const & node = group[(first + i) % group.size()];
         bool const is_own = node == this->self.node;
-        bool const can_own =
-            is_own && !entry.relay && !this->directory.has_own_departure();
+        bool const can_own = is_own && !entry.relay &&
+                             !this->directory.has_own_departure() &&
+                             !this->election.is_retired();
         if (can_own || (!is_own && this->directory.is_reachable(node, now)))
         {
             return node;
@@ -219,29 +230,57 @@
 allotment_agent::begin(account_name const & account,
                        allotment_limits const & limits,
                        request_number request,
+                       duration patience,
                        time_point now,
                        double random)
 {
     auto & entry = this->entry_of(account, limits);
     entry.last_request = now;
     this->active.insert(account);
-    auto const verdict = this->decide(account, entry, now, random, true, true);
+    auto const last = now + this->longest_wait(entry, patience, now);
+    auto verdict = this->decide(account, entry, now, random, true, last);
+    if (!verdict && exceeds_tokens(entry, last - now))
+    {
+        verdict = allotment_verdict{};
+        verdict->outcome = allotment_outcome::exhausted;
+        verdict->retry_after =
+            entry.own_retry.next(now, last, entry.limits.rate, random);
+    }
     if (verdict)
     {
         this->count(account, entry, *verdict, now);
         return verdict;
     }
-    entry.waiting.push_back({request, now});
+    entry.waiting.push_back({request, last});
     return std::nullopt;
 }
 
+bool allotment_agent::exceeds_tokens(account_entry const & entry, duration wait)
+{
+    double const most =
+        entry.limits.burst +
+        entry.limits.rate * std::chrono::duration<double>(wait).count();
+    return static_cast<double>(entry.waiting.size()) >= most;
+}
+
+duration allotment_agent::longest_wait(account_entry const & entry,
+                                       duration patience,
+                                       time_point now)
+{
+    // an election that takes longer lacks voters, and nothing tells when they
+    // return
+    bool const is_overdue =
+        entry.unserved_since && now - *entry.unserved_since > max_owner_wait;
+    return std::min(patience, is_overdue ? max_wait : max_owner_wait);
+}
+
 std::optional<allotment_verdict>
 allotment_agent::decide(account_name const & account,
                         account_entry & entry,
                         time_point now,
                         double random,
                         bool is_new,
-                        bool may_wait)
+                        time_point last)
 {
     auto const contact = this->contact_of(account, entry, now);
     if (!contact)
@@ -254,10 +293,10 @@
     }
     if (*contact == this->self.node)
     {
-        return this->decide_as_owner(account, entry, now, random, may_wait);
+        return this->decide_as_owner(account, entry, now, random, last);
     }
-    return is_new ? entry.holder.begin(now, random)
-                  : entry.holder.decide(now, random, may_wait);
+    return is_new ? entry.holder.begin(now, random, last)
+                  : entry.holder.decide(now, random, last);
 }
 
 std::optional<allotment_verdict>
@@ -265,7 +304,7 @@
                                  account_entry & entry,
                                  time_point now,
                                  double random,
-                                 bool may_wait)
+                                 time_point last)
 {
     allotment_verdict verdict;
     auto * const ledger = this->open_ledger(account, entry.limits, now);
@@ -278,14 +317,18 @@
                                  now + std::max(wait, no_contact_retry),
                                  entry.limits.rate,
                                  random);
-        return may_wait && wait <= max_owner_wait ? std::nullopt
-                                                  : std::optional(verdict);
+        return now < last && now + wait <= last ? std::nullopt
+                                                : std::optional(verdict);
     }
     if (ledger->try_take(now))
     {
         verdict.token_expires = now + allotment_timing::token_lifetime;
         return verdict;
     }
+    if (ledger->is_filling(now) && now < last)
+    {
+        return std::nullopt;
+    }
     verdict.outcome = allotment_outcome::exhausted;
     verdict.retry_after = entry.own_retry.next(
         now, now + ledger->next_token(now), entry.limits.rate, random);
@@ -385,7 +428,7 @@
     }
     this->add_asks(now, todo);
     this->add_ballots(now, todo);
-    this->add_probes(now, todo);
+    this->add_probes(todo);
     if (now >= this->next_maintenance)
     {
         this->next_maintenance = now + maintenance_interval;
@@ -401,20 +444,23 @@
                                      double random,
                                      actions & todo)
 {
-    while (!entry.waiting.empty())
+    std::deque<waiting_request> remaining;
+    for (auto const & waiting : entry.waiting)
     {
-        auto const first = entry.waiting.front();
-        bool const may_wait = now - first.since < max_wait;
+        // behind one that waits on, there is no token for another
         auto const verdict =
-            this->decide(account, entry, now, random, false, may_wait);
+            remaining.empty() || now >= waiting.last
+                ? this->decide(account, entry, now, random, false, waiting.last)
+                : std::nullopt;
         if (!verdict)
         {
-            return;
+            remaining.push_back(waiting);
+            continue;
         }
-        entry.waiting.pop_front();
         this->count(account, entry, *verdict, now);
-        todo.decisions.push_back({first.request, account, *verdict});
+        todo.decisions.push_back({waiting.request, account, *verdict});
     }
+    entry.waiting.swap(remaining);
 }
 
 void allotment_agent::add_asks(time_point now, actions & todo)
@@ -435,7 +481,7 @@
             message_of.try_emplace(*owner, todo.messages.size());
         if (is_new)
         {
-            todo.messages.push_back({*owner, this->new_message(now)});
+            todo.messages.push_back({*owner, this->new_message()});
         }
         auto & message = todo.messages[position->second].message;
         if (message.asks.size() < max_asks)
@@ -458,28 +504,27 @@
 {
     for (auto & ballot : this->election.due_ballots(this->directory, now))
     {
-        auto message = this->new_message(now);
+        auto message = this->new_message();
         message.vote_requests = std::move(ballot.requests);
         todo.messages.push_back({ballot.node, std::move(message)});
     }
 }
 
-void allotment_agent::add_probes(time_point now, actions & todo)
+void allotment_agent::add_probes(actions & todo)
 {
     for (auto & node : this->election.take_doubted())
     {
         if (this->probed.insert(node).second)
         {
-            todo.messages.push_back({std::move(node), this->new_message(now)});
+            todo.messages.push_back({std::move(node), this->new_message()});
         }
     }
 }
 
-allotment_message allotment_agent::new_message(time_point now) const
+allotment_message allotment_agent::new_message() const
 {
     allotment_message message;
     message.from = this->self;
-    message.ended = this->directory.ended_nodes(now);
     message.departures = this->directory.departures();
     return message;
 }
@@ -585,13 +630,8 @@
 allotment_response allotment_agent::answer(allotment_message const & message,
                                            time_point now)
 {
-    this->directory.record_alive(message.from.node, now);
+    this->directory.record_process(message.from);
     this->record_departures(message.from.node, message.departures, now);
-    for (auto const & ended : message.ended)
-    {
-        static_cast<void>(
-            this->directory.record_ended(ended.node, ended.remaining, now));
-    }
     allotment_response response;
     response.from = this->self;
     response.departures = this->directory.departures();
@@ -703,7 +743,14 @@
                                       time_point sent_at,
                                       time_point now)
 {
-    this->directory.record_answer(sent.to, now);
+    if (response.from.node != sent.to)
+    {
+        // another node has the address now; it answers for itself only
+        this->record_failure(sent, false, sent_at, now);
+        return;
+    }
+    this->directory.record_process(response.from);
+    this->directory.record_answer(sent.to);
     this->record_departures(sent.to, response.departures, now);
     this->probed.erase(sent.to);
     if (!sent.message.asks.empty())
--- a/src/policy/allotment_directory.cpp
+++ b/src/policy/allotment_directory.cpp
@@ -1,6 +1,6 @@
 #include <endivehinge/policy/allotment_directory.hpp>
 
-#include <algorithm> // find_if, max, min, sort
+#include <algorithm> // find, find_if, min, sort
 #include <cstdint>   // uint64_t
 #include <utility>   // pair
 
@@ -14,10 +14,6 @@
 namespace
 {
 
-// no process starts, reads the store and grants tokens in less time
-constexpr duration ended_proof_validity = std::chrono::milliseconds(500);
-// proofs that follow each other within this time are one absence
-constexpr duration ended_proof_gap = std::chrono::seconds(1);
 // a node that did not answer is tried again after this time, and one that is
 // lost
 constexpr duration silence_memory = std::chrono::milliseconds(300);
@@ -28,6 +24,9 @@
 // nodes that vote for the owner of an account: an owner is found while four of
 // them are gone without a word
 constexpr std::size_t group_size = 9;
+// remembered processes of one node. Messages of earlier ones than these have
+// ended with their connections; bounds memory
+constexpr std::size_t max_replaced = 4;
 // remembered groups; bounds memory
 constexpr std::size_t max_groups = 100000;
 
@@ -61,58 +60,51 @@
     this->groups.clear();
 }
 
-void allotment_directory::record_refused(node_name const & node, time_point now)
+void allotment_directory::record_process(allotment_process const & process)
 {
-    auto const found = this->nodes.find(node);
-    if (found == this->nodes.end() || node == this->self)
+    auto const found = this->nodes.find(process.node);
+    if (found == this->nodes.end() ||
+        found->second.process == process.process || this->is_replaced(process))
     {
         return;
     }
     auto & known = found->second;
-    if (now > known.refused_until + ended_proof_gap)
+    if (known.process != 0)
     {
-        known.refused_since = now;
+        known.replaced.push_back(known.process);
+        // what the last process left unanswered says nothing of this one
+        known.unanswered_since.reset();
     }
-    known.refused_until = now + ended_proof_validity;
-    static_cast<void>(this->record_ended(node, ended_proof_validity, now));
+    if (known.replaced.size() > max_replaced)
+    {
+        known.replaced.pop_front();
+    }
+    known.process = process.process;
 }
 
-bool allotment_directory::record_ended(node_name const & node,
-                                       duration remaining,
-                                       time_point now)
+bool allotment_directory::is_replaced(allotment_process const & process) const
 {
-    auto const found = this->nodes.find(node);
-    if (found == this->nodes.end() || node == this->self)
-    {
-        return false;
-    }
-    auto & known = found->second;
-    auto const validity = std::min(remaining, ended_proof_validity);
-    if (now - (ended_proof_validity - validity) <= known.last_alive)
-    {
-        return false;
-    }
-    bool const was_ended = now < known.ended_until;
-    known.ended_until = std::max(known.ended_until, now + validity);
-    return !was_ended;
+    auto const * const known = this->find(process.node);
+    return known != nullptr &&
+           std::find(known->replaced.begin(),
+                     known->replaced.end(),
+                     process.process) != known->replaced.end();
 }
 
-void allotment_directory::record_alive(node_name const & node, time_point now)
+void allotment_directory::record_answer(node_name const & node)
 {
     if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        found->second.ended_until = time_point();
-        found->second.refused_until = time_point();
-        found->second.last_alive = now;
+        found->second.unanswered_since.reset();
     }
 }
 
-void allotment_directory::record_answer(node_name const & node, time_point now)
+void allotment_directory::record_refused(node_name const & node, time_point now)
 {
-    this->record_alive(node, now);
+    this->record_silence(node, now, now);
     if (auto const found = this->nodes.find(node); found != this->nodes.end())
     {
-        found->second.unanswered_since.reset();
+        found->second.is_refusing = true;
     }
 }
 
@@ -125,6 +117,7 @@
         auto & known = found->second;
         known.unanswered_since = known.unanswered_since.value_or(sent_at);
         known.last_unanswered = now;
+        known.is_refusing = false;
     }
 }
 
@@ -241,14 +234,14 @@
 }
 
 std::optional<node_name>
-allotment_directory::owner(account_name const & account, time_point now)
+allotment_directory::owner(account_name const & account)
 {
     auto const & members = this->group(account);
     auto const found = std::find_if(members.begin(),
                                     members.end(),
-                                    [this, now](node_name const & node)
+                                    [this](node_name const & node)
                                     {
-                                        return !this->has_ended(node, now);
+                                        return !this->has_departed(node);
                                     });
     return found == members.end() ? std::nullopt : std::optional(*found);
 }
@@ -264,47 +257,35 @@
     return found == this->nodes.end() ? nullptr : &found->second;
 }
 
-bool allotment_directory::has_ended(node_name const & node,
-                                    time_point now) const
+bool allotment_directory::has_departed(node_name const & node) const
 {
     if (node == this->self)
     {
         return this->departure.has_value();
     }
     auto const * const known = this->find(node);
-    return known != nullptr &&
-           (now < known->ended_until || known->departed_since);
-}
-
-bool allotment_directory::is_seen_ended(node_name const & node,
-                                        time_point now) const
-{
-    auto const * const known = this->find(node);
-    return known != nullptr &&
-           (now < known->refused_until || known->departed_since);
+    return known != nullptr && known->departed_since.has_value();
 }
 
 bool allotment_directory::is_without_votes(node_name const & node,
                                            time_point now) const
 {
     auto const * const known = this->find(node);
-    if (known == nullptr || !this->is_seen_ended(node, now))
-    {
-        return false;
-    }
-    auto const since = known->departed_since.value_or(known->refused_since);
-    return now - since >= allotment_timing::vote_validity;
+    return known != nullptr && known->departed_since &&
+           now - *known->departed_since >= allotment_timing::vote_validity;
 }
 
 bool allotment_directory::is_reachable(node_name const & node,
                                        time_point now) const
 {
     auto const * const known = this->find(node);
-    if (known == nullptr || this->has_ended(node, now))
+    if (known == nullptr || this->has_departed(node))
     {
         return false;
     }
-    auto const pause = this->is_lost(node) ? lost_memory : silence_memory;
+    auto const pause = this->is_lost(node) && !known->is_refusing
+                           ? lost_memory
+                           : silence_memory;
     return !known->unanswered_since || now - known->last_unanswered >= pause;
 }
 
@@ -315,20 +296,6 @@
            known->last_unanswered - *known->unanswered_since >= lost_after;
 }
 
-std::vector<allotment_directory::ended_node>
-allotment_directory::ended_nodes(time_point now) const
-{
-    std::vector<ended_node> ended;
-    for (auto const & [node, known] : this->nodes)
-    {
-        if (now < known.refused_until)
-        {
-            ended.push_back({node, known.refused_until - now});
-        }
-    }
-    return ended;
-}
-
 std::optional<endpoint>
 allotment_directory::address(node_name const & node) const
 {
--- a/src/policy/allotment_election.cpp
+++ b/src/policy/allotment_election.cpp
@@ -57,7 +57,8 @@
                                allotment_directory const & directory,
                                time_point now)
 {
-    return now < given.until && !directory.has_ended(given.candidate.node, now);
+    return now < given.until && !directory.has_departed(given.candidate.node) &&
+           !directory.is_replaced(given.candidate);
 }
 
 bool allotment_election::has_own_vote(account_name const & account,
@@ -79,7 +80,7 @@
 {
     auto const & account = request.account;
     allotment_vote answer;
-    if (directory.has_own_departure())
+    if (directory.has_own_departure() || directory.is_replaced(candidate))
     {
         return answer;
     }
@@ -164,6 +165,10 @@
 
 void allotment_election::seek(account_name const & account, time_point now)
 {
+    if (this->retired)
+    {
+        return;
+    }
     auto & own = this->candidacies[account];
     if (now >= own.wanted_until)
     {
@@ -186,16 +191,14 @@
         bool const is_own = node == this->self.node;
         result.is_member =
             result.is_member || (is_own && !directory.has_own_departure());
-        // a process that has ended gives no full vote until those of the last
-        // process have ended; until then that one may have voted for another
+        // a node that is not reached remains a voter: it may be behind a cut
+        // and have an owner there
         electorate += directory.is_without_votes(node, now) ? 0 : 1;
-        bool const is_voter = !directory.is_seen_ended(node, now);
-        result.voters += is_voter ? 1 : 0;
         auto const vote =
             is_own ? this->own_vote(account, now) : vote_of(own, node);
         if (now >= vote.until)
         {
-            result.missing += is_voter ? 1 : 0;
+            result.missing += 1;
         }
         else
         {
@@ -204,7 +207,7 @@
             result.received += own.established || !vote.provisional ? 1 : 0;
             result.unowned_for = std::min(result.unowned_for, vote.unowned_for);
         }
-        result.in_flight = result.in_flight || (is_voter && vote.in_flight);
+        result.in_flight = result.in_flight || vote.in_flight;
         result.rejected = result.rejected || now < vote.rejected_until;
     }
     result.required = electorate / 2 + 1;
@@ -249,8 +252,8 @@
     }
     auto & own = found->second;
     auto const votes = this->count(account, own, directory, now);
-    // all that have not ended agree, so that none of them is the owner
-    bool const is_unanimous = votes.missing == 0 && votes.voters > 0;
+    // the whole group agrees, so that none of it is the owner
+    bool const is_unanimous = votes.missing == 0;
     bool const has_majority =
         votes.is_member && (votes.received >= votes.required || is_unanimous);
     if (!has_majority)
@@ -306,7 +309,7 @@
     auto const own = this->candidacies.find(account);
     if (own != this->candidacies.end() && own->second.rival &&
         now < own->second.rival_until &&
-        !directory.has_ended(*own->second.rival, now))
+        !directory.has_departed(*own->second.rival))
     {
         return own->second.rival;
     }
@@ -327,6 +330,15 @@
                                candidacy & own,
                                node_name const & rival,
                                time_point now)
+{
+    this->return_votes(account, own, now);
+    own.rival = rival;
+    own.rival_until = now + allotment_timing::vote_validity;
+}
+
+void allotment_election::return_votes(account_name const & account,
+                                      candidacy & own,
+                                      time_point now)
 {
     for (auto & [node, vote] : own.votes)
     {
@@ -337,8 +349,6 @@
         vote.until = time_point();
     }
     own.established = false;
-    own.rival = rival;
-    own.rival_until = now + allotment_timing::vote_validity;
     this->take_back({account, this->last_number, true}, this->self, now);
 }
 
@@ -385,7 +395,7 @@
         }
         bool const has_rival = !own.established && own.rival &&
                                now < own.rival_until &&
-                               !directory.has_ended(*own.rival, now) &&
+                               !directory.has_departed(*own.rival) &&
                                !directory.is_lost(*own.rival);
         // also if its own vote is bound to a node that does not answer: the
         // other voters find that out too
@@ -414,7 +424,7 @@
     std::vector<node_name> voters;
     for (auto const & node : directory.group(account))
     {
-        if (node != this->self.node && !directory.is_seen_ended(node, now))
+        if (node != this->self.node && !directory.has_departed(node))
         {
             voters.push_back(node);
         }
@@ -424,7 +434,7 @@
     auto wanted = voters.size();
     if (this->is_owner(account, directory, now))
     {
-        wanted = (voters.size() + 1) / 2;
+        wanted = this->count(account, own, directory, now).required - 1;
         auto const others =
             std::stable_partition(voters.begin(),
                                   voters.end(),
@@ -544,9 +554,9 @@
     {
         return;
     }
-    if (directory.has_ended(*vote.holder, now))
+    if (directory.has_departed(*vote.holder))
     {
-        // the next request carries the proof
+        // the next request states the departure
         received.rejected_until = now + 2 * request_interval;
         return;
     }
@@ -590,6 +600,21 @@
     this->candidacies.clear();
 }
 
+void allotment_election::retire(time_point now)
+{
+    this->retired = true;
+    for (auto & [account, own] : this->candidacies)
+    {
+        this->return_votes(account, own, now);
+    }
+    this->candidacies.clear();
+}
+
+bool allotment_election::is_retired() const
+{
+    return this->retired;
+}
+
 void allotment_election::doubt(node_name const & node)
 {
     this->doubted.insert(node);
@@ -654,7 +679,7 @@
             node == this->self.node
                 ? this->has_own_vote(account, now)
                 : vote != found->second.votes.end() && now < vote->second.until;
-        if (!has_vote && !directory.is_seen_ended(node, now))
+        if (!has_vote && !directory.has_departed(node))
         {
             absl::StrAppend(&text, " ", node.value());
         }
--- a/src/policy/allotment_holder.cpp
+++ b/src/policy/allotment_holder.cpp
@@ -37,11 +37,14 @@
 constexpr double exhausted_burst_share = 0.25;
 constexpr duration min_exhausted_time = milliseconds(10);
 constexpr duration max_exhausted_time = milliseconds(100);
+// between asks while requests wait for the tokens of a new owner; bounds the
+// messages, and is a small part of the time in which they may wait
+constexpr duration filling_pause = milliseconds(200);
 // an exhausted account is asked for again after this time at the latest: its
 // next token may come sooner than stated, if others return tokens
 constexpr duration max_exhausted_pause = milliseconds(500);
-// a request that waits longer for an owner is refused at once
-constexpr duration max_owner_wait = milliseconds(250);
+// nodes that know no owner for a shorter time are asked again at once
+constexpr duration short_owner_wait = milliseconds(250);
 // the next owner is looked for at least so often
 constexpr duration max_owner_pause = milliseconds(300);
 constexpr duration no_contact_retry = milliseconds(100);
@@ -107,15 +110,15 @@
 // requests
 // ---------------------------------------------------------------------------
 
-std::optional<allotment_verdict> allotment_holder::begin(time_point now,
-                                                         double random)
+std::optional<allotment_verdict>
+allotment_holder::begin(time_point now, double random, time_point last)
 {
     this->record_arrival(now);
-    return this->decide(now, random, true);
+    return this->decide(now, random, last);
 }
 
 std::optional<allotment_verdict>
-allotment_holder::decide(time_point now, double random, bool may_wait)
+allotment_holder::decide(time_point now, double random, time_point last)
 {
     allotment_verdict verdict;
     if (auto const expires = this->take_token(now))
@@ -123,6 +126,11 @@
         verdict.token_expires = *expires;
         return verdict;
     }
+    bool const may_wait = now < last;
+    if (this->has_no_owner && may_wait && this->owner_expected <= last)
+    {
+        return std::nullopt;
+    }
     if (now < this->refused_until)
     {
         verdict.outcome = this->has_no_owner ? allotment_outcome::no_contact
@@ -136,9 +144,21 @@
             random);
         return verdict;
     }
-    verdict.outcome = allotment_outcome::no_contact;
+    if (may_wait)
+    {
+        return std::nullopt;
+    }
+    // as many requests of the account as a new owner's rate allows were served
+    // while this one waited
+    verdict.outcome = this->filling ? allotment_outcome::exhausted
+                                    : allotment_outcome::no_contact;
     verdict.retry_after = no_contact_retry;
-    return may_wait ? std::nullopt : std::optional(verdict);
+    return verdict;
+}
+
+bool allotment_holder::is_filling() const
+{
+    return this->filling;
 }
 
 bool allotment_holder::is_exhausted(time_point now) const
@@ -283,6 +303,7 @@
     this->granted_rate =
         decayed(this->granted_rate, this->last_grant, now) + grant.tokens;
     this->last_grant = now;
+    this->filling = grant.is_filling;
     if (grant.next_token > duration(0))
     {
         auto const pause =
@@ -290,6 +311,13 @@
                                    this->bounds.rate),
                        min_exhausted_time,
                        max_exhausted_time);
+        if (grant.is_filling)
+        {
+            // requests wait for tokens instead of being refused
+            this->ask_again_at =
+                now + std::max(grant.next_token, filling_pause);
+            return;
+        }
         this->refused_until =
             now + std::clamp(grant.next_token, pause, max_exhausted_pause);
         this->has_no_owner = false;
@@ -301,9 +329,10 @@
                                        duration blocked_for)
 {
     this->ask_again_at = now + pause;
-    if (blocked_for > max_owner_wait)
+    if (blocked_for > short_owner_wait)
     {
         this->refused_until = now + std::min(blocked_for, max_owner_pause);
+        this->owner_expected = now + blocked_for;
         this->has_no_owner = true;
     }
 }
--- a/src/policy/allotment_ledger.cpp
+++ b/src/policy/allotment_ledger.cpp
@@ -14,6 +14,9 @@
 // second: 4 in the token lifetime); from less demand they are granted only
 // while the bucket is half full
 constexpr double reliable_demand = 8;
+// an account that still finds no token is taken to exceed its allotment; longer
+// than a request may wait for an owner
+constexpr duration max_filling_time = std::chrono::seconds(2);
 
 } // namespace
 
@@ -23,6 +26,8 @@
     : bounds(initial_limits)
     , level(std::min(initial_tokens, initial_limits.burst))
     , updated(now)
+    , opened(now)
+    , was_full(initial_tokens >= initial_limits.burst)
 {
     // nothing was granted before, so that nothing can be put back
     this->current_slot = now.time_since_epoch() / room_slot;
@@ -49,6 +54,7 @@
         this->level = std::min(this->level + this->bounds.rate * passed,
                                std::max(this->level, this->bounds.burst));
         this->updated = now;
+        this->was_full = this->was_full || this->level >= this->bounds.burst;
     }
     this->move_room_slots(now);
     this->record_room();
@@ -76,6 +82,12 @@
     room = std::min(room, this->bounds.burst - this->level);
 }
 
+bool allotment_ledger::is_filling(time_point now)
+{
+    this->refill(now);
+    return !this->was_full && now - this->opened < max_filling_time;
+}
+
 duration allotment_ledger::next_token(time_point now)
 {
     this->refill(now);
@@ -101,6 +113,7 @@
     if (grant.tokens < ask.needed)
     {
         grant.next_token = std::max(this->next_token(now), duration(1));
+        grant.is_filling = this->is_filling(now);
     }
     return grant;
 }
--- a/tests/src/simulation/allotment_fleet.cpp
+++ b/tests/src/simulation/allotment_fleet.cpp
@@ -1,6 +1,6 @@
 #include "allotment_fleet.hpp"
 
-#include <algorithm> // max, remove_if
+#include <algorithm> // count, max, remove_if
 #include <utility>   // exchange
 
 namespace endivehinge::tests
@@ -14,6 +14,8 @@
 constexpr duration step_length = milliseconds(1);
 constexpr duration ask_timeout = milliseconds(80);
 constexpr duration vote_timeout = milliseconds(200);
+// half of the time limit of a request
+constexpr duration request_patience = milliseconds(1000);
 constexpr duration window = seconds(5);
 constexpr double slack = 20;
 constexpr double overage = 1.1;
@@ -150,9 +152,37 @@
     }
 }
 
-void allotment_fleet::heal()
+void allotment_fleet::refuse_connections(std::size_t from, std::size_t to)
+{
+    this->refusing_cuts.insert({from, to});
+}
+
+void allotment_fleet::refuse_connections_of(
+    std::vector<std::size_t> const & apart)
+{
+    for (std::size_t i = 0; i < this->nodes.size(); ++i)
+    {
+        if (std::count(apart.begin(), apart.end(), i) > 0)
+        {
+            continue;
+        }
+        for (auto const node : apart)
+        {
+            this->refuse_connections(node, i);
+            this->refuse_connections(i, node);
+        }
+    }
+}
+
+void allotment_fleet::end_cuts()
 {
     this->cuts.clear();
+    this->refusing_cuts.clear();
+}
+
+void allotment_fleet::heal()
+{
+    this->end_cuts();
     for (std::size_t i = 0; i < this->nodes.size(); ++i)
     {
         this->set_paused(i, false);
@@ -286,6 +316,7 @@
     auto const verdict = data.agent->begin(account_name(account),
                                            this->accounts.at(account).limits,
                                            number,
+                                           request_patience,
                                            this->now,
                                            this->random());
     if (verdict)
@@ -301,6 +332,16 @@
                             allotment_verdict const & verdict)
 {
     auto & data = this->accounts.at(account);
+    if (verdict.outcome == allotment_outcome::no_contact)
+    {
+        data.unserved_since = data.unserved_since.value_or(this->now);
+        data.longest_unserved =
+            std::max(data.longest_unserved, this->now - *data.unserved_since);
+    }
+    else
+    {
+        data.unserved_since.reset();
+    }
     if (verdict.outcome != allotment_outcome::granted)
     {
         (verdict.outcome == allotment_outcome::exhausted ? data.exhausted
@@ -384,6 +425,19 @@
     {
         return;
     }
+    if (this->refusing_cuts.count({from, to}) > 0)
+    {
+        this->at(this->now + this->delay(),
+                 [finish, fail]
+                 {
+                     finish(
+                         [fail]
+                         {
+                             fail(true);
+                         });
+                 });
+        return;
+    }
     this->at(
         this->now + this->delay(),
         [this, from, to, message, sent_at, finish, fail]
@@ -484,7 +538,7 @@
     allotment_directory directory(node_name("observer"));
     directory.set_nodes(this->present_nodes());
     return std::stoul(
-        directory.owner(account_name(account), this->now)->value().substr(1));
+        directory.owner(account_name(account))->value().substr(1));
 }
 
 bool allotment_fleet::is_running(std::size_t node) const
--- a/tests/src/simulation/allotment_fleet.hpp
+++ b/tests/src/simulation/allotment_fleet.hpp
@@ -35,6 +35,10 @@
         time_point bound_from;
         // grants beyond the bound
         std::size_t violations = 0;
+        // since when requests have been refused for want of an owner, and the
+        // longest such time
+        std::optional<time_point> unserved_since;
+        duration longest_unserved{0};
     };
 
     allotment_fleet(std::size_t nodes, unsigned seed, bool first_start);
@@ -61,6 +65,14 @@
     void set_paused(std::size_t node, bool paused);
     /// @brief drops messages in one direction
     void set_cut(std::size_t from, std::size_t to, bool cut);
+    /// @brief refuses connections in one direction, as a machine does whose
+    /// process has ended
+    void refuse_connections(std::size_t from, std::size_t to);
+    /// @brief refuses connections between some nodes and all others, in both
+    /// directions
+    void refuse_connections_of(std::vector<std::size_t> const & apart);
+    /// @brief ends all cuts; processes stay as they are
+    void end_cuts();
     void heal();
     /// @brief cuts a node off from the store and all other nodes; its view
     /// stays as it is
@@ -130,6 +142,7 @@
 
     std::vector<node_data> nodes;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
+    std::set<std::pair<std::size_t, std::size_t>> refusing_cuts;
     std::priority_queue<timed_action> queue;
     std::uint64_t last_order = 0;
     std::uint64_t last_request = 0;
--- a/tests/src/system-gateway-allotments.cpp
+++ b/tests/src/system-gateway-allotments.cpp
@@ -101,11 +101,27 @@
                              failure_domain("d1")});
         }
         directory.set_nodes(nodes);
-        auto const name =
-            *directory.owner(account_name("a"), time_point() + seconds(1));
+        auto const name = *directory.owner(account_name("a"));
         return std::stoul(name.value().substr(5));
     }
 
+    /// @brief the nodes that grant tokens of their own
+    [[nodiscard]] std::vector<std::size_t> owners() const
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t i = 0; i < this->fleet.members.size(); ++i)
+        {
+            auto & node = *this->fleet.members[i]->node;
+            node.allotments.write_metrics();
+            if (node.state.metrics.to_text().find(
+                    "allotment_accounts_owned 1") != std::string::npos)
+            {
+                found.push_back(i);
+            }
+        }
+        return found;
+    }
+
     gateway_fleet fleet;
 };
 
@@ -153,6 +169,30 @@
     EXPECT_GE(load.count(200), load.calls.size() * 95 / 100);
 }
 
+// A node whose connections were refused was taken for dead, although it still
+// reached the others: its account had two owners.
+TEST_F(allotments, owner_behind_refused_connections_is_the_only_one)
+{
+    constexpr std::size_t count = 5;
+    // until a node that has lost an account discards its ledger
+    constexpr milliseconds review_time(300);
+    this->start(count, 60, 60);
+    account_load load(this->fleet);
+    load.run(60, {0, 1, 2, 3, 4}, seconds(1));
+    ASSERT_EQ(this->owners().size(), 1U);
+    auto const first = this->owners().front();
+    this->fleet.members[first]->node->peer_listener.abort();
+    duration overlap{0};
+    for (int i = 0; i < 150; ++i)
+    {
+        load.run(60, {0, 1, 2, 3, 4}, milliseconds(20));
+        overlap += milliseconds(this->owners().size() > 1 ? 20 : 0);
+    }
+    EXPECT_LE(overlap, review_time);
+    ASSERT_EQ(this->owners().size(), 1U);
+    EXPECT_NE(this->owners().front(), first);
+}
+
 // The target beside the owner leaves while its node cannot reach the store, and
 // the machine is gone some time later. Its entry stays in all views.
 TEST_F(allotments, departure_of_the_owner_is_bridged_without_the_store)
--- a/tests/src/unit-allotment-exchange.cpp
+++ b/tests/src/unit-allotment-exchange.cpp
@@ -13,7 +13,6 @@
 {
     allotment_message message;
     message.from = {node_name("n1"), ~std::uint64_t{0}};
-    message.ended.push_back({node_name("n2"), milliseconds(300)});
     message.departures.push_back({node_name("n3"), target_id("t3")});
     allotment_ask ask;
     ask.sequence = 7;
@@ -35,8 +34,6 @@
     auto const read = allotment_exchange::read_request(request, reason);
     ASSERT_TRUE(read.has_value()) << reason.describe();
     EXPECT_EQ(read->from.process, ~std::uint64_t{0});
-    ASSERT_EQ(read->ended.size(), 1U);
-    EXPECT_EQ(read->ended[0].remaining, milliseconds(300));
     ASSERT_EQ(read->departures.size(), 1U);
     EXPECT_EQ(read->departures[0].node, node_name("n3"));
     EXPECT_EQ(read->departures[0].target, target_id("t3"));
--- a/tests/src/unit-allotment-fleet.cpp
+++ b/tests/src/unit-allotment-fleet.cpp
@@ -61,42 +61,65 @@
 {
     time_point const now(seconds(100));
     allotment_holder holder({100, 100});
-    EXPECT_FALSE(holder.begin(now, 0).has_value());
+    auto const last = now + milliseconds(800);
+    EXPECT_FALSE(holder.begin(now, 0, last).has_value());
     static_cast<void>(holder.ask(now, 1));
     holder.record_no_owner(now, milliseconds(25), milliseconds(900));
-    auto const verdict = holder.decide(now, 0, true);
+    auto const verdict = holder.decide(now, 0, last);
     ASSERT_TRUE(verdict.has_value());
     EXPECT_EQ(verdict->outcome, allotment_outcome::no_contact);
     EXPECT_GT(verdict->retry_after, duration(0));
 }
 
-// Guards against proofs that never expire, since each node that passes one on
-// adds the time of the transmission
-TEST(allotment_directory, proof_of_another_node_is_not_passed_on)
+// Guards against refusals of requests that have the time to wait for an owner
+TEST(allotment_holder, request_waits_for_an_owner_that_comes_in_time)
 {
-    time_point const start(seconds(100));
+    time_point const now(seconds(100));
+    allotment_holder holder({100, 100});
+    auto const last = now + milliseconds(900);
+    EXPECT_FALSE(holder.begin(now, 0, last).has_value());
+    static_cast<void>(holder.ask(now, 1));
+    holder.record_no_owner(now, milliseconds(25), milliseconds(800));
+    EXPECT_FALSE(holder.decide(now, 0, last).has_value());
+    EXPECT_FALSE(holder.decide(now + milliseconds(850), 0, last).has_value());
+    EXPECT_TRUE(holder.decide(last, 0, last).has_value());
+}
+
+// Guards against two owners on both sides of a cut that refuses connections
+TEST(allotment_directory, refused_connection_does_not_end_a_process)
+{
+    time_point const now(seconds(100));
     allotment_directory directory(node_name("a"));
     directory.set_nodes(view_of({"a", "b", "c"}));
-    EXPECT_TRUE(
-        directory.record_ended(node_name("b"), milliseconds(400), start));
-    EXPECT_TRUE(directory.ended_nodes(start).empty());
-    directory.record_refused(node_name("c"), start);
-    ASSERT_EQ(directory.ended_nodes(start).size(), 1U);
-    EXPECT_EQ(directory.ended_nodes(start)[0].node, node_name("c"));
+    allotment_process const process{node_name("b"), 1};
+    directory.record_process(process);
+    for (int i = 0; i < 100; ++i)
+    {
+        directory.record_refused(process.node, now + milliseconds(20) * i);
+    }
+    EXPECT_FALSE(directory.is_replaced(process));
+    EXPECT_FALSE(directory.has_departed(process.node));
+    EXPECT_FALSE(directory.is_without_votes(process.node, now + seconds(10)));
+    EXPECT_EQ(directory.group(account_name("x")).size(), 3U);
 }
 
-// Guards against a node that is taken to have ended after a sign of life
-TEST(allotment_directory, proof_from_before_a_sign_of_life_does_not_count)
+// Guards against a process that comes to life again by a late message
+TEST(allotment_directory, process_that_was_replaced_stays_ended)
 {
-    time_point const start(seconds(100));
+    time_point const now(seconds(100));
     allotment_directory directory(node_name("a"));
     directory.set_nodes(view_of({"a", "b"}));
-    auto const now = start + milliseconds(200);
-    directory.record_alive(node_name("b"), now);
-    EXPECT_FALSE(directory.record_ended(
-        node_name("b"), milliseconds(300), now + milliseconds(10)));
-    EXPECT_TRUE(directory.record_ended(
-        node_name("b"), milliseconds(495), now + milliseconds(10)));
+    allotment_process const first{node_name("b"), 1};
+    allotment_process const second{node_name("b"), 2};
+    directory.record_process(first);
+    EXPECT_FALSE(directory.is_replaced(first));
+    directory.record_silence(first.node, now, now + seconds(1));
+    EXPECT_TRUE(directory.is_lost(first.node));
+    directory.record_process(second);
+    EXPECT_FALSE(directory.is_lost(first.node));
+    directory.record_process(first);
+    EXPECT_TRUE(directory.is_replaced(first));
+    EXPECT_FALSE(directory.is_replaced(second));
 }
 
 // Guards against accounts that have no owner after the loss of a domain
@@ -735,6 +758,82 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, allotment_recovery, testing::Range(1U, 4U));
 
+// An account whose owner is gone waits for the votes that it had, and no
+// longer.
+struct absence
+{
+    char const * name;
+    // nodes that are gone at once, in all domains or in one
+    double part;
+    bool is_domain;
+    milliseconds length;
+};
+
+class allotment_absence : public testing::TestWithParam<absence>
+{
+};
+
+TEST_P(allotment_absence, no_account_waits_longer_than_two_seconds)
+{
+    for (unsigned seed = 1; seed <= 3; ++seed)
+    {
+        recovering_fleet fleet(seed);
+        fleet.serve_for(seconds(4));
+        std::vector<std::size_t> gone;
+        for (auto const node : fleet.any_nodes(1))
+        {
+            bool const is_affected =
+                GetParam().is_domain
+                    ? node % 4 == 0
+                    : static_cast<double>(gone.size()) <
+                          GetParam().part * recovering_fleet::node_count;
+            if (is_affected)
+            {
+                gone.push_back(node);
+            }
+        }
+        for (auto const node : gone)
+        {
+            fleet.kill(node);
+        }
+        fleet.serve_for(GetParam().length);
+        for (auto const node : gone)
+        {
+            fleet.start(node);
+            fleet.serve_for(milliseconds(5));
+        }
+        fleet.serve_for(seconds(4));
+        duration longest{0};
+        std::size_t refused = 0;
+        for (auto const & [name, data] : fleet.accounts)
+        {
+            longest = std::max(longest, data.longest_unserved);
+            refused += data.no_contact;
+            EXPECT_LE(data.longest_unserved, GetParam().length + seconds(2))
+                << name;
+        }
+        RecordProperty("refused_" + std::to_string(seed),
+                       static_cast<int>(refused));
+        RecordProperty("longest_ms_" + std::to_string(seed),
+                       static_cast<int>(longest / milliseconds(1)));
+        EXPECT_EQ(fleet.violations(), 0U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    faults,
+    allotment_absence,
+    testing::Values(absence{"kills", 0.16, false, milliseconds(300)},
+                    absence{"long_kills", 0.16, false, milliseconds(3500)},
+                    absence{"herd", 0.4, false, milliseconds(300)},
+                    absence{"large_herd", 0.6, false, milliseconds(1500)},
+                    absence{"all", 1, false, milliseconds(1000)},
+                    absence{"domain", 0, true, milliseconds(5500)}),
+    [](auto const & chosen)
+    {
+        return std::string(chosen.param.name);
+    });
+
 // The target of an owner left while its node could not reach the store, and its
 // machine was gone some seconds later. Its accounts were refused for the rest
 // of the day: its entry stayed, and a machine that is gone refuses no
@@ -780,17 +879,17 @@
     nodes[1].target = target_id("t2");
     directory.set_nodes(nodes);
     auto const account = account_name(std::to_string(GetParam()));
-    auto const higher = directory.owner(account, start);
+    auto const higher = directory.owner(account);
     EXPECT_FALSE(
         directory.record_departure({node_name("b"), target_id("old")}, start));
     EXPECT_TRUE(
         directory.record_departure({node_name("b"), target_id("t2")}, start));
-    EXPECT_EQ(directory.owner(account, start), node_name("a"));
+    EXPECT_EQ(directory.owner(account), node_name("a"));
     ASSERT_EQ(directory.departures().size(), 1U);
     nodes[1].target = target_id("t3");
     directory.set_nodes(nodes);
     EXPECT_TRUE(directory.departures().empty());
-    EXPECT_EQ(directory.owner(account, start), higher);
+    EXPECT_EQ(directory.owner(account), higher);
     // an entry that the store has lost is no departure
     directory.set_nodes({nodes[1]});
     EXPECT_TRUE(directory.departures().empty());
@@ -798,7 +897,7 @@
     directory.set_own_departure(target_id("t1"));
     ASSERT_EQ(directory.departures().size(), 1U);
     EXPECT_EQ(directory.departures()[0].target, target_id("t1"));
-    EXPECT_EQ(directory.owner(account, start), node_name("b"));
+    EXPECT_EQ(directory.owner(account), node_name("b"));
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds,
@@ -906,6 +1005,144 @@
     EXPECT_EQ(large.violations, 0U) << large.most_in_window;
 }
 
+// ---------------------------------------------------------------------------
+// cuts that refuse connections
+// ---------------------------------------------------------------------------
+
+/// @brief a fleet of which some nodes are cut off by refused connections, and
+/// an account beyond its allotment that enters on both sides
+class refusing_cut : public testing::TestWithParam<unsigned>
+{
+protected:
+    static constexpr std::size_t node_count = 16;
+    static constexpr std::size_t domain_count = 4;
+
+    refusing_cut()
+    {
+        this->fleet.add_account("a", {80, 80});
+        this->fleet.run_load("a", 320, all(), seconds(3));
+    }
+
+    static std::vector<std::size_t> all()
+    {
+        std::vector<std::size_t> nodes(node_count);
+        std::iota(nodes.begin(), nodes.end(), 0);
+        return nodes;
+    }
+
+    static std::vector<std::size_t> domain_of(std::size_t node)
+    {
+        std::vector<std::size_t> members;
+        for (std::size_t i = node % domain_count; i < node_count;
+             i += domain_count)
+        {
+            members.push_back(i);
+        }
+        return members;
+    }
+
+    std::size_t pick(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(
+            this->fleet.generator);
+    }
+
+    void expect_bound_held()
+    {
+        auto const & a = this->fleet.accounts.at("a");
+        EXPECT_EQ(a.violations, 0U) << a.most_in_window;
+    }
+
+    allotment_fleet fleet{node_count, GetParam(), false};
+};
+
+// Both sides of a cut took each other for ended, and elected an owner each.
+TEST_P(refusing_cut, of_a_domain_leaves_one_owner)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        this->fleet.refuse_connections_of(domain_of(this->pick(node_count)));
+        this->fleet.run_load("a", 320, all(), seconds(6));
+        this->fleet.end_cuts();
+        this->fleet.run_load(
+            "a", 320, all(), milliseconds(300) * (1 + this->pick(8)));
+    }
+    this->expect_bound_held();
+}
+
+TEST_P(refusing_cut, of_single_nodes_leaves_one_owner)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        for (std::size_t i = this->pick(6); i < 6; ++i)
+        {
+            this->fleet.refuse_connections_of({this->pick(node_count)});
+        }
+        this->fleet.run_load("a", 320, all(), seconds(6));
+        this->fleet.end_cuts();
+        this->fleet.run_load(
+            "a", 320, all(), milliseconds(300) * (1 + this->pick(8)));
+    }
+    this->expect_bound_held();
+}
+
+TEST_P(refusing_cut, in_one_direction_leaves_one_owner)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        auto const apart = domain_of(this->pick(node_count));
+        bool const is_outward = this->pick(2) == 0;
+        for (auto const node : apart)
+        {
+            for (auto const other : all())
+            {
+                if (other % domain_count != node % domain_count)
+                {
+                    this->fleet.refuse_connections(is_outward ? node : other,
+                                                   is_outward ? other : node);
+                }
+            }
+        }
+        this->fleet.run_load("a", 320, all(), seconds(6));
+        this->fleet.end_cuts();
+        this->fleet.run_load(
+            "a", 320, all(), milliseconds(300) * (1 + this->pick(8)));
+    }
+    this->expect_bound_held();
+}
+
+// Processes end and start again on both sides meanwhile, also during the cut.
+TEST_P(refusing_cut, beside_kills_leaves_one_owner)
+{
+    for (int round = 0; round < 6; ++round)
+    {
+        switch (this->pick(3))
+        {
+        case 0:
+            this->fleet.refuse_connections_of(
+                domain_of(this->pick(node_count)));
+            break;
+        case 1:
+            this->fleet.refuse_connections_of({this->pick(node_count)});
+            break;
+        default:
+            this->fleet.end_cuts();
+        }
+        for (std::size_t i = this->pick(5); i < 5; ++i)
+        {
+            auto const node = this->pick(node_count);
+            this->fleet.kill(node);
+            this->fleet.run_load(
+                "a", 320, all(), milliseconds(50) * this->pick(20));
+            this->fleet.start(node);
+        }
+        this->fleet.run_load("a", 320, all(), seconds(2));
+    }
+    this->expect_bound_held();
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, refusing_cut, testing::Range(1U, 21U));
+
 INSTANTIATE_TEST_SUITE_P(seeds, allotment_schedule, testing::Range(1U, 101U));
 
 // of 1,500 seeds, those that exceed the bound, now or earlier
