Soak with cuts that reset each new connection and with long grace times

The soak's nodes had a grace time of 3 s, and its cuts were silent or single resets, so that neither a notice that moves with the grace time nor a cut that looks like the end of a process could show.

A relay that refuses connections outright was tried and dropped: once its listener is closed, its port could not be bound again.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -34,8 +34,8 @@
 constexpr seconds start_patience(30);
 // from the end of the last fault until everything works again
 constexpr seconds recovery_patience(20);
-// twice the grace of soak_fleet::write_settings
-constexpr seconds stop_patience(6);
+// in relation to the grace time
+constexpr int stop_patience = 2;
 // the users' bound for entries of the store, and a poll of this program
 constexpr milliseconds entries_bound(2100);
 
@@ -136,6 +136,8 @@
     plan.seed = static_cast<std::uint64_t>(options.number("seed", 1));
     plan.members = static_cast<std::size_t>(options.number("members", 4));
     plan.restores = options.number("restores", 0) != 0;
+    plan.resets = options.number("resets", 0) != 0;
+    plan.grace_s = static_cast<int>(options.number("grace_s", plan.grace_s));
     plan.endivehinge = options.text("endivehinge", "");
     plan.soak = program;
     plan.folder = options.text("folder", "soak-" + std::to_string(plan.seed));
@@ -143,7 +145,7 @@
     std::filesystem::create_directories(plan.folder);
     soak_fleet fleet(plan);
     soak_clients clients(fleet, plan.seed);
-    soak_faults faults(fleet, plan.seed + 1);
+    soak_faults faults(fleet, plan);
     soak_restores restores(fleet, plan.seed + 2);
     soak_crashes crashes(fleet, clients, plan.seed + 3);
     soak_crowds crowds(fleet, plan.seed + 4);
@@ -188,7 +190,8 @@
                                           return clients.are_done();
                                       });
     // the logs are whole once the nodes have ended
-    bool const stopped = fleet.stop_nodes(stop_patience);
+    bool const stopped =
+        fleet.stop_nodes(stop_patience * seconds(plan.grace_s));
     if (!stopped)
     {
         std::cout << "violation a node did not stop in time\n";
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -15,16 +15,18 @@
 constexpr int longest_fault_ms = 1500;
 // after a fault its connections may still end
 constexpr milliseconds aftermath(1500);
-// a node that was told to stop ends within its grace, see write_settings
-constexpr milliseconds stop_time(3500);
+// beyond the grace time of a node that was told to stop
+constexpr milliseconds stop_reserve(500);
 constexpr milliseconds poll_interval(20);
 constexpr int longest_delay_ms = 200;
 
 } // namespace
 
-soak_faults::soak_faults(soak_fleet & harmed, std::uint64_t seed)
+soak_faults::soak_faults(soak_fleet & harmed, soak_plan const & chosen)
     : fleet(harmed)
-    , random(seed)
+    , resets(chosen.resets)
+    , stop_time(std::chrono::seconds(chosen.grace_s) + stop_reserve)
+    , random(chosen.seed + 1)
 {
 }
 
@@ -105,7 +107,7 @@
         break;
     default:
         this->say("stop_node", index, span);
-        this->trouble(index, span + stop_time);
+        this->trouble(index, span + this->stop_time);
         node.signal(SIGTERM);
         this->restart_node(index, span);
         break;
@@ -188,6 +190,11 @@
 
 void soak_faults::harm_link(std::size_t index, duration span)
 {
+    if (this->resets && this->pick(0, 2) == 0)
+    {
+        this->cut_with_resets(index, span);
+        return;
+    }
     auto & member = *this->fleet.members[index];
     auto const which = this->pick(0, 2);
     char const * const names[] = {"client_link", "target_link", "store_link"};
@@ -234,6 +241,30 @@
                       });
 }
 
+// Not between a node and its target: no network lies there, so that a reset
+// means that the target has ended.
+void soak_faults::cut_with_resets(std::size_t index, duration span)
+{
+    auto & member = *this->fleet.members[index];
+    bool const is_store = this->pick(0, 1) == 0;
+    auto & link = is_store ? *member.store_link : *member.client_link;
+    this->say(
+        is_store ? "refuse store_link" : "refuse client_link", index, span);
+    if (!is_store)
+    {
+        this->trouble(index, span);
+    }
+    relay_faults faults;
+    faults.reset_new_connections = true;
+    link.set_faults(faults);
+    link.reset_connections();
+    this->fleet.after(span,
+                      [&link]
+                      {
+                          link.set_faults({});
+                      });
+}
+
 void soak_faults::harm_store(duration span)
 {
     auto & store = this->fleet.store;
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -16,7 +16,8 @@
 class soak_faults
 {
 public:
-    soak_faults(soak_fleet & harmed, std::uint64_t seed);
+    /// @param chosen the plan of the fleet
+    soak_faults(soak_fleet & harmed, soak_plan const & chosen);
 
     /// @brief begins; faults come at random intervals of this mean
     void start(duration mean_interval);
@@ -33,6 +34,7 @@
     void harm_node(std::size_t index, duration span);
     void harm_target(std::size_t index, duration span);
     void harm_link(std::size_t index, duration span);
+    void cut_with_resets(std::size_t index, duration span);
     void harm_store(duration span);
     void lapse_entry();
     void pause(std::size_t index, soak_process & process, duration span);
@@ -44,6 +46,8 @@
     [[nodiscard]] int pick(int first, int last);
 
     soak_fleet & fleet;
+    bool resets;
+    duration stop_time;
     std::mt19937_64 random;
     duration interval{0};
     bool active = false;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -231,7 +231,7 @@
          << "zone = \"" << domain_of(index) << "\"\n"
          << "service = \"" << service << "\"\n"
          << "appAddr = \"" << member.target_link->address().to_string()
-         << "\"\nbounds = [\"graceS=3\"]\nseeds = [";
+         << "\"\nbounds = [\"graceS=" << this->plan.grace_s << "\"]\nseeds = [";
     for (std::size_t i = 0; i < seed_count; ++i)
     {
         file << "\"" << endpoint{host_of(i), report_port}.to_string() << "\", ";
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -51,6 +51,10 @@
     std::string folder;
     // whether the store returns from older copies
     bool restores = false;
+    // whether cuts reset each new connection, too
+    bool resets = false;
+    // from the signal to stop until a node is killed
+    int grace_s = 3;
     // the programs
     std::string endivehinge;
     std::string soak;
--- a/tests/src/gateway/fault_relay.cpp
+++ b/tests/src/gateway/fault_relay.cpp
@@ -206,8 +206,13 @@
                                }),
                 this->connections.end());
             this->connections.push_back(new_connection);
-            new_connection->start(this->server);
             this->accept();
+            if (this->faults->reset_new_connections)
+            {
+                new_connection->reset();
+                return;
+            }
+            new_connection->start(this->server);
         });
 }
 
--- a/tests/src/gateway/fault_relay.hpp
+++ b/tests/src/gateway/fault_relay.hpp
@@ -24,6 +24,9 @@
     // discard bytes sent in this direction; the connection stays open
     bool drop_to_server = false;
     bool drop_to_client = false;
+    // resets each new connection at once, as a cut that refuses does once the
+    // connection is accepted
+    bool reset_new_connections = false;
     // replaces the bytes of the server; not used if empty
     std::function<std::string(std::string)> rewrite_to_client;
 };
