Tell an account's missing owner from its empty bucket after a wait

Review of the change of owners: a request that had waited for a new owner's tokens was refused with 429 also if that owner had not answered since, which says that the account exceeds its allotment when nothing is known. It now gets 503 unless the owner granted within the token lifetime. An accessor without a use goes, and a constant of the stop is named after what it is.

The allotment tests of the model pass as before (no case changed its figures).

--- a/include/endivehinge/policy/allotment_holder.hpp
+++ b/include/endivehinge/policy/allotment_holder.hpp
@@ -83,9 +83,6 @@
     /// @brief whether the account is known to be exhausted
     [[nodiscard]] bool is_exhausted(time_point now) const;
 
-    /// @brief whether the owner is new and has too few tokens yet
-    [[nodiscard]] bool is_filling() const;
-
 private:
     struct batch
     {
@@ -111,6 +108,7 @@
     // the account is taken to be exhausted, or without an owner, until then
     time_point refused_until;
     bool has_no_owner = false;
+    // the owner was new at its last grant and had too few tokens
     bool filling = false;
     // there is none before
     time_point owner_expected;
--- a/src/policy/allotment_holder.cpp
+++ b/src/policy/allotment_holder.cpp
@@ -149,18 +149,16 @@
         return std::nullopt;
     }
     // as many requests of the account as a new owner's rate allows were served
-    // while this one waited
-    verdict.outcome = this->filling ? allotment_outcome::exhausted
-                                    : allotment_outcome::no_contact;
+    // while this one waited, if the owner still answers
+    bool const is_exhausted =
+        this->filling &&
+        now - this->last_grant < allotment_timing::token_lifetime;
+    verdict.outcome = is_exhausted ? allotment_outcome::exhausted
+                                   : allotment_outcome::no_contact;
     verdict.retry_after = no_contact_retry;
     return verdict;
 }
 
-bool allotment_holder::is_filling() const
-{
-    return this->filling;
-}
-
 bool allotment_holder::is_exhausted(time_point now) const
 {
     return now < this->refused_until && !this->has_no_owner;
@@ -329,6 +327,7 @@
                                        duration blocked_for)
 {
     this->ask_again_at = now + pause;
+    this->filling = false;
     if (blocked_for > short_owner_wait)
     {
         this->refused_until = now + std::min(blocked_for, max_owner_pause);
--- a/src/policy/stop_schedule.cpp
+++ b/src/policy/stop_schedule.cpp
@@ -23,7 +23,7 @@
 constexpr duration conclusion_margin = std::chrono::milliseconds(400);
 // both margins together take this part of the grace time at most: the rules of
 // the platform excuse what is broken off in its last sixth
-constexpr int min_grace_margins = 6;
+constexpr int grace_margin_divisor = 6;
 // a request that waits is refused this long before the conclusion, so that none
 // starts in place of one that is concluded; spans two reviews
 constexpr duration min_start_lead = std::chrono::milliseconds(100);
@@ -35,7 +35,7 @@
 stop_schedule stop_schedule::begin(time_point now, duration grace)
 {
     constexpr auto margins = kill_safety_margin + conclusion_margin;
-    auto const margin = std::min(margins, grace / min_grace_margins);
+    auto const margin = std::min(margins, grace / grace_margin_divisor);
     stop_schedule schedule;
     schedule.drain_start = now + readiness_propagation_time - peer_drain_time;
     schedule.notice_end = now + notice_time;
