--- a/src/policy/stop_schedule.cpp
+++ b/src/policy/stop_schedule.cpp
@@ -21,6 +21,10 @@
 // time before the end of the process, for the last responses to be written and
 // delivered
 constexpr duration conclusion_margin = std::chrono::milliseconds(400);
+// time before the end of the process in which a request must end in the worst
+// case, also if clients have not learned of the stop: a short grace time is
+// over before they do
+constexpr duration shutdown_margin = std::chrono::milliseconds(2900);
 // both margins together take this part of the grace time at most: the rules of
 // the platform excuse what is broken off in its last sixth
 constexpr int grace_margin_divisor = 6;
@@ -38,13 +42,14 @@
     auto const margin = std::min(margins, grace / grace_margin_divisor);
     stop_schedule schedule;
     schedule.drain_start = now + readiness_propagation_time - peer_drain_time;
-    schedule.notice_end = now + notice_time;
     schedule.conclusion = now + grace - margin;
     schedule.deadline =
         schedule.conclusion +
         std::chrono::duration_cast<duration>(
             margin * (std::chrono::duration<double>(conclusion_margin) /
                       std::chrono::duration<double>(margins)));
+    schedule.notice_end =
+        std::min(now + notice_time, schedule.deadline - shutdown_margin);
     return schedule;
 }
 
